--- a/audit/entry.go
+++ b/audit/entry.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // What names the kind of change that an entry is about.
@@ -26,16 +26,16 @@
 
 // Entry is one line of the audit trail.
 type Entry struct {
-	ChangeID string           `json:"change_id"`
-	Who      string           `json:"who"`
-	When     time.Time        `json:"when"` // clock of the host that wrote it
-	What     What             `json:"what"`
-	Name     string           `json:"name"` // service, backend server or organisation
-	From     platform.Version `json:"from_version"`
+	ChangeID string        `json:"change_id"`
+	Who      string        `json:"who"`
+	When     time.Time     `json:"when"` // clock of the host that wrote it
+	What     What          `json:"what"`
+	Name     string        `json:"name"` // service, backend server or organisation
+	From     store.Version `json:"from_version"`
 	// To is the version that the change made. It is zero inside the object
 	// that the change wrote, whose own version it is.
-	To     platform.Version `json:"to_version,omitempty"`
-	Detail string           `json:"detail,omitempty"`
+	To     store.Version `json:"to_version,omitempty"`
+	Detail string        `json:"detail,omitempty"`
 	// Digest is the hash of what was written; it tells a repeat of a change
 	// from another change that uses the same id.
 	Digest uint64 `json:"digest,omitempty"`
--- a/audit/history.go
+++ b/audit/history.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // MaxEntries bounds a History.
@@ -18,7 +18,7 @@
 
 // With returns the history with an entry in front. The entry that was newest
 // gets its To: the version of the object that is now being replaced.
-func (h History) With(entry Entry, replaced platform.Version) History {
+func (h History) With(entry Entry, replaced store.Version) History {
 	entries := make([]Entry, 0, len(h.Entries)+1)
 	entries = append(entries, entry)
 	entries = append(entries, h.At(replaced)...)
@@ -28,7 +28,7 @@
 
 // At returns the entries as seen in an object of this version: the newest
 // entry made it.
-func (h History) At(version platform.Version) []Entry {
+func (h History) At(version store.Version) []Entry {
 	entries := slices.Clone(h.Entries)
 	if len(entries) > 0 && entries[0].To == 0 {
 		entries[0].To = version
@@ -37,7 +37,7 @@
 }
 
 // Find returns the entry of a change in an object of this version.
-func (h History) Find(changeID string, version platform.Version) (Entry, bool) {
+func (h History) Find(changeID string, version store.Version) (Entry, bool) {
 	for _, entry := range h.At(version) {
 		if entry.ChangeID == changeID {
 			return entry, true
--- a/audit/history_test.go
+++ b/audit/history_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 func TestHistoryGivesEachEntryItsVersion(t *testing.T) {
@@ -14,10 +14,10 @@
 	h := History{}.With(Entry{ChangeID: "a"}, 0).With(Entry{ChangeID: "b", From: 3}, 3)
 	entry, ok := h.Find("a", 9)
 	is.True(ok)
-	is.Equal(entry.To, platform.Version(3))
+	is.Equal(entry.To, store.Version(3))
 	entry, ok = h.Find("b", 9)
 	is.True(ok)
-	is.Equal(entry.To, platform.Version(9)) // of the object it lies in
+	is.Equal(entry.To, store.Version(9)) // of the object it lies in
 	_, ok = h.Find("c", 9)
 	is.True(!ok)
 }
@@ -26,7 +26,7 @@
 	is := is.New(t)
 	var h History
 	for i := range MaxEntries + 5 {
-		h = h.With(Entry{ChangeID: fmt.Sprint(i)}, platform.Version(i))
+		h = h.With(Entry{ChangeID: fmt.Sprint(i)}, store.Version(i))
 	}
 	is.Equal(len(h.Entries), MaxEntries)
 	is.Equal(h.Dropped, 5)
--- a/bench/control/changes.go
+++ b/bench/control/changes.go
@@ -9,7 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/papayasail/papayasail/internal/sleep"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -54,7 +54,7 @@
 }
 
 type arrival struct {
-	version platform.Version
+	version store.Version
 	when    time.Time
 }
 
@@ -72,7 +72,7 @@
 }
 
 // count returns how many hosts have a version in force.
-func (a *arrivals) count(version platform.Version) (count int) {
+func (a *arrivals) count(version store.Version) (count int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, arrived := range a.at {
@@ -97,8 +97,8 @@
 	}
 	accepted := time.Now()
 	if storeGone {
-		f.memory.SetFaults(platform.Faults{Outage: true})
-		defer f.memory.SetFaults(platform.Faults{})
+		f.memory.SetFaults(store.Faults{Outage: true})
+		defer f.memory.SetFaults(store.Faults{})
 	}
 	f.waitInForce(ctx, seen, version)
 	seen.mu.Lock()
@@ -114,7 +114,7 @@
 	return missing, nil
 }
 
-func (f *fleet) waitInForce(ctx context.Context, seen *arrivals, version platform.Version) {
+func (f *fleet) waitInForce(ctx context.Context, seen *arrivals, version store.Version) {
 	deadline := time.NewTimer(changeTimeout)
 	defer deadline.Stop()
 	for seen.count(version) < len(f.hosts) {
--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -22,7 +22,7 @@
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/peer/peerpb"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -39,7 +39,7 @@
 
 // fleet is a number of entry hosts' control parts in one process.
 type fleet struct {
-	memory        *platform.Memory
+	memory        *store.Memory
 	server        *http.Server
 	network       *countingNetwork
 	cutter        *cutter
@@ -58,7 +58,7 @@
 	domain   string
 	node     *peer.Node
 	table    *configuration.Table
-	store    *platform.Client
+	memory   *store.Client
 	acceptor *configuration.Acceptor
 	registry *prometheus.Registry
 	inForce  atomic.Pointer[func(*host)] // called after each change of the table
@@ -66,7 +66,7 @@
 
 // startFleet starts the stand-in platform with documents and all hosts.
 func startFleet(ctx context.Context, hosts, workers, organisations int) (*fleet, error) {
-	f := &fleet{memory: platform.NewMemory(), cutter: newCutter(), workers: workers, organisations: organisations}
+	f := &fleet{memory: store.NewMemory(), cutter: newCutter(), workers: workers, organisations: organisations}
 	f.network = &countingNetwork{bytes: &f.platformBytes}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -131,9 +131,9 @@
 
 func (f *fleet) newHost(i int, address string, addresses []string) *host {
 	h := &host{domain: domainOf(i, len(addresses)), table: configuration.NewTable(contract.ParseDocument), registry: prometheus.NewRegistry()}
-	h.store = platform.NewClient(f.network, f.platformAt, platform.ClientOptions{})
-	h.acceptor = configuration.NewAcceptor(h.store, contract.ParseDocument)
-	h.acceptor.Seen = func(object platform.Object) { h.table.Adopt([]platform.Object{object}) }
+	h.memory = store.NewClient(f.network, f.platformAt, store.ClientOptions{})
+	h.acceptor = configuration.NewAcceptor(h.memory, contract.ParseDocument)
+	h.acceptor.Seen = func(object store.Object) { h.table.Adopt([]store.Object{object}) }
 	h.node = peer.New(peer.Options{
 		Self: peer.Member{
 			Host: fmt.Sprintf("host-%d", i), FailureDomain: h.domain,
@@ -156,7 +156,7 @@
 }
 
 func (f *fleet) run(ctx context.Context, h *host) {
-	watcher := &configuration.Watcher{Store: h.store, Table: h.table, Active: h.watches}
+	watcher := &configuration.Watcher{Store: h.memory, Table: h.table, Active: h.watches}
 	f.running.Go(func() { _ = h.node.Run(ctx) })
 	f.running.Go(func() { _ = watcher.Run(ctx) })
 }
@@ -179,7 +179,7 @@
 }
 
 // accept puts a document in force at h and returns its version.
-func (f *fleet) accept(ctx context.Context, h *host, name, text string) (platform.Version, error) {
+func (f *fleet) accept(ctx context.Context, h *host, name, text string) (store.Version, error) {
 	_, version, _ := h.table.Document(name)
 	result, err := h.acceptor.Put(ctx, configuration.Change{
 		Service: name, Document: []byte(text), Expect: version, ChangeID: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Who: "bench",
@@ -212,12 +212,12 @@
 
 // stop ends all hosts and the stand-in.
 func (f *fleet) stop() {
-	f.memory.SetFaults(platform.Faults{})
+	f.memory.SetFaults(store.Faults{})
 	f.stopHosts()
 	_ = f.server.Close()
 	f.running.Wait()
 	for _, h := range f.hosts {
-		h.store.Close()
+		h.memory.Close()
 	}
 }
 
@@ -250,7 +250,7 @@
 type peerTable struct{ *configuration.Table }
 
 // Adopt implements peer.ConfigurationTable.
-func (t peerTable) Adopt(objects []platform.Object) (int, error) {
+func (t peerTable) Adopt(objects []store.Object) (int, error) {
 	changed, _ := t.Table.Adopt(objects)
 	return changed, nil
 }
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -17,8 +17,8 @@
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/entryhost"
 	"github.com/papayasail/papayasail/fake/engine"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -30,11 +30,11 @@
 )
 
 // deployment is one site in this process: the entry hosts' real code over
-// loopback TCP, and stand-ins of the engines and the platform.
+// loopback TCP, and stand-ins of the engines and the store.
 type deployment struct {
 	site     site
 	policy   string
-	store    *platform.Memory
+	store    *store.Memory
 	topology *topology
 	engines  []*engineServer
 	hosts    []*hostProcess
@@ -55,7 +55,7 @@
 
 // deploy starts a site under a policy and returns when all hosts serve.
 func deploy(ctx context.Context, s site, policy string, seed uint64, attempts int) (*deployment, error) {
-	d := &deployment{site: s, policy: policy, store: platform.NewMemory(), topology: newTopology(s)}
+	d := &deployment{site: s, policy: policy, store: store.NewMemory(), topology: newTopology(s)}
 	if err := d.start(ctx, seed, attempts); err != nil {
 		d.close()
 		return nil, err
--- a/bench/fault.go
+++ b/bench/fault.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // attemptsWithFaults is how often callers try in runs with faults.
@@ -151,9 +151,9 @@
 }
 
 func storeOutage(d *deployment, a []string) {
-	d.store.SetFaults(platform.Faults{Outage: true})
+	d.store.SetFaults(store.Faults{Outage: true})
 	time.Sleep(duration(a[0]))
-	d.store.SetFaults(platform.Faults{})
+	d.store.SetFaults(store.Faults{})
 }
 
 // number and duration read arguments that check has passed.
--- a/configuration/acceptor.go
+++ b/configuration/acceptor.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayasail/papayasail/audit"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Outcome says what became of a change.
@@ -22,9 +22,9 @@
 // Change asks for a service document to be put in force.
 type Change struct {
 	Service  string
-	Document []byte           // YAML
-	Expect   platform.Version // 0: the service must be new
-	ChangeID string           // repeats with the same id are one change
+	Document []byte        // YAML
+	Expect   store.Version // 0: the service must be new
+	ChangeID string        // repeats with the same id are one change
 	Who      string
 }
 
@@ -33,7 +33,7 @@
 	Outcome Outcome
 	// Version is the one that the change made if it was accepted, else the
 	// current one as far as it is known.
-	Version platform.Version
+	Version store.Version
 	// Winner is the change that made the current version, when a conditional
 	// write lost to it.
 	Winner *audit.Entry
@@ -53,7 +53,7 @@
 // Acceptor takes changes: accepted means that the conditional write to the
 // platform's store took effect.
 type Acceptor struct {
-	store platform.Store
+	store store.Store
 	parse Parser
 	// SettleFor bounds how long a change is tried and its outcome settled
 	// while the store fails. Set before first use.
@@ -64,7 +64,7 @@
 	// Guards against a store that goes away right after it took the write: a
 	// host that waits for its watch would not hear of the change, and neither
 	// would its peers, although the operator was told "accepted".
-	Seen func(platform.Object)
+	Seen func(store.Object)
 	// Clash tells whether an organisation may not be put in force because its
 	// name or one of its tokens is another one's; nil: nobody is asked.
 	Clash func(Organisation) error
@@ -76,14 +76,14 @@
 )
 
 // NewAcceptor returns an Acceptor that checks documents with parse.
-func NewAcceptor(store platform.Store, parse Parser) *Acceptor {
+func NewAcceptor(store store.Store, parse Parser) *Acceptor {
 	return &Acceptor{store: store, parse: parse, SettleFor: defaultSettleFor}
 }
 
 // Put puts a document in force if the service's version is the expected one.
 // Unknown comes without an error: call Settle, or Put again with the same
 // change id. Errors: those of the parser, ErrWrongService, ErrNoChangeID,
-// ErrChangeIDReused, platform.ErrUnavailable; all mean NotAccepted.
+// ErrChangeIDReused, store.ErrUnavailable; all mean NotAccepted.
 func (a *Acceptor) Put(ctx context.Context, change Change) (Result, error) {
 	document, err := a.parse(change.Service, change.Document)
 	if err != nil {
@@ -145,7 +145,7 @@
 }
 
 // History returns the changes of a service, newest first. Errors:
-// platform.ErrNoObject, platform.ErrUnavailable.
+// store.ErrNoObject, store.ErrUnavailable.
 func (a *Acceptor) History(ctx context.Context, service string) ([]audit.Entry, error) {
 	object, err := a.store.Get(ctx, Kind, ServiceName(service))
 	if err != nil {
@@ -159,7 +159,7 @@
 }
 
 // Trail returns the newest entries about documents, drains and orders, newest
-// first. Errors: platform.ErrUnavailable.
+// first. Errors: store.ErrUnavailable.
 func (a *Acceptor) Trail(ctx context.Context) ([]audit.Entry, error) {
 	var entries []audit.Entry
 	for _, kind := range []string{Kind, audit.OrderKind} {
--- a/configuration/acceptor_test.go
+++ b/configuration/acceptor_test.go
@@ -10,10 +10,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
-func change(id, owner string, expect platform.Version) Change {
+func change(id, owner string, expect store.Version) Change {
 	return Change{Service: "a", Document: []byte("a " + owner), Expect: expect, ChangeID: id, Who: "olga"}
 }
 
@@ -22,9 +22,9 @@
 	// hears "accepted", and the change is there once.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		acceptor := NewAcceptor(store, parseTest)
-		store.SetFaults(platform.Faults{LoseAnswers: 1})
+		memory := store.NewMemory()
+		acceptor := NewAcceptor(memory, parseTest)
+		memory.SetFaults(store.Faults{LoseAnswers: 1})
 		result, err := acceptor.Put(ctx, change("c1", "x", 0))
 		is.NoErr(err)
 		is.Equal(result.Outcome, Accepted)
@@ -41,9 +41,9 @@
 func TestLostRequestIsWrittenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
-		store.SetFaults(platform.Faults{LoseRequests: 2})
-		result, err := NewAcceptor(store, parseTest).Put(t.Context(), change("c1", "x", 0))
+		memory := store.NewMemory()
+		memory.SetFaults(store.Faults{LoseRequests: 2})
+		result, err := NewAcceptor(memory, parseTest).Put(t.Context(), change("c1", "x", 0))
 		is.NoErr(err)
 		is.Equal(result.Outcome, Accepted)
 	})
@@ -54,7 +54,7 @@
 	// accepted" and sees whose change it was.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		acceptor := NewAcceptor(platform.NewMemory(), parseTest)
+		acceptor := NewAcceptor(store.NewMemory(), parseTest)
 		first, err := acceptor.Put(ctx, change("c1", "x", 0))
 		is.NoErr(err)
 		won, err := acceptor.Put(ctx, change("c2", "y", first.Version))
@@ -74,19 +74,19 @@
 	// "accepted" once it is back.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		acceptor := NewAcceptor(store, parseTest)
-		store.SetFaults(platform.Faults{Outage: true})
+		memory := store.NewMemory()
+		acceptor := NewAcceptor(memory, parseTest)
+		memory.SetFaults(store.Faults{Outage: true})
 		result, err := acceptor.Put(ctx, change("c1", "x", 0))
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, store.ErrUnavailable))
 		is.Equal(result.Outcome, NotAccepted)
 
-		store.SetFaults(platform.Faults{LoseAnswers: 1})
+		memory.SetFaults(store.Faults{LoseAnswers: 1})
 		go func() {
-			for store.Faults().LoseAnswers > 0 {
+			for memory.Faults().LoseAnswers > 0 {
 				time.Sleep(time.Millisecond)
 			}
-			store.SetFaults(platform.Faults{Outage: true})
+			memory.SetFaults(store.Faults{Outage: true})
 		}()
 		result, err = acceptor.Put(ctx, change("c1", "x", 0))
 		is.NoErr(err)
@@ -94,7 +94,7 @@
 		result, err = acceptor.Settle(ctx, "a", "c1")
 		is.True(err != nil)
 		is.Equal(result.Outcome, Unknown)
-		store.SetFaults(platform.Faults{})
+		memory.SetFaults(store.Faults{})
 		result, err = acceptor.Settle(ctx, "a", "c1")
 		is.NoErr(err)
 		is.Equal(result.Outcome, Accepted)
@@ -107,14 +107,14 @@
 	// not take effect.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		acceptor := NewAcceptor(store, parseTest)
+		memory := store.NewMemory()
+		acceptor := NewAcceptor(memory, parseTest)
 		late, err := Envelope{Document: "a late"}.Encode()
 		is.NoErr(err)
 		result, err := acceptor.Settle(ctx, "a", "c1")
 		is.NoErr(err)
 		is.Equal(result.Outcome, NotAccepted)
-		_, err = store.Put(ctx, Kind, ServiceName("a"), late, 0) // the late write
+		_, err = memory.Put(ctx, Kind, ServiceName("a"), late, 0) // the late write
 		is.True(err != nil)
 		result, err = acceptor.Put(ctx, change("c1", "x", 0)) // the same change again
 		is.NoErr(err)
@@ -127,7 +127,7 @@
 
 func TestChangeIDReused(t *testing.T) {
 	is, ctx := is.New(t), t.Context()
-	acceptor := NewAcceptor(platform.NewMemory(), parseTest)
+	acceptor := NewAcceptor(store.NewMemory(), parseTest)
 	_, err := acceptor.Put(ctx, change("c1", "x", 0))
 	is.NoErr(err)
 	_, err = acceptor.Put(ctx, change("c1", "y", 0))
@@ -136,13 +136,13 @@
 
 func TestBadDocumentIsNotWritten(t *testing.T) {
 	is, ctx := is.New(t), t.Context()
-	store := platform.NewMemory()
-	acceptor := NewAcceptor(store, parseTest)
+	memory := store.NewMemory()
+	acceptor := NewAcceptor(memory, parseTest)
 	_, err := acceptor.Put(ctx, Change{Service: "a", Document: []byte("bad"), ChangeID: "c1"})
 	is.True(err != nil)
 	_, err = acceptor.Put(ctx, Change{Service: "b", Document: []byte("a x"), ChangeID: "c1"})
 	is.True(errors.Is(err, ErrWrongService))
-	is.Equal(store.Calls(), uint64(0))
+	is.Equal(memory.Calls(), uint64(0))
 }
 
 func TestHistoryStaysUnderTheLimit(t *testing.T) {
@@ -150,10 +150,10 @@
 	// give way before the store refuses the object.
 	is, ctx := is.New(t), t.Context()
 	const rounds, nameBytes = 70, 20 << 10 // 1.4 MB of entries in all
-	store := platform.NewMemory()
-	store.KeepEvents = 4
-	acceptor := NewAcceptor(store, parseTest)
-	var version platform.Version
+	memory := store.NewMemory()
+	memory.KeepEvents = 4
+	acceptor := NewAcceptor(memory, parseTest)
+	var version store.Version
 	for i := range rounds {
 		next := change(fmt.Sprint(i), "x", version)
 		next.Who = strings.Repeat("w", nameBytes)
@@ -173,13 +173,13 @@
 func TestDrainAndTrail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		acceptor, table := NewAcceptor(store, parseTest), NewTable(parseTest)
+		memory := store.NewMemory()
+		acceptor, table := NewAcceptor(memory, parseTest), NewTable(parseTest)
 		_, err := acceptor.Put(ctx, change("c1", "x", 0))
 		is.NoErr(err)
 		_, err = acceptor.Drain(ctx, "10.0.0.9:80", false, "d1", "olga")
 		is.NoErr(err)
-		watcher := &Watcher{Store: store, Table: table}
+		watcher := &Watcher{Store: memory, Table: table}
 		go func() { _ = watcher.Run(ctx) }()
 		synctest.Wait()
 		is.True(table.Drained("10.0.0.9:80"))
--- a/configuration/edit.go
+++ b/configuration/edit.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/papayasail/papayasail/audit"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 var changes = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -27,20 +27,20 @@
 	changeID string
 	who      string
 	detail   string
-	expect   *platform.Version // nil: whatever the version is
+	expect   *store.Version // nil: whatever the version is
 	apply    func(*Envelope)
 	// content stands for what the edit writes where the object holds more
 	// than that; empty: the object's own digest does.
 	content string
 	// versionOf is the version that expect is compared with, where the object
 	// holds more than the edit's own part; nil: the object's.
-	versionOf func(stored) platform.Version
+	versionOf func(stored) store.Version
 	keep      int // history entries that are kept; 0: audit.MaxEntries
 }
 
 // stored is an object as read; its zero value is one that does not exist.
 type stored struct {
-	version  platform.Version
+	version  store.Version
 	envelope Envelope
 }
 
@@ -53,11 +53,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.SettleFor)
 	defer cancel()
-	var backoff platform.Backoff
+	var backoff store.Backoff
 	sent := false // a write may be on its way or its answer lost
 	for {
 		result, err := a.try(ctx, e)
-		sent = sent || errors.Is(err, platform.ErrOutcomeUnknown)
+		sent = sent || errors.Is(err, store.ErrOutcomeUnknown)
 		if result.Outcome != "" {
 			return result, err
 		}
@@ -68,7 +68,7 @@
 			continue
 		}
 		if !sent {
-			return Result{Outcome: NotAccepted}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+			return Result{Outcome: NotAccepted}, errors.Mark(ctx.Err(), store.ErrUnavailable)
 		}
 		return Result{Outcome: Unknown, Detail: "the store did not answer; settle the change when it does"}, nil
 	}
@@ -89,10 +89,10 @@
 		return Result{Outcome: NotAccepted, Version: current.version}, err
 	}
 	version, err := a.store.Put(ctx, Kind, e.stored, value, current.version)
-	var bad *platform.VersionError
+	var bad *store.VersionError
 	switch {
 	case err == nil:
-		a.saw(platform.Object{Kind: Kind, Name: e.stored, Version: version, Value: value})
+		a.saw(store.Object{Kind: Kind, Name: e.stored, Version: version, Value: value})
 		return e.written(version), nil
 	case errors.As(err, &bad):
 		return Result{}, nil // another change came between: read again
@@ -102,7 +102,7 @@
 
 func (a *Acceptor) read(ctx context.Context, name string) (stored, error) {
 	object, err := a.store.Get(ctx, Kind, name)
-	if errors.Is(err, platform.ErrNoObject) {
+	if errors.Is(err, store.ErrNoObject) {
 		return stored{}, nil
 	}
 	if err != nil {
@@ -113,7 +113,7 @@
 	return stored{version: object.Version, envelope: envelope}, err
 }
 
-func (a *Acceptor) saw(object platform.Object) {
+func (a *Acceptor) saw(object store.Object) {
 	if a.Seen != nil {
 		a.Seen(object)
 	}
@@ -144,7 +144,7 @@
 	return result, nil
 }
 
-func (e *edit) version(current stored) platform.Version {
+func (e *edit) version(current stored) store.Version {
 	if e.versionOf != nil {
 		return e.versionOf(current)
 	}
@@ -197,7 +197,7 @@
 }
 
 // written is the result of a write that took effect.
-func (e *edit) written(version platform.Version) Result {
+func (e *edit) written(version store.Version) Result {
 	if e.what == audit.WhatSettled {
 		return Result{Outcome: NotAccepted, Version: version}
 	}
--- a/configuration/fuzz_test.go
+++ b/configuration/fuzz_test.go
@@ -9,16 +9,16 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // spread is the state machine of configuration going from the store to hosts
 // and from host to host, with answers that come late and in any order.
 type spread struct {
-	store   *platform.Memory
+	store   *store.Memory
 	tables  []*Table
-	served  []map[string]platform.Version // by table: highest served of each service
-	late    []func(*Table)                // answers on their way
+	served  []map[string]store.Version // by table: highest served of each service
+	late    []func(*Table)             // answers on their way
 	reached map[string]int
 }
 
@@ -34,10 +34,10 @@
 	// asked each other again, all serve what the store has.
 	reached := map[string]int{}
 	rapid.Check(t, func(rt *rapid.T) {
-		s := &spread{store: platform.NewMemory(), reached: reached}
+		s := &spread{store: store.NewMemory(), reached: reached}
 		for range fuzzTables {
 			s.tables = append(s.tables, NewTable(parseTest))
-			s.served = append(s.served, map[string]platform.Version{})
+			s.served = append(s.served, map[string]store.Version{})
 		}
 		rt.Repeat(map[string]func(*rapid.T){
 			"write":   s.write,
@@ -61,7 +61,7 @@
 	return context.Background()
 }
 
-func (s *spread) current(service string) platform.Version {
+func (s *spread) current(service string) store.Version {
 	object, err := s.store.Get(context.Background(), Kind, ServiceName(service))
 	if err != nil {
 		return 0
@@ -119,7 +119,7 @@
 // pull asks one host for what it has; the answer is on its way.
 func (s *spread) pull(t *rapid.T) {
 	s.did("pull")
-	objects := s.tables[s.table(t)].Since(platform.Version(rapid.IntRange(0, 5).Draw(t, "after")))
+	objects := s.tables[s.table(t)].Since(store.Version(rapid.IntRange(0, 5).Draw(t, "after")))
 	s.late = append(s.late, func(table *Table) { table.Adopt(objects) })
 }
 
@@ -136,7 +136,7 @@
 func (s *spread) replace(t *rapid.T) {
 	s.did("replace")
 	i := s.table(t)
-	s.tables[i], s.served[i] = NewTable(parseTest), map[string]platform.Version{}
+	s.tables[i], s.served[i] = NewTable(parseTest), map[string]store.Version{}
 }
 
 // check is the oracle after each action.
--- a/configuration/helper_test.go
+++ b/configuration/helper_test.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayasail/papayasail/contract"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // parseTest reads "SERVICE OWNER"; "bad" cannot be parsed.
@@ -18,10 +18,10 @@
 	return &contract.Document{Service: service, Owner: owner}, nil
 }
 
-func object(name, document string, version platform.Version) platform.Object {
+func object(name, document string, version store.Version) store.Object {
 	value, err := Envelope{Document: document}.Encode()
 	if err != nil {
 		panic(err)
 	}
-	return platform.Object{Kind: Kind, Name: name, Version: version, Value: value}
+	return store.Object{Kind: Kind, Name: name, Version: version, Value: value}
 }
--- a/configuration/object.go
+++ b/configuration/object.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayasail/papayasail/audit"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Kind is the kind of all stored configuration objects. Documents and drains
@@ -64,7 +64,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "configuration: stored object")
 		}
-		if len(value) <= platform.MaxValueBytes-headroomBytes {
+		if len(value) <= store.MaxValueBytes-headroomBytes {
 			return value, nil
 		}
 		if len(e.History.Entries) <= 1 {
--- a/configuration/organisation.go
+++ b/configuration/organisation.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayasail/papayasail/contract"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -35,7 +35,7 @@
 	Services    []string             `json:"services,omitempty"` // empty: all services
 	// Version is that of the change that made it. It is zero inside the
 	// object that the change wrote, whose own version it is.
-	Version platform.Version `json:"version,omitempty"`
+	Version store.Version `json:"version,omitempty"`
 }
 
 // noToken is the hash that a request without a token has.
@@ -109,7 +109,7 @@
 
 // stamped returns the organisations of an object of this version, each with
 // the version that made it.
-func stamped(organisations []Organisation, version platform.Version) []Organisation {
+func stamped(organisations []Organisation, version store.Version) []Organisation {
 	all := slices.Clone(organisations)
 	for i := range all {
 		if all[i].Version == 0 {
--- a/configuration/organisation_bench_test.go
+++ b/configuration/organisation_bench_test.go
@@ -11,25 +11,25 @@
 	"testing"
 
 	"github.com/papayasail/papayasail/audit"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 // targetOrganisations is how many organisations there are at the target.
 const targetOrganisations = 30_000
 
 // targetShards returns the stored objects at the target, with full histories.
-func targetShards() []platform.Object {
+func targetShards() []store.Object {
 	shards := map[string][]Organisation{}
 	for i := range targetOrganisations {
 		o := organisation(fmt.Sprintf("organisation-%05d", i), fmt.Sprintf("token %d", i))
-		o.Version = platform.Version(i + 1)
+		o.Version = store.Version(i + 1)
 		if i%3 == 0 {
 			o.Services = []string{"outlook", "gauges"}
 		}
 		shards[shardOf(o.Name)] = append(shards[shardOf(o.Name)], o)
 	}
-	var objects []platform.Object
+	var objects []store.Object
 	for shard, organisations := range shards {
 		envelope := Envelope{Organisations: organisations}
 		for i := range shardHistory {
@@ -40,9 +40,9 @@
 		if err != nil {
 			panic(err)
 		}
-		objects = append(objects, platform.Object{Kind: Kind, Name: organisationsPrefix + shard, Version: targetOrganisations, Value: value})
+		objects = append(objects, store.Object{Kind: Kind, Name: organisationsPrefix + shard, Version: targetOrganisations, Value: value})
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(objects, func(a, b store.Object) int { return strings.Compare(a.Name, b.Name) })
 	return objects
 }
 
@@ -70,7 +70,7 @@
 	for _, object := range objects {
 		largest, bytes, sent = max(largest, len(object.Value)), bytes+len(object.Value), sent+packed(object.Value)
 	}
-	if largest > platform.MaxValueBytes/16 {
+	if largest > store.MaxValueBytes/16 {
 		t.Errorf("largest shard has %d bytes", largest)
 	}
 	before := heap()
@@ -105,7 +105,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		changed.Version++
-		table.Adopt([]platform.Object{changed})
+		table.Adopt([]store.Object{changed})
 	}
 }
 
@@ -118,13 +118,13 @@
 }
 
 func BenchmarkPutOrganisation(b *testing.B) {
-	store := platform.NewMemory()
+	memory := store.NewMemory()
 	for _, object := range targetShards() {
-		if _, err := store.Put(context.Background(), Kind, object.Name, object.Value, 0); err != nil {
+		if _, err := memory.Put(context.Background(), Kind, object.Name, object.Value, 0); err != nil {
 			b.Fatal(err)
 		}
 	}
-	acceptor := NewAcceptor(store, parseTest)
+	acceptor := NewAcceptor(memory, parseTest)
 	n := 0
 	for b.Loop() {
 		n++
--- a/configuration/organisation_change.go
+++ b/configuration/organisation_change.go
@@ -7,14 +7,14 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayasail/papayasail/audit"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // OrganisationChange asks for an organisation to be put in force or removed.
 type OrganisationChange struct {
-	Organisation Organisation     // of a removal only the name counts
-	Expect       platform.Version // of the organisation; 0: it must be new
-	ChangeID     string           // repeats with the same id are one change
+	Organisation Organisation  // of a removal only the name counts
+	Expect       store.Version // of the organisation; 0: it must be new
+	ChangeID     string        // repeats with the same id are one change
 	Who          string
 }
 
@@ -69,7 +69,7 @@
 	return &edit{
 		stored: OrganisationsName(name), what: audit.WhatOrganisation, name: name, changeID: c.ChangeID, who: c.Who,
 		detail: detail, content: content, expect: &c.Expect, keep: shardHistory, apply: apply,
-		versionOf: func(current stored) platform.Version {
+		versionOf: func(current stored) store.Version {
 			organisations := stamped(current.envelope.Organisations, current.version)
 			if at, found := place(organisations, name); found {
 				return organisations[at].Version
--- a/configuration/organisation_test.go
+++ b/configuration/organisation_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/papayasail/papayasail/audit"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 func organisation(name string, tokens ...string) Organisation {
@@ -24,7 +24,7 @@
 	return o
 }
 
-func organisationChange(id string, expect platform.Version, o Organisation) OrganisationChange {
+func organisationChange(id string, expect store.Version, o Organisation) OrganisationChange {
 	return OrganisationChange{Organisation: o, Expect: expect, ChangeID: id, Who: "olga"}
 }
 
@@ -42,15 +42,15 @@
 // directories is the state machine of organisations changed over one host and
 // learned by others, beside a map that says what was accepted.
 type directories struct {
-	store    *platform.Memory
+	memory   *store.Memory
 	acceptor *Acceptor
 	tables   []*Table
-	seen     []map[string]platform.Version // by table: version last served of a name
-	gone     []map[string]bool             // by table: names that it served and then did not
+	seen     []map[string]store.Version // by table: version last served of a name
+	gone     []map[string]bool          // by table: names that it served and then did not
 	oracle   map[string]Organisation
 	names    []string
 	changes  int
-	late     [][]platform.Object
+	late     [][]store.Object
 }
 
 const fuzzTokens = 6
@@ -65,11 +65,11 @@
 	// another one holds. Hosts learn of it late and out of order. No host goes
 	// back, and in the end each token is whose the map says.
 	rapid.Check(t, func(rt *rapid.T) {
-		d := &directories{store: platform.NewMemory(), oracle: map[string]Organisation{}, names: append(namesOfOneShard(3), "x", "y")}
-		d.acceptor = NewAcceptor(d.store, parseTest)
+		d := &directories{memory: store.NewMemory(), oracle: map[string]Organisation{}, names: append(namesOfOneShard(3), "x", "y")}
+		d.acceptor = NewAcceptor(d.memory, parseTest)
 		for range 3 {
 			d.tables = append(d.tables, NewTable(parseTest))
-			d.seen = append(d.seen, map[string]platform.Version{})
+			d.seen = append(d.seen, map[string]store.Version{})
 			d.gone = append(d.gone, map[string]bool{})
 		}
 		rt.Repeat(map[string]func(*rapid.T){
@@ -80,14 +80,14 @@
 }
 
 // expect draws the version that a change is made over, at times a wrong one.
-func (d *directories) expect(t *rapid.T, name string) (version platform.Version, right bool) {
+func (d *directories) expect(t *rapid.T, name string) (version store.Version, right bool) {
 	if rapid.IntRange(0, 4).Draw(t, "wrong") == 0 {
 		return d.oracle[name].Version + 1, false
 	}
 	return d.oracle[name].Version, true
 }
 
-func (d *directories) change(t *rapid.T, o Organisation, expect platform.Version) OrganisationChange {
+func (d *directories) change(t *rapid.T, o Organisation, expect store.Version) OrganisationChange {
 	d.changes++
 	return organisationChange(fmt.Sprint("c", d.changes), expect, o)
 }
@@ -131,7 +131,7 @@
 }
 
 func (d *directories) list(t *rapid.T) {
-	objects, revision, err := d.store.List(context.Background(), Kind)
+	objects, revision, err := d.memory.List(context.Background(), Kind)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -170,7 +170,7 @@
 
 // settle has one host list and the others pull, and compares with the map.
 func (d *directories) settle(t *rapid.T) {
-	objects, revision, err := d.store.List(context.Background(), Kind)
+	objects, revision, err := d.memory.List(context.Background(), Kind)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -210,9 +210,9 @@
 	// never was made is settled as not accepted, for good.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		acceptor := NewAcceptor(store, parseTest)
-		store.SetFaults(platform.Faults{LoseAnswers: 1})
+		memory := store.NewMemory()
+		acceptor := NewAcceptor(memory, parseTest)
+		memory.SetFaults(store.Faults{LoseAnswers: 1})
 		first := organisationChange("c1", 0, organisation("akarsu", "a"))
 		result, err := acceptor.PutOrganisation(ctx, first)
 		is.NoErr(err)
@@ -246,7 +246,7 @@
 	// version, while a third changes its neighbour in the shard. One of the
 	// two loses and sees to whom; the neighbour is nobody's conflict.
 	is, ctx := is.New(t), t.Context()
-	acceptor := NewAcceptor(platform.NewMemory(), parseTest)
+	acceptor := NewAcceptor(store.NewMemory(), parseTest)
 	names := namesOfOneShard(2)
 	first, err := acceptor.PutOrganisation(ctx, organisationChange("c1", 0, organisation(names[0], "a")))
 	is.NoErr(err)
@@ -268,9 +268,9 @@
 // before it is written.
 func TestOrganisationsAreCheckedStrictly(t *testing.T) {
 	is, ctx := is.New(t), t.Context()
-	store, table := platform.NewMemory(), NewTable(parseTest)
-	acceptor := NewAcceptor(store, parseTest)
-	acceptor.Seen = func(object platform.Object) { table.Adopt([]platform.Object{object}) }
+	memory, table := store.NewMemory(), NewTable(parseTest)
+	acceptor := NewAcceptor(memory, parseTest)
+	acceptor.Seen = func(object store.Object) { table.Adopt([]store.Object{object}) }
 	acceptor.Clash = table.Clash
 	_, err := acceptor.PutOrganisation(ctx, organisationChange("c", 0, organisation("akarsu", "held")))
 	is.NoErr(err)
@@ -296,10 +296,10 @@
 func TestUnreadableShardLeavesTheLastGoodOne(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(parseTest)
-	put := func(version platform.Version, o Organisation) []Finding {
+	put := func(version store.Version, o Organisation) []Finding {
 		value, err := Envelope{Organisations: []Organisation{o}}.Encode()
 		is.NoErr(err)
-		_, findings := table.Adopt([]platform.Object{{Kind: Kind, Name: OrganisationsName("akarsu"), Version: version, Value: value}})
+		_, findings := table.Adopt([]store.Object{{Kind: Kind, Name: OrganisationsName("akarsu"), Version: version, Value: value}})
 		return findings
 	}
 	is.Equal(len(put(1, organisation("akarsu", "a"))), 0)
--- a/configuration/table.go
+++ b/configuration/table.go
@@ -12,8 +12,8 @@
 
 	"github.com/papayasail/papayasail/audit"
 	"github.com/papayasail/papayasail/contract"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 var (
@@ -43,7 +43,7 @@
 // Finding says that a stored object could not be put in force.
 type Finding struct {
 	Name    string // stored name
-	Version platform.Version
+	Version store.Version
 	Err     error
 }
 
@@ -58,12 +58,12 @@
 	parse Parser
 
 	mu        sync.RWMutex // guards all below; not held while subscribers run
-	objects   map[objectKey]platform.Object
+	objects   map[objectKey]store.Object
 	services  map[string]inForce
 	drained   map[string]bool
 	directory directory
-	listed    map[string]platform.Version // by kind: revision of the newest list
-	version   platform.Version
+	listed    map[string]store.Version // by kind: revision of the newest list
+	version   store.Version
 	complete  bool   // has had all there was at one moment
 	digest    uint64 // sum of the hashes of all objects that are not deleted
 	listeners []func()
@@ -74,15 +74,15 @@
 // inForce is the last good document of a service.
 type inForce struct {
 	document *contract.Document
-	version  platform.Version
+	version  store.Version
 }
 
 // NewTable returns an empty table that reads documents with parse.
 func NewTable(parse Parser) *Table {
 	return &Table{
 		parse:     parse,
-		objects:   map[objectKey]platform.Object{},
-		listed:    map[string]platform.Version{},
+		objects:   map[objectKey]store.Object{},
+		listed:    map[string]store.Version{},
 		services:  map[string]inForce{},
 		drained:   map[string]bool{},
 		directory: newDirectory(),
@@ -92,7 +92,7 @@
 // Adopt puts those objects in force that are newer than what this host has
 // had, and returns how many. Deleted objects are kept as tombstones, so that a
 // peer or a slow answer cannot bring an older version back.
-func (t *Table) Adopt(objects []platform.Object) (changed int, findings []Finding) {
+func (t *Table) Adopt(objects []store.Object) (changed int, findings []Finding) {
 	t.mu.Lock()
 	changed, findings = t.adoptAll(objects)
 	t.mu.Unlock()
@@ -101,7 +101,7 @@
 }
 
 // adoptAll takes objects in order of version. The caller holds mu.
-func (t *Table) adoptAll(objects []platform.Object) (changed int, findings []Finding) {
+func (t *Table) adoptAll(objects []store.Object) (changed int, findings []Finding) {
 	ordered := slices.Clone(objects)
 	slices.SortStableFunc(ordered, byVersion)
 	for _, object := range ordered {
@@ -132,7 +132,7 @@
 }
 
 // adopt takes one object. The caller holds mu.
-func (t *Table) adopt(object platform.Object) (took bool, err error) {
+func (t *Table) adopt(object store.Object) (took bool, err error) {
 	key := objectKey{object.Kind, object.Name}
 	had, known := t.objects[key]
 	if object.Version <= had.Version {
@@ -148,7 +148,7 @@
 		// A list of the store, newer than this version, did not have it: the
 		// object was deleted before this host heard of it. A peer that still
 		// serves it would bring it back; as a tombstone it goes the other way.
-		object = platform.Object{Kind: object.Kind, Name: object.Name, Version: listed, Deleted: true}
+		object = store.Object{Kind: object.Kind, Name: object.Name, Version: listed, Deleted: true}
 	}
 	if known && !had.Deleted {
 		t.digest -= hashOf(had)
@@ -165,7 +165,7 @@
 
 // putInForce applies an object's content. On an error the last good content
 // stays in force. The caller holds mu.
-func (t *Table) putInForce(object platform.Object) error {
+func (t *Table) putInForce(object store.Object) error {
 	what, name := nameOf(object.Name)
 	if object.Deleted {
 		t.forget(what, name)
@@ -216,7 +216,7 @@
 // AdoptList adopts the answer of a list. Objects of the kind that the list
 // lacks, and that this host knows from an earlier version, were deleted while
 // it did not watch; they become tombstones of the list's revision.
-func (t *Table) AdoptList(kind string, objects []platform.Object, revision platform.Version) (changed int, findings []Finding) {
+func (t *Table) AdoptList(kind string, objects []store.Object, revision store.Version) (changed int, findings []Finding) {
 	listed := make(map[string]bool, len(objects))
 	for _, object := range objects {
 		listed[object.Name] = true
@@ -225,7 +225,7 @@
 	t.mu.Lock()
 	for key, had := range t.objects {
 		if key.kind == kind && !had.Deleted && !listed[key.name] && had.Version < revision {
-			all = append(all, platform.Object{Kind: kind, Name: key.name, Version: revision, Deleted: true})
+			all = append(all, store.Object{Kind: kind, Name: key.name, Version: revision, Deleted: true})
 		}
 	}
 	changed, findings = t.adoptAll(all)
@@ -238,7 +238,7 @@
 
 // Document returns the document in force of a service and its version.
 // Documents are shared: callers must not change them.
-func (t *Table) Document(service string) (*contract.Document, platform.Version, bool) {
+func (t *Table) Document(service string) (*contract.Document, store.Version, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	current, ok := t.services[service]
@@ -247,7 +247,7 @@
 
 // Source returns the newest stored document of a service as its team wrote it,
 // and its version.
-func (t *Table) Source(service string) (string, platform.Version, bool) {
+func (t *Table) Source(service string) (string, store.Version, bool) {
 	t.mu.RLock()
 	object, ok := t.objects[objectKey{Kind, ServiceName(service)}]
 	t.mu.RUnlock()
@@ -317,7 +317,7 @@
 
 // Version is the newest version that this host has had of any object; zero
 // means that it has no configuration yet.
-func (t *Table) Version() platform.Version {
+func (t *Table) Version() store.Version {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.version
@@ -334,16 +334,16 @@
 
 // Since returns the objects newer than a version, tombstones too, in order of
 // version.
-func (t *Table) Since(after platform.Version) []platform.Object {
+func (t *Table) Since(after store.Version) []store.Object {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var objects []platform.Object
+	var objects []store.Object
 	for _, object := range t.objects {
 		if object.Version > after {
 			objects = append(objects, object)
 		}
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int {
+	slices.SortFunc(objects, func(a, b store.Object) int {
 		if order := byVersion(a, b); order != 0 {
 			return order
 		}
@@ -359,9 +359,9 @@
 	t.listeners = append(slices.Clone(t.listeners), listener)
 }
 
-func byVersion(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) }
+func byVersion(a, b store.Object) int { return cmp.Compare(a.Version, b.Version) }
 
-func hashOf(object platform.Object) uint64 {
+func hashOf(object store.Object) uint64 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(object.Kind + "\x00" + object.Name + "\x00")
 	_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(object.Version)))
--- a/configuration/table_bench_test.go
+++ b/configuration/table_bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // benchServices is the number of documents in the benchmarks: 13 models and
@@ -15,7 +15,7 @@
 	table := NewTable(parseTest)
 	for i := range benchServices {
 		name := fmt.Sprintf("s%d", i)
-		table.Adopt([]platform.Object{object(ServiceName(name), name+" x", platform.Version(i+1))})
+		table.Adopt([]store.Object{object(ServiceName(name), name+" x", store.Version(i+1))})
 	}
 	return table
 }
@@ -42,6 +42,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		version++
-		table.Adopt([]platform.Object{object("service/s7", "s7 x", version)})
+		table.Adopt([]store.Object{object("service/s7", "s7 x", version)})
 	}
 }
--- a/configuration/table_test.go
+++ b/configuration/table_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 func TestTableNeverGoesBack(t *testing.T) {
@@ -14,15 +14,15 @@
 	// newer one.
 	is := is.New(t)
 	table := NewTable(parseTest)
-	changed, _ := table.Adopt([]platform.Object{object("service/a", "a new", 7)})
+	changed, _ := table.Adopt([]store.Object{object("service/a", "a new", 7)})
 	is.Equal(changed, 1)
-	changed, _ = table.Adopt([]platform.Object{object("service/a", "a old", 5)})
+	changed, _ = table.Adopt([]store.Object{object("service/a", "a old", 5)})
 	is.Equal(changed, 0)
 	document, version, ok := table.Document("a")
 	is.True(ok)
 	is.Equal(document.Owner, "new")
-	is.Equal(version, platform.Version(7))
-	is.Equal(table.Version(), platform.Version(7))
+	is.Equal(version, store.Version(7))
+	is.Equal(table.Version(), store.Version(7))
 }
 
 func TestTableDeletedStaysDeleted(t *testing.T) {
@@ -30,10 +30,10 @@
 	// hear of the removal offers the document.
 	is := is.New(t)
 	table := NewTable(parseTest)
-	table.Adopt([]platform.Object{object("service/a", "a x", 5)})
+	table.Adopt([]store.Object{object("service/a", "a x", 5)})
 	empty := NewTable(parseTest).Digest()
-	table.Adopt([]platform.Object{{Kind: Kind, Name: "service/a", Version: 6, Deleted: true}})
-	table.Adopt([]platform.Object{object("service/a", "a x", 5)})
+	table.Adopt([]store.Object{{Kind: Kind, Name: "service/a", Version: 6, Deleted: true}})
+	table.Adopt([]store.Object{object("service/a", "a x", 5)})
 	_, _, ok := table.Document("a")
 	is.True(!ok)
 	is.Equal(table.Digest(), empty)
@@ -45,8 +45,8 @@
 	// dropped the event. The list that it takes then lacks the service.
 	is := is.New(t)
 	table := NewTable(parseTest)
-	table.Adopt([]platform.Object{object("service/a", "a x", 5), object("service/b", "b x", 6)})
-	table.AdoptList(Kind, []platform.Object{object("service/b", "b x", 6)}, 9)
+	table.Adopt([]store.Object{object("service/a", "a x", 5), object("service/b", "b x", 6)})
+	table.AdoptList(Kind, []store.Object{object("service/b", "b x", 6)}, 9)
 	_, _, ok := table.Document("a")
 	is.True(!ok)
 	is.Equal(len(table.Documents()), 1)
@@ -57,14 +57,14 @@
 	// go on with it and still count the version as seen.
 	is := is.New(t)
 	table := NewTable(parseTest)
-	table.Adopt([]platform.Object{object("service/a", "a good", 5)})
-	changed, findings := table.Adopt([]platform.Object{object("service/a", "bad", 6)})
+	table.Adopt([]store.Object{object("service/a", "a good", 5)})
+	changed, findings := table.Adopt([]store.Object{object("service/a", "bad", 6)})
 	is.Equal(changed, 1)
 	is.Equal(len(findings), 1)
 	document, version, _ := table.Document("a")
 	is.Equal(document.Owner, "good")
-	is.Equal(version, platform.Version(5))
-	is.Equal(table.Version(), platform.Version(6))
+	is.Equal(version, store.Version(5))
+	is.Equal(table.Version(), store.Version(6))
 }
 
 func TestTableDigestIgnoresOrder(t *testing.T) {
@@ -73,12 +73,12 @@
 	one, two := object("service/a", "a x", 1), object("service/b", "b x", 2)
 	notified := 0
 	a.Subscribe(func() { notified++ })
-	a.Adopt([]platform.Object{one})
-	a.Adopt([]platform.Object{two})
-	b.Adopt([]platform.Object{two, one})
+	a.Adopt([]store.Object{one})
+	a.Adopt([]store.Object{two})
+	b.Adopt([]store.Object{two, one})
 	is.Equal(a.Digest(), b.Digest())
 	is.Equal(notified, 2)
 	is.Equal(len(a.Since(1)), 1)
-	b.Adopt([]platform.Object{object("service/a", "a y", 3)})
+	b.Adopt([]store.Object{object("service/a", "a y", 3)})
 	is.True(a.Digest() != b.Digest())
 }
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/internal/sleep"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -22,14 +22,14 @@
 // Watcher keeps a Table up to date from the store: a list, then long-poll
 // watches. A few hosts watch; the others learn from their peers.
 type Watcher struct {
-	Store platform.Store
+	Store store.Store
 	Table *Table
 	// Active says whether this host watches now; nil: always. A host that is
 	// not active has no call waiting in the store.
 	Active func() bool
 	// Backoff spaces the tries while the store is away; its zero value has
 	// defaults.
-	Backoff platform.Backoff
+	Backoff store.Backoff
 	Logger  *zap.Logger // nil: no log
 
 	reachable atomic.Bool
@@ -40,7 +40,7 @@
 
 // Run follows the store until ctx ends, whose error it returns.
 func (w *Watcher) Run(ctx context.Context) error {
-	var after platform.Version
+	var after store.Version
 	listed := false
 	for ctx.Err() == nil {
 		if w.Active != nil && !w.Active() {
@@ -56,7 +56,7 @@
 		} else {
 			after, err = w.list(ctx)
 		}
-		listed = listed && !errors.Is(err, platform.ErrCompacted) || !listed && err == nil
+		listed = listed && !errors.Is(err, store.ErrCompacted) || !listed && err == nil
 		if err := w.settle(ctx, err); err != nil {
 			return err
 		}
@@ -70,7 +70,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if err == nil || errors.Is(err, platform.ErrCompacted) {
+	if err == nil || errors.Is(err, store.ErrCompacted) {
 		w.Backoff.Reset()
 		if w.reachable.CompareAndSwap(false, true) {
 			w.logger().Info(msgStoreReached)
@@ -84,13 +84,13 @@
 }
 
 // Refresh brings the table up to date with the store once. Errors: those of
-// platform.Store.List.
+// store.Store.List.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	_, err := w.list(ctx)
 	return err
 }
 
-func (w *Watcher) list(ctx context.Context) (platform.Version, error) {
+func (w *Watcher) list(ctx context.Context) (store.Version, error) {
 	objects, revision, err := w.Store.List(ctx, Kind)
 	if err != nil {
 		return 0, err
@@ -100,7 +100,7 @@
 	return revision, nil
 }
 
-func (w *Watcher) watch(ctx context.Context, after platform.Version) (platform.Version, error) {
+func (w *Watcher) watch(ctx context.Context, after store.Version) (store.Version, error) {
 	objects, revision, err := w.Store.Watch(ctx, Kind, after)
 	if err != nil {
 		return after, err
--- a/configuration/watcher_test.go
+++ b/configuration/watcher_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 func TestWatcherThroughTwoHourOutage(t *testing.T) {
@@ -19,9 +19,9 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		store := platform.NewMemory()
-		acceptor, table := NewAcceptor(store, parseTest), NewTable(parseTest)
-		watcher := &Watcher{Store: store, Table: table}
+		memory := store.NewMemory()
+		acceptor, table := NewAcceptor(memory, parseTest), NewTable(parseTest)
+		watcher := &Watcher{Store: memory, Table: table}
 		go func() { _ = watcher.Run(ctx) }()
 		first, err := acceptor.Put(ctx, change("c1", "x", 0))
 		is.NoErr(err)
@@ -29,15 +29,15 @@
 		is.True(watcher.Reachable())
 		is.Equal(table.Version(), first.Version)
 
-		store.SetFaults(platform.Faults{Outage: true})
-		before := store.Calls()
+		memory.SetFaults(store.Faults{Outage: true})
+		before := memory.Calls()
 		time.Sleep(2 * time.Hour)
 		_, _, ok := table.Document("a")
 		is.True(ok)
 		is.True(!watcher.Reachable())
-		is.True(store.Calls()-before < 2*60*8+10) // one call each 7.5 to 15 s
+		is.True(memory.Calls()-before < 2*60*8+10) // one call each 7.5 to 15 s
 
-		store.SetFaults(platform.Faults{})
+		memory.SetFaults(store.Faults{})
 		second, err := acceptor.Put(ctx, change("c2", "y", first.Version))
 		is.NoErr(err)
 		time.Sleep(15 * time.Second) // the longest step of the backoff
@@ -50,16 +50,16 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		store := platform.NewMemory()
-		store.KeepEvents = 2
-		acceptor, table := NewAcceptor(store, parseTest), NewTable(parseTest)
-		var version platform.Version
-		watcher := &Watcher{Store: store, Table: table}
+		memory := store.NewMemory()
+		memory.KeepEvents = 2
+		acceptor, table := NewAcceptor(memory, parseTest), NewTable(parseTest)
+		var version store.Version
+		watcher := &Watcher{Store: memory, Table: table}
 		go func() { _ = watcher.Run(ctx) }()
 		synctest.Wait()
-		store.SetFaults(platform.Faults{Outage: true})
+		memory.SetFaults(store.Faults{Outage: true})
 		synctest.Wait()
-		store.SetFaults(platform.Faults{})
+		memory.SetFaults(store.Faults{})
 		for _, id := range []string{"1", "2", "3", "4", "5"} {
 			result, err := acceptor.Put(ctx, change(id, id, version))
 			is.NoErr(err)
@@ -75,10 +75,10 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		store := platform.NewMemory()
-		watcher := &Watcher{Store: store, Table: NewTable(parseTest), Active: func() bool { return false }}
+		memory := store.NewMemory()
+		watcher := &Watcher{Store: memory, Table: NewTable(parseTest), Active: func() bool { return false }}
 		go func() { _ = watcher.Run(ctx) }()
 		time.Sleep(time.Hour)
-		is.Equal(store.Calls(), uint64(0))
+		is.Equal(memory.Calls(), uint64(0))
 	})
 }
--- a/demo/scenes.go
+++ b/demo/scenes.go
@@ -17,7 +17,7 @@
 	"github.com/papayasail/papayasail/fake/plain"
 	"github.com/papayasail/papayasail/gen/operator"
 	"github.com/papayasail/papayasail/internal/sleep"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -302,8 +302,8 @@
 }
 
 func (d *demonstration) storeOutage(ctx context.Context) error {
-	d.site.Store.SetFaults(platform.Faults{Outage: true})
-	defer d.site.Store.SetFaults(platform.Faults{})
+	d.site.Store.SetFaults(store.Faults{Outage: true})
+	defer d.site.Store.SetFaults(store.Faults{})
 	d.say("the store refuses every call")
 	r := read(ctx, d.client, Narratives, caller.Request{Prompt: "outlook during the outage", StopAfter: narrativeTokens}, nil)
 	if err := d.verify(r); err != nil {
@@ -323,7 +323,7 @@
 		return errors.Newf("a change during the outage ended with %v", err)
 	}
 	d.say("narratives and calls go on; a change is refused: %s", *problem.Detail)
-	d.site.Store.SetFaults(platform.Faults{})
+	d.site.Store.SetFaults(store.Faults{})
 	_, err = d.apply(ctx, Narratives, changed, current.Version)
 	return err
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -18,8 +18,8 @@
 	fakeplatform "github.com/papayasail/papayasail/fake/platform"
 	"github.com/papayasail/papayasail/gen/operator"
 	"github.com/papayasail/papayasail/internal/operatorclient"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Tokens of a Site.
@@ -47,7 +47,7 @@
 // Site is a small deployment in one process on loopback ports: stand-ins of
 // the platform, of model engines and of a plain service, and entry hosts.
 type Site struct {
-	Store   *platform.Memory
+	Store   *store.Memory
 	Engines []*Engine
 	Plain   *Plain
 	Hosts   []*EntryHost
@@ -93,7 +93,7 @@
 
 // Start starts a site without any service document. Close ends it.
 func Start(ctx context.Context, options Options) (*Site, error) {
-	s := &Site{options: options, Store: platform.NewMemory(), network: newLoopback()}
+	s := &Site{options: options, Store: store.NewMemory(), network: newLoopback()}
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -17,11 +17,11 @@
 	"github.com/papayasail/papayasail/domain"
 	"github.com/papayasail/papayasail/order"
 	"github.com/papayasail/papayasail/peer"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/record"
 	"github.com/papayasail/papayasail/relay"
 	"github.com/papayasail/papayasail/routing"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Log messages.
@@ -74,7 +74,7 @@
 		client: backend.NewClient(o.Network, backend.ClientOptions{Silence: o.BackendSilence}),
 	}
 	h.acceptor = configuration.NewAcceptor(o.Store, acceptanceParser(o.Settings))
-	h.acceptor.Seen = func(object platform.Object) { h.table.Adopt([]platform.Object{object}) }
+	h.acceptor.Seen = func(object store.Object) { h.table.Adopt([]store.Object{object}) }
 	h.acceptor.Clash = h.organisations().clash
 	h.ledger = newLedger(o.Settings)
 	scheduler, err := routing.New(routing.Options{Pool: h.pool, Policy: o.Policy, Host: o.Settings.Host, Share: h.share})
@@ -176,7 +176,7 @@
 
 // Adopt implements peer.ConfigurationTable. Documents that cannot be read are
 // counted by the table.
-func (t peerTable) Adopt(objects []platform.Object) (int, error) {
+func (t peerTable) Adopt(objects []store.Object) (int, error) {
 	changed, _ := t.Table.Adopt(objects)
 	return changed, nil
 }
--- a/entryhost/host_test.go
+++ b/entryhost/host_test.go
@@ -17,7 +17,7 @@
 	"github.com/papayasail/papayasail/fake/engine"
 	"github.com/papayasail/papayasail/fake/plain"
 	"github.com/papayasail/papayasail/gen/operator"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 func TestWholePath(t *testing.T) {
@@ -334,7 +334,7 @@
 		document := fmt.Sprintf(modelService, outlook, true) + "retry: {max_retries: 1}\n"
 		accepted, err := operators.Put(context.Background(), &operator.PutPayload{Service: outlook, Document: document, ExpectVersion: uint64(version), ChangeID: "c2"})
 		s.is.NoErr(err)
-		s.store.SetFaults(platform.Faults{Outage: true})
+		s.store.SetFaults(store.Faults{Outage: true})
 		s.is.Equal(accepted.Outcome, string(configuration.Accepted))
 		time.Sleep(5 * time.Second)
 		for _, host := range s.hosts {
@@ -414,7 +414,7 @@
 		defer s.close()
 		key := s.hosts[0].ledger.Home().String() + ".ack-1"
 		s.is.Equal(s.acknowledge(0, key), "200 POST /alarms/7/ack: seen")
-		s.store.SetFaults(platform.Faults{Outage: true})
+		s.store.SetFaults(store.Faults{Outage: true})
 		s.fabric.Cut(hostIP(0), hostIP(2))
 		s.fabric.Cut(hostIP(1), hostIP(2))
 		s.start(2, 3)
--- a/entryhost/hostlist.go
+++ b/entryhost/hostlist.go
@@ -10,7 +10,7 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/internal/sleep"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // HostKind is the kind of the platform's objects that list the hosts of
@@ -34,7 +34,7 @@
 // behind reality, so it only ever takes servers out: what it says of a host
 // that lives ends its own word about it and nobody else's.
 type hostList struct {
-	store  platform.Store
+	store  store.Store
 	pool   *backend.Pool
 	active func() bool // whether this host watches the store
 	// changed is called after each change, without locks held.
@@ -44,13 +44,13 @@
 	leaving map[string]bool // IPs of hosts that are leaving
 }
 
-func newHostList(store platform.Store, pool *backend.Pool, active func() bool) *hostList {
+func newHostList(store store.Store, pool *backend.Pool, active func() bool) *hostList {
 	return &hostList{store: store, pool: pool, active: active, changed: func() {}, leaving: make(map[string]bool)}
 }
 
 // run follows the list until ctx ends.
 func (l *hostList) run(ctx context.Context) {
-	var backoff platform.Backoff
+	var backoff store.Backoff
 	for ctx.Err() == nil {
 		if !l.active() {
 			_ = sleep.For(ctx, hostListPause)
@@ -64,7 +64,7 @@
 
 // follow lists the hosts and then watches them until an error, or until this
 // host is no longer one that watches.
-func (l *hostList) follow(ctx context.Context, backoff *platform.Backoff) error {
+func (l *hostList) follow(ctx context.Context, backoff *store.Backoff) error {
 	hosts, revision, err := l.store.List(ctx, HostKind)
 	if err != nil {
 		return err
@@ -84,14 +84,14 @@
 }
 
 // replace takes a whole list: a host that is no longer on it, leaves no mark.
-func (l *hostList) replace(hosts []platform.Object) {
+func (l *hostList) replace(hosts []store.Object) {
 	l.mu.Lock()
 	clear(l.leaving)
 	l.mu.Unlock()
 	l.take(hosts)
 }
 
-func (l *hostList) take(hosts []platform.Object) {
+func (l *hostList) take(hosts []store.Object) {
 	l.mu.Lock()
 	for _, host := range hosts {
 		var entry HostEntry
--- a/entryhost/operator.go
+++ b/entryhost/operator.go
@@ -13,7 +13,7 @@
 	"github.com/papayasail/papayasail/configuration"
 	"github.com/papayasail/papayasail/findings"
 	"github.com/papayasail/papayasail/gen/operator"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // operatorService serves operators and owning teams.
@@ -63,9 +63,9 @@
 			p.Findings = append(p.Findings, &operator.Finding{File: f.File, Line: f.Line, Column: f.Column, Message: f.Message})
 		}
 		return p
-	case errors.Is(err, platform.ErrNoObject):
+	case errors.Is(err, store.ErrNoObject):
 		return operatorProblem("not_found", http.StatusNotFound, "no such service", 0)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return operatorProblem("unavailable", http.StatusServiceUnavailable, "the platform's store is not reachable; nothing was changed", storeRetryAfter)
 	}
 	return operatorProblem("invalid", http.StatusUnprocessableEntity, err.Error(), 0)
@@ -74,7 +74,7 @@
 // Put implements operator.Service.
 func (s *operatorService) Put(ctx context.Context, p *operator.PutPayload) (*operator.Accepted, error) {
 	result, err := s.host.acceptor.Put(ctx, configuration.Change{
-		Service: p.Service, Document: []byte(p.Document), Expect: platform.Version(p.ExpectVersion),
+		Service: p.Service, Document: []byte(p.Document), Expect: store.Version(p.ExpectVersion),
 		ChangeID: p.ChangeID, Who: operatorName(ctx),
 	})
 	return accepted(result, err, p.Service, p.ChangeID)
@@ -103,7 +103,7 @@
 func (s *operatorService) Get(_ context.Context, p *operator.GetPayload) (*operator.GetResult, error) {
 	source, version, ok := s.host.table.Source(p.Service)
 	if !ok {
-		return nil, problemOf(platform.ErrNoObject)
+		return nil, problemOf(store.ErrNoObject)
 	}
 	return &operator.GetResult{Service: p.Service, Version: uint64(version), Document: source}, nil
 }
--- a/entryhost/operator_organisation.go
+++ b/entryhost/operator_organisation.go
@@ -7,8 +7,8 @@
 
 	"github.com/papayasail/papayasail/configuration"
 	"github.com/papayasail/papayasail/gen/operator"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 // PutOrganisation implements operator.Service.
@@ -22,7 +22,7 @@
 		organisation.TokenSHA256 = append(organisation.TokenSHA256, hash)
 	}
 	result, err := s.host.acceptor.PutOrganisation(ctx, configuration.OrganisationChange{
-		Organisation: organisation, Expect: platform.Version(p.ExpectVersion), ChangeID: p.ChangeID, Who: operatorName(ctx),
+		Organisation: organisation, Expect: store.Version(p.ExpectVersion), ChangeID: p.ChangeID, Who: operatorName(ctx),
 	})
 	return acceptedOrganisation(result, err, p.Name, p.ChangeID)
 }
@@ -33,7 +33,7 @@
 		return nil, operatorProblem("not_found", http.StatusNotFound, "no such organisation in force here", 0)
 	}
 	result, err := s.host.acceptor.RemoveOrganisation(ctx, configuration.OrganisationChange{
-		Organisation: configuration.Organisation{Name: p.Name}, Expect: platform.Version(p.ExpectVersion),
+		Organisation: configuration.Organisation{Name: p.Name}, Expect: store.Version(p.ExpectVersion),
 		ChangeID: p.ChangeID, Who: operatorName(ctx),
 	})
 	return acceptedOrganisation(result, err, p.Name, p.ChangeID)
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/link"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/routing"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 // DefaultPolicy is the routing policy in force unless Options name another.
@@ -21,10 +21,10 @@
 // Options of a Host. Settings is required.
 type Options struct {
 	Settings *settings.Settings
-	Network  link.Network   // default: TCP
-	Store    platform.Store // default: the object API at Settings.Platform
-	Policy   string         // routing policy, default DefaultPolicy
-	Logger   *zap.Logger    // default: none
+	Network  link.Network // default: TCP
+	Store    store.Store  // default: the object API at Settings.Platform
+	Policy   string       // routing policy, default DefaultPolicy
+	Logger   *zap.Logger  // default: none
 	Registry *prometheus.Registry
 	// AnnounceDelay is the time between the announcement that the host is
 	// leaving and its refusing new work, so that address answers get ahead
@@ -49,8 +49,8 @@
 		o.Network = link.TCP{}
 	}
 	if o.Store == nil {
-		budget := platform.Budget{Rate: float64(o.Settings.Limits.PlatformCalls)}
-		o.Store = platform.NewClient(o.Network, o.Settings.Platform, platform.ClientOptions{Budget: budget})
+		budget := store.Budget{Rate: float64(o.Settings.Limits.PlatformCalls)}
+		o.Store = store.NewClient(o.Network, o.Settings.Platform, store.ClientOptions{Budget: budget})
 	}
 	if o.Policy == "" {
 		o.Policy = DefaultPolicy
--- a/entryhost/organisations_test.go
+++ b/entryhost/organisations_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/papayasail/papayasail/gen/operator"
 	"github.com/papayasail/papayasail/internal/operatorclient"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 // spreadTime is how long a change may take to every entry host.
@@ -96,12 +96,12 @@
 		joined, err := s.putOrganisation(0, "c1", "seyhan", 0, nil, "first")
 		s.is.NoErr(err)
 		time.Sleep(spreadTime)
-		s.store.SetFaults(platform.Faults{Outage: true})
+		s.store.SetFaults(store.Faults{Outage: true})
 		time.Sleep(time.Minute)
 		s.is.Equal(s.statuses("first"), served)
 		_, err = s.putOrganisation(1, "c2", "seyhan", joined.Version, nil, "second")
 		s.is.True(err != nil)
-		s.store.SetFaults(platform.Faults{})
+		s.store.SetFaults(store.Faults{})
 		time.Sleep(time.Minute)
 		s.is.Equal(s.statuses("first")+s.statuses("second"), served+refused)
 	})
@@ -118,7 +118,7 @@
 		_, err := s.putOrganisation(0, "c1", "seyhan", 0, nil, "first")
 		s.is.NoErr(err)
 		time.Sleep(spreadTime)
-		s.store.SetFaults(platform.Faults{Outage: true})
+		s.store.SetFaults(store.Faults{Outage: true})
 		s.fabric.Silence(hostIP(2), hostIP(0))
 		s.fabric.Silence(hostIP(2), hostIP(1))
 		s.start(2, 3)
--- a/entryhost/site_test.go
+++ b/entryhost/site_test.go
@@ -18,8 +18,8 @@
 	"github.com/papayasail/papayasail/fake/engine"
 	"github.com/papayasail/papayasail/fake/network"
 	"github.com/papayasail/papayasail/fake/plain"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -51,7 +51,7 @@
 type site struct {
 	is      *is.I
 	fabric  *network.Fabric
-	store   *platform.Memory
+	store   *store.Memory
 	engines []*engine.Engine
 	plain   *plain.Service
 	hosts   []*Host
@@ -75,7 +75,7 @@
 }
 
 func newSiteWith(t *testing.T, hosts int, engines engine.Config, polls float64) *site {
-	s := &site{polls: polls, killed: make(map[int]bool), is: is.New(t), fabric: network.New(network.Options{}), store: platform.NewMemory(), keys: "event_key: " + testKey, plain: plain.New(plain.Config{Name: "plain-1"})}
+	s := &site{polls: polls, killed: make(map[int]bool), is: is.New(t), fabric: network.New(network.Options{}), store: store.NewMemory(), keys: "event_key: " + testKey, plain: plain.New(plain.Config{Name: "plain-1"})}
 	for i := range 2 {
 		engines.Name, engines.Seed = fmt.Sprintf("engine-%d", i+1), uint64(i)
 		e := engine.New(engines)
--- a/fake/platform/platform.go
+++ b/fake/platform/platform.go
@@ -10,26 +10,26 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // PathFaults reads (GET) and sets (PUT) the switches for failures, a
-// platform.Faults in JSON. It answers during an outage too.
+// store.Faults in JSON. It answers during an outage too.
 const PathFaults = "/admin/faults"
 
 // Platform is the stand-in: an http.Handler over the memory twin.
 type Platform struct {
-	Memory *platform.Memory
+	Memory *store.Memory
 	mux    *http.ServeMux
 }
 
 // New returns a stand-in over memory.
-func New(memory *platform.Memory) *Platform {
+func New(memory *store.Memory) *Platform {
 	p := &Platform{Memory: memory, mux: http.NewServeMux()}
-	p.mux.HandleFunc("GET "+platform.PathObjects+"{kind}", p.listOrWatch)
-	p.mux.HandleFunc("GET "+platform.PathObjects+"{kind}/{name}", p.get)
-	p.mux.HandleFunc("PUT "+platform.PathObjects+"{kind}/{name}", p.put)
-	p.mux.HandleFunc("DELETE "+platform.PathObjects+"{kind}/{name}", p.remove)
+	p.mux.HandleFunc("GET "+store.PathObjects+"{kind}", p.listOrWatch)
+	p.mux.HandleFunc("GET "+store.PathObjects+"{kind}/{name}", p.get)
+	p.mux.HandleFunc("PUT "+store.PathObjects+"{kind}/{name}", p.put)
+	p.mux.HandleFunc("DELETE "+store.PathObjects+"{kind}/{name}", p.remove)
 	p.mux.HandleFunc("GET "+PathFaults, p.faults)
 	p.mux.HandleFunc("PUT "+PathFaults, p.setFaults)
 	return p
@@ -44,12 +44,12 @@
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.ETag(object.Version))
+	w.Header().Set("ETag", store.ETag(object.Version))
 	_, _ = w.Write(object.Value)
 }
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValueBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
@@ -64,7 +64,7 @@
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.ETag(version))
+	w.Header().Set("ETag", store.ETag(version))
 }
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
@@ -78,22 +78,22 @@
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.ETag(version))
+	w.Header().Set("ETag", store.ETag(version))
 }
 
 func (p *Platform) listOrWatch(w http.ResponseWriter, r *http.Request) {
 	var (
-		objects  []platform.Object
-		revision platform.Version
+		objects  []store.Object
+		revision store.Version
 		err      error
 	)
-	if after := r.URL.Query().Get(platform.ParamAfter); after != "" {
+	if after := r.URL.Query().Get(store.ParamAfter); after != "" {
 		number, parseErr := strconv.ParseUint(after, 10, 64)
 		if parseErr != nil {
 			http.Error(w, parseErr.Error(), http.StatusBadRequest)
 			return
 		}
-		objects, revision, err = p.Memory.Watch(r.Context(), r.PathValue("kind"), platform.Version(number))
+		objects, revision, err = p.Memory.Watch(r.Context(), r.PathValue("kind"), store.Version(number))
 	} else {
 		objects, revision, err = p.Memory.List(r.Context(), r.PathValue("kind"))
 	}
@@ -107,7 +107,7 @@
 func (p *Platform) faults(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Memory.Faults()) }
 
 func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults platform.Faults
+	var faults store.Faults
 	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -117,19 +117,19 @@
 }
 
 // condition reads the version that a write expects.
-func condition(r *http.Request) (platform.Version, bool) {
+func condition(r *http.Request) (store.Version, bool) {
 	if r.Header.Get("If-None-Match") == "*" {
 		return 0, true
 	}
-	return platform.ParseETag(r.Header.Get("If-Match"))
+	return store.ParseETag(r.Header.Get("If-Match"))
 }
 
-func writeList(w http.ResponseWriter, objects []platform.Object, revision platform.Version) {
-	list := platform.ObjectList{Revision: revision, Objects: make([]platform.WireObject, len(objects))}
+func writeList(w http.ResponseWriter, objects []store.Object, revision store.Version) {
+	list := store.ObjectList{Revision: revision, Objects: make([]store.WireObject, len(objects))}
 	for i, o := range objects {
-		list.Objects[i] = platform.WireObject{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted}
+		list.Objects[i] = store.WireObject{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted}
 	}
-	w.Header().Set(platform.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
+	w.Header().Set(store.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
 	writeJSON(w, list)
 }
 
@@ -139,21 +139,21 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	var bad *platform.VersionError
+	var bad *store.VersionError
 	switch {
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		// The answer is lost: the connection ends without one.
 		panic(http.ErrAbortHandler)
 	case errors.As(err, &bad):
 		if bad.Current != 0 {
-			w.Header().Set("ETag", platform.ETag(bad.Current))
+			w.Header().Set("ETag", store.ETag(bad.Current))
 		}
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrNoObject):
+	case errors.Is(err, store.ErrNoObject):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, store.ErrCompacted):
 		http.Error(w, err.Error(), http.StatusGone)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/fake/platform/platform_test.go
+++ b/fake/platform/platform_test.go
@@ -15,8 +15,8 @@
 	"github.com/matryer/is"
 
 	fake "github.com/papayasail/papayasail/fake/platform"
-	"github.com/papayasail/papayasail/platform"
-	"github.com/papayasail/papayasail/platform/platformtest"
+	"github.com/papayasail/papayasail/store"
+	"github.com/papayasail/papayasail/store/storetest"
 )
 
 const address = "10.0.0.1:80"
@@ -60,11 +60,11 @@
 func (p *pipeNetwork) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 80} }
 
 // open serves a stand-in on an in-memory network and connects a client.
-func open(t *testing.T) (*platform.Client, *platform.Memory, *pipeNetwork) {
-	memory, network := platform.NewMemory(), newPipeNetwork()
+func open(t *testing.T) (*store.Client, *store.Memory, *pipeNetwork) {
+	memory, network := store.NewMemory(), newPipeNetwork()
 	server := &http.Server{Handler: fake.New(memory)}
 	go func() { _ = server.Serve(network) }()
-	client := platform.NewClient(network, address, platform.ClientOptions{})
+	client := store.NewClient(network, address, store.ClientOptions{})
 	t.Cleanup(func() {
 		_ = server.Close()
 		client.Close()
@@ -73,9 +73,9 @@
 }
 
 func TestClientConformance(t *testing.T) {
-	platformtest.Conformance(t, func(t *testing.T) platformtest.Subject {
+	storetest.Conformance(t, func(t *testing.T) storetest.Subject {
 		client, memory, _ := open(t)
-		return platformtest.Subject{Store: client, Memory: memory}
+		return storetest.Subject{Store: client, Memory: memory}
 	})
 }
 
@@ -87,8 +87,8 @@
 		client, _, network := open(t)
 		is.NoErr(network.Close())
 		_, err := client.Put(t.Context(), "k", "n", nil, 0)
-		is.True(errors.Is(err, platform.ErrUnavailable))
-		is.True(!errors.Is(err, platform.ErrOutcomeUnknown))
+		is.True(errors.Is(err, store.ErrUnavailable))
+		is.True(!errors.Is(err, store.ErrOutcomeUnknown))
 	})
 }
 
@@ -98,10 +98,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		client, memory, _ := open(t)
-		memory.SetFaults(platform.Faults{Slow: time.Minute})
+		memory.SetFaults(store.Faults{Slow: time.Minute})
 		_, err := client.Put(t.Context(), "k", "n", nil, 0)
-		is.True(errors.Is(err, platform.ErrOutcomeUnknown))
-		memory.SetFaults(platform.Faults{})
+		is.True(errors.Is(err, store.ErrOutcomeUnknown))
+		memory.SetFaults(store.Faults{})
 		time.Sleep(time.Minute)
 		_, err = client.Get(t.Context(), "k", "n")
 		is.NoErr(err) // it did
@@ -113,13 +113,13 @@
 	// the budget's rate, not the loops' number.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		memory := platform.NewMemory()
-		store := platform.NewLimited(memory, platform.Budget{Rate: 4, Burst: 8})
+		memory := store.NewMemory()
+		limited := store.NewLimited(memory, store.Budget{Rate: 4, Burst: 8})
 		var group sync.WaitGroup
 		for range 100 {
 			group.Go(func() {
 				for range 10 {
-					_, _ = store.Get(t.Context(), "k", "n")
+					_, _ = limited.Get(t.Context(), "k", "n")
 				}
 			})
 		}
@@ -140,10 +140,10 @@
 		is.NoErr(err)
 		response, err := transport.RoundTrip(request)
 		is.NoErr(err)
-		var faults platform.Faults
+		var faults store.Faults
 		is.NoErr(json.NewDecoder(response.Body).Decode(&faults))
 		is.NoErr(response.Body.Close())
-		is.Equal(memory.Faults(), platform.Faults{Outage: true, LoseAnswers: 3})
+		is.Equal(memory.Faults(), store.Faults{Outage: true, LoseAnswers: 3})
 		is.Equal(faults, memory.Faults())
 	})
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Kind is the kind of the stored leases.
@@ -20,11 +20,11 @@
 // Lessor grants leases to one host.
 type Lessor interface {
 	// Acquire takes the lease if nobody holds it. Errors: *HeldError,
-	// platform.ErrUnavailable, platform.ErrOutcomeUnknown.
+	// store.ErrUnavailable, store.ErrOutcomeUnknown.
 	Acquire(ctx context.Context, name string) (*Lease, error)
 	// Renew extends the lease and, unless it is nil, replaces the state that
 	// its duty keeps from holder to holder. Errors: ErrLost,
-	// platform.ErrUnavailable, platform.ErrOutcomeUnknown; after the last two
+	// store.ErrUnavailable, store.ErrOutcomeUnknown; after the last two
 	// the lease runs on to its end.
 	Renew(ctx context.Context, lease *Lease, state json.RawMessage) error
 	// Release ends the lease, so that the next holder has nothing to wait for.
@@ -57,7 +57,7 @@
 	// has to end with its context.
 	writing chan struct{}
 	mu      sync.Mutex // guards all below
-	version platform.Version
+	version store.Version
 	record  record
 	since   time.Time // when the write that the validity counts from was sent
 	lost    bool
@@ -102,13 +102,13 @@
 	return l.record.State
 }
 
-func (l *Lease) snapshot() (platform.Version, record) {
+func (l *Lease) snapshot() (store.Version, record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.version, l.record
 }
 
-func (l *Lease) wrote(version platform.Version, r record, since time.Time) {
+func (l *Lease) wrote(version store.Version, r record, since time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.version, l.record, l.since = version, r, since
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const duty = "orders"
@@ -17,8 +17,8 @@
 func TestOneHolderAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		a, b := NewStoreLessor(store, "a", Options{}), NewStoreLessor(store, "b", Options{})
+		memory := store.NewMemory()
+		a, b := NewStoreLessor(memory, "a", Options{}), NewStoreLessor(memory, "b", Options{})
 		first, err := a.Acquire(ctx, duty)
 		is.NoErr(err)
 		var held *HeldError
@@ -48,8 +48,8 @@
 	// passed. So a's lease must be over for a before b can have one.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		a, b := NewStoreLessor(store, "a", Options{}), NewStoreLessor(store, "b", Options{})
+		memory := store.NewMemory()
+		a, b := NewStoreLessor(memory, "a", Options{}), NewStoreLessor(memory, "b", Options{})
 		first, err := a.Acquire(ctx, duty)
 		is.NoErr(err)
 		var second *Lease
@@ -72,14 +72,14 @@
 	// holder goes on under the same fencing number.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		lessor := NewStoreLessor(store, "a", Options{})
-		store.SetFaults(platform.Faults{LoseAnswers: 1})
+		memory := store.NewMemory()
+		lessor := NewStoreLessor(memory, "a", Options{})
+		memory.SetFaults(store.Faults{LoseAnswers: 1})
 		held, err := lessor.Acquire(ctx, duty)
 		is.NoErr(err)
 		fence := held.Fence()
 		is.True(fence > 0)
-		store.SetFaults(platform.Faults{LoseAnswers: 1})
+		memory.SetFaults(store.Faults{LoseAnswers: 1})
 		is.NoErr(lessor.Renew(ctx, held, nil))
 		time.Sleep(5 * time.Second)
 		is.NoErr(lessor.Renew(ctx, held, nil))
@@ -93,20 +93,20 @@
 	// take it for another host's.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		lessor := NewStoreLessor(store, "a", Options{})
+		memory := store.NewMemory()
+		lessor := NewStoreLessor(memory, "a", Options{})
 		held, err := lessor.Acquire(ctx, duty)
 		is.NoErr(err)
-		object, err := store.Get(ctx, Kind, duty)
+		object, err := memory.Get(ctx, Kind, duty)
 		is.NoErr(err)
 		stored, err := decode(object.Value)
 		is.NoErr(err)
 		stored.Renewal, stored.Fence = 1, object.Version
 		value, err := stored.encode()
 		is.NoErr(err)
-		_, err = store.Put(ctx, Kind, duty, value, object.Version) // the renewal without an answer
+		_, err = memory.Put(ctx, Kind, duty, value, object.Version) // the renewal without an answer
 		is.NoErr(err)
-		is.True(errors.Is(lessor.Renew(ctx, held, json.RawMessage(`1`)), platform.ErrOutcomeUnknown))
+		is.True(errors.Is(lessor.Renew(ctx, held, json.RawMessage(`1`)), store.ErrOutcomeUnknown))
 		is.NoErr(lessor.Renew(ctx, held, json.RawMessage(`1`)))
 		is.Equal(string(held.State()), "1")
 	})
@@ -116,12 +116,12 @@
 	// An operator of the platform deletes the lease's object. Engines that
 	// refuse old fencing numbers must still obey the next holder.
 	is, ctx := is.New(t), t.Context()
-	store := platform.NewMemory()
-	lessor := NewStoreLessor(store, "a", Options{})
+	memory := store.NewMemory()
+	lessor := NewStoreLessor(memory, "a", Options{})
 	first, err := lessor.Acquire(ctx, duty)
 	is.NoErr(err)
 	version, _ := first.snapshot()
-	_, err = store.Delete(ctx, Kind, duty, version)
+	_, err = memory.Delete(ctx, Kind, duty, version)
 	is.NoErr(err)
 	second, err := lessor.Acquire(ctx, duty)
 	is.NoErr(err)
@@ -131,17 +131,17 @@
 func TestStoreAwayEndsTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
-		lessor := NewStoreLessor(store, "a", Options{})
+		memory := store.NewMemory()
+		lessor := NewStoreLessor(memory, "a", Options{})
 		held, err := lessor.Acquire(ctx, duty)
 		is.NoErr(err)
-		store.SetFaults(platform.Faults{Outage: true})
+		memory.SetFaults(store.Faults{Outage: true})
 		time.Sleep(15 * time.Second)
-		is.True(errors.Is(lessor.Renew(ctx, held, nil), platform.ErrUnavailable))
+		is.True(errors.Is(lessor.Renew(ctx, held, nil), store.ErrUnavailable))
 		is.True(held.Remaining() > 0) // runs on to its end
 		time.Sleep(5 * time.Second)
 		is.True(held.Remaining() <= 0)
-		store.SetFaults(platform.Faults{})
+		memory.SetFaults(store.Faults{})
 		is.NoErr(lessor.Renew(ctx, held, nil)) // nobody took it: same fence
 		is.True(held.Remaining() > 0)
 	})
--- a/lease/record.go
+++ b/lease/record.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // record is the stored form of a lease.
@@ -17,8 +17,8 @@
 	// Fence is the version of the write that acquired the lease; zero in that
 	// write itself, whose own version it is. Versions rise store-wide, so the
 	// number rises even if the lease's object is deleted in between.
-	Fence      platform.Version `json:"fence,omitempty"`
-	TermMillis int64            `json:"term_ms"`
+	Fence      store.Version `json:"fence,omitempty"`
+	TermMillis int64         `json:"term_ms"`
 	// LongestMillis is how long an action, begun in time, may go on.
 	LongestMillis int64           `json:"longest_ms"`
 	Released      bool            `json:"released,omitempty"`
--- a/lease/store_lessor.go
+++ b/lease/store_lessor.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 var events = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -49,7 +49,7 @@
 // clocks of two machines are compared: a host may take a lease over when it
 // has seen the object unchanged for the holder's term, by its own clock.
 type StoreLessor struct {
-	store   platform.Store
+	store   store.Store
 	host    string
 	options Options
 
@@ -59,12 +59,12 @@
 
 // sighting is when a stored lease was first seen in a version.
 type sighting struct {
-	version platform.Version
+	version store.Version
 	at      time.Time
 }
 
 // NewStoreLessor returns a Lessor for a host.
-func NewStoreLessor(store platform.Store, host string, options Options) *StoreLessor {
+func NewStoreLessor(store store.Store, host string, options Options) *StoreLessor {
 	if options.Term <= 0 {
 		options.Term = defaultTerm
 	}
@@ -96,7 +96,7 @@
 	}
 	since := time.Now()
 	acquired, err := s.put(ctx, name, next, version)
-	var bad *platform.VersionError
+	var bad *store.VersionError
 	if errors.As(err, &bad) {
 		return nil, &HeldError{Holder: "another host", RetryAfter: s.options.Term}
 	}
@@ -144,7 +144,7 @@
 	case lease.writing <- struct{}{}:
 		defer func() { <-lease.writing }()
 	case <-ctx.Done():
-		return errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		return errors.Mark(ctx.Err(), store.ErrUnavailable)
 	}
 	version, current := lease.snapshot()
 	if current.Released || lease.isLost() {
@@ -155,11 +155,11 @@
 	change(&next)
 	since := time.Now()
 	written, err := s.put(ctx, lease.name, next, version)
-	var bad *platform.VersionError
+	var bad *store.VersionError
 	if errors.As(err, &bad) {
 		return s.recover(ctx, lease)
 	}
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, store.ErrOutcomeUnknown) {
 		lease.doubt(next.Renewal, since)
 	}
 	if err != nil {
@@ -187,11 +187,11 @@
 	}
 	stored.Fence = current.Fence
 	lease.wrote(version, stored, lease.sentAt(stored.Renewal))
-	return errors.Wrap(platform.ErrOutcomeUnknown, "lease: an earlier write took effect")
+	return errors.Wrap(store.ErrOutcomeUnknown, "lease: an earlier write took effect")
 }
 
 // lapsesIn returns how long others still have to leave a stored lease alone.
-func (s *StoreLessor) lapsesIn(name string, version platform.Version, current record) time.Duration {
+func (s *StoreLessor) lapsesIn(name string, version store.Version, current record) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version == 0 || current.Released {
@@ -206,9 +206,9 @@
 }
 
 // read returns a stored lease; version zero if there is none.
-func (s *StoreLessor) read(ctx context.Context, name string) (platform.Version, record, error) {
+func (s *StoreLessor) read(ctx context.Context, name string) (store.Version, record, error) {
 	object, err := s.store.Get(ctx, Kind, name)
-	if errors.Is(err, platform.ErrNoObject) {
+	if errors.Is(err, store.ErrNoObject) {
 		return 0, record{}, nil
 	}
 	if err != nil {
@@ -218,10 +218,10 @@
 	return object.Version, stored, err
 }
 
-func (s *StoreLessor) put(ctx context.Context, name string, r record, expect platform.Version) (platform.Version, error) {
+func (s *StoreLessor) put(ctx context.Context, name string, r record, expect store.Version) (store.Version, error) {
 	value, err := r.encode()
 	if err != nil {
 		return 0, err
 	}
-	return platform.PutSettled(ctx, s.store, Kind, name, value, expect)
+	return store.PutSettled(ctx, s.store, Kind, name, value, expect)
 }
--- a/order/calls_test.go
+++ b/order/calls_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // watchersInFleet is two hosts in each of ten failure domains.
@@ -33,10 +33,10 @@
 			}
 			time.Sleep(time.Minute)
 			idle := w.rate(10 * time.Minute)
-			w.store.SetFaults(platform.Faults{Outage: true})
+			w.memory.SetFaults(store.Faults{Outage: true})
 			time.Sleep(10 * time.Minute)
 			away := w.rate(10 * time.Minute)
-			w.store.SetFaults(platform.Faults{})
+			w.memory.SetFaults(store.Faults{})
 			peak := 0.0
 			for range 30 {
 				peak = max(peak, w.rate(time.Second))
@@ -51,7 +51,7 @@
 
 // rate is the calls a second that reach the store during d.
 func (w *world) rate(d time.Duration) float64 {
-	before := w.store.Calls()
+	before := w.memory.Calls()
 	time.Sleep(d)
-	return float64(w.store.Calls()-before) / d.Seconds()
+	return float64(w.memory.Calls()-before) / d.Seconds()
 }
--- a/order/duty.go
+++ b/order/duty.go
@@ -12,7 +12,7 @@
 
 	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/lease"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // LeaseName is the name of the lease that orders are given under.
@@ -78,7 +78,7 @@
 // Run contends for the lease and does the duty until ctx ends, whose error it
 // returns; before that it releases the lease.
 func (d *Duty) Run(ctx context.Context) error {
-	var backoff platform.Backoff
+	var backoff store.Backoff
 	for ctx.Err() == nil {
 		if !d.contends() {
 			if err := sleep.For(ctx, notContendingPeriod); err != nil {
@@ -185,7 +185,7 @@
 	if d.Refresh == nil {
 		return nil
 	}
-	var backoff platform.Backoff
+	var backoff store.Backoff
 	for d.Refresh(ctx) != nil {
 		if err := backoff.Wait(ctx); err != nil {
 			return err
--- a/order/fuzz_test.go
+++ b/order/fuzz_test.go
@@ -15,7 +15,7 @@
 	"github.com/papayasail/papayasail/audit"
 	"github.com/papayasail/papayasail/configuration"
 	"github.com/papayasail/papayasail/contract"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // step is one action of a fuzzed script.
@@ -140,7 +140,7 @@
 		host = f.holder(s.n)
 	}
 	engine := f.fleet.engines[fmt.Sprintf("w%d", s.n%len(f.fleet.engines))]
-	faults := f.store.Faults()
+	faults := f.memory.Faults()
 	switch s.do {
 	case "run":
 		f.advance(s.d)
@@ -185,9 +185,9 @@
 	case "lose requests":
 		faults.LoseRequests += 1 + s.n%2
 	case "store ok":
-		faults = platform.Faults{}
+		faults = store.Faults{}
 	}
-	f.store.SetFaults(faults)
+	f.memory.SetFaults(faults)
 	synctest.Wait()
 }
 
@@ -244,7 +244,7 @@
 func (f *fuzzer) settle() {
 	for _, id := range slices.Sorted(maps.Keys(f.unknown)) {
 		service := f.unknown[id]
-		acceptor := configuration.NewAcceptor(f.store, parseJSON)
+		acceptor := configuration.NewAcceptor(f.memory, parseJSON)
 		result, _ := acceptor.Settle(f.ctx, service, id)
 		f.reached["settled "+string(result.Outcome)]++
 		switch result.Outcome {
@@ -261,7 +261,7 @@
 
 // heal ends all failures and gives everything time to settle.
 func (f *fuzzer) heal() {
-	f.store.SetFaults(platform.Faults{})
+	f.memory.SetFaults(store.Faults{})
 	f.resumeAll()
 	for _, e := range f.fleet.engines {
 		e.start()
@@ -295,12 +295,12 @@
 
 // judgeChanges compares what operators were told with what the store has.
 func (f *fuzzer) judgeChanges(service string) {
-	entries, err := configuration.NewAcceptor(f.store, parseJSON).History(context.Background(), service)
+	entries, err := configuration.NewAcceptor(f.memory, parseJSON).History(context.Background(), service)
 	if err != nil && len(f.acceptedOf(service)) > 0 {
 		f.breach("history of %s: %v", service, err)
 		return
 	}
-	found := map[string]platform.Version{}
+	found := map[string]store.Version{}
 	for _, entry := range entries {
 		if entry.What == audit.WhatDocument {
 			found[entry.ChangeID] = entry.To
@@ -350,8 +350,8 @@
 	}
 }
 
-func (f *fuzzer) storedSource(service string) (*contract.Document, platform.Version, bool) {
-	object, err := f.store.Get(f.ctx, configuration.Kind, configuration.ServiceName(service))
+func (f *fuzzer) storedSource(service string) (*contract.Document, store.Version, bool) {
+	object, err := f.memory.Get(f.ctx, configuration.Kind, configuration.ServiceName(service))
 	if err != nil {
 		return nil, 0, false
 	}
--- a/order/giver.go
+++ b/order/giver.go
@@ -14,7 +14,7 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/lease"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 var given = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -51,7 +51,7 @@
 type Giver struct {
 	Host          string
 	FailureDomain string
-	Store         platform.Store
+	Store         store.Store
 	Lessor        lease.Lessor
 	Engine        Engine
 	Weights       *Weights // nil: no limit
@@ -74,7 +74,7 @@
 
 // Give gives one order and returns the engine's state after it. It blocks for
 // Longest and a little at most. Errors: ErrLinkNotAllowed, ErrNotHolder,
-// *WaitError, ErrOldFence, ErrRefused, ErrNotSeen, those of platform.Store and
+// *WaitError, ErrOldFence, ErrRefused, ErrNotSeen, those of store.Store and
 // *backend.CallError when the order was not sent.
 func (g *Giver) Give(ctx context.Context, held *lease.Lease, order Order) (backend.EngineState, error) {
 	address := order.Server.Address
@@ -99,7 +99,7 @@
 }
 
 // prepare checks all that allows the order and writes the intent.
-func (g *Giver) prepare(ctx context.Context, held *lease.Lease, order Order) (request backend.OrderRequest, record serverRecord, version platform.Version, err error) {
+func (g *Giver) prepare(ctx context.Context, held *lease.Lease, order Order) (request backend.OrderRequest, record serverRecord, version store.Version, err error) {
 	if !order.Document.AllowsOrders(g.FailureDomain, order.Server) {
 		return request, record, 0, ErrLinkNotAllowed
 	}
@@ -138,7 +138,7 @@
 		OrderID: uuid.NewString(), Kind: order.Kind, Model: order.Model, Role: order.Role, Fence: held.Fence(),
 	}
 	record, version, err = j.open(ctx, order.Server.Address, record, intent{OrderRequest: request, Holder: g.Host}, version)
-	var bad *platform.VersionError
+	var bad *store.VersionError
 	if errors.As(err, &bad) {
 		err = ErrNotHolder // another holder has written its intent
 	}
@@ -147,7 +147,7 @@
 
 // settle closes an intent that an earlier holder, or this one, left open. The
 // time that its order could take is over, so the engine's state shows it.
-func (g *Giver) settle(ctx context.Context, address string, record serverRecord, version platform.Version) (serverRecord, platform.Version, error) {
+func (g *Giver) settle(ctx context.Context, address string, record serverRecord, version store.Version) (serverRecord, store.Version, error) {
 	if !record.Intent.Open {
 		return record, version, nil
 	}
--- a/order/giver_test.go
+++ b/order/giver_test.go
@@ -11,20 +11,20 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/lease"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // setUp returns a giver with a fresh lease, and a load for engine w1.
 func setUp(t *testing.T) (*Giver, *lease.Lease, Order, *fleet) {
 	w := newWorld()
 	w.addEngine("w1", false)
-	store := platform.NewMemory()
-	lessor := lease.NewStoreLessor(store, "a", lease.Options{})
+	memory := store.NewMemory()
+	lessor := lease.NewStoreLessor(memory, "a", lease.Options{})
 	held, err := lessor.Acquire(t.Context(), LeaseName)
 	if err != nil {
 		t.Fatal(err)
 	}
-	giver := &Giver{Host: "a", FailureDomain: "north", Store: store, Lessor: lessor, Engine: gatedEngine{fleet: w.fleet, host: "a", gate: &gate{}}}
+	giver := &Giver{Host: "a", FailureDomain: "north", Store: memory, Lessor: lessor, Engine: gatedEngine{fleet: w.fleet, host: "a", gate: &gate{}}}
 	document := fuzzDocument("letters", "m", 1, 1)
 	return giver, held, Order{Document: &document, Server: document.BackendServers[0], Kind: backend.OrderLoad, Model: "m@1"}, w.fleet
 }
@@ -96,10 +96,10 @@
 	// sees one rate, also after the lease's record is gone.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
-		store := platform.NewMemory()
+		memory := store.NewMemory()
 		loads := 0
 		for range 20 {
-			lessor := lease.NewStoreLessor(store, "a", lease.Options{})
+			lessor := lease.NewStoreLessor(memory, "a", lease.Options{})
 			held, err := lessor.Acquire(ctx, LeaseName)
 			is.NoErr(err)
 			weights := NewWeights(6, 3)
@@ -112,11 +112,11 @@
 			is.NoErr(lessor.Release(ctx, held))
 		}
 		is.True(loads <= 6) // a minute has passed
-		object, err := store.Get(ctx, lease.Kind, LeaseName)
+		object, err := memory.Get(ctx, lease.Kind, LeaseName)
 		is.NoErr(err)
-		_, err = store.Delete(ctx, lease.Kind, LeaseName, object.Version)
+		_, err = memory.Delete(ctx, lease.Kind, LeaseName, object.Version)
 		is.NoErr(err)
-		held, err := lease.NewStoreLessor(store, "b", lease.Options{}).Acquire(ctx, LeaseName)
+		held, err := lease.NewStoreLessor(memory, "b", lease.Options{}).Acquire(ctx, LeaseName)
 		is.NoErr(err)
 		is.Equal(NewWeights(6, 3).Wait(held), 10*time.Second)
 	})
--- a/order/intent.go
+++ b/order/intent.go
@@ -9,7 +9,7 @@
 
 	"github.com/papayasail/papayasail/audit"
 	"github.com/papayasail/papayasail/backend"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // maxEntries bounds the history in one server's object: at 600 servers a list
@@ -34,12 +34,12 @@
 }
 
 // journal reads and writes the records of servers.
-type journal struct{ store platform.Store }
+type journal struct{ store store.Store }
 
 // read returns a server's record; version zero if it never got an order.
-func (j journal) read(ctx context.Context, address string) (serverRecord, platform.Version, error) {
+func (j journal) read(ctx context.Context, address string) (serverRecord, store.Version, error) {
 	object, err := j.store.Get(ctx, audit.OrderKind, address)
-	if errors.Is(err, platform.ErrNoObject) {
+	if errors.Is(err, store.ErrNoObject) {
 		return serverRecord{}, 0, nil
 	}
 	if err != nil {
@@ -53,7 +53,7 @@
 }
 
 // open writes an intent over the record that was read.
-func (j journal) open(ctx context.Context, address string, r serverRecord, next intent, version platform.Version) (serverRecord, platform.Version, error) {
+func (j journal) open(ctx context.Context, address string, r serverRecord, next intent, version store.Version) (serverRecord, store.Version, error) {
 	entry := audit.Entry{
 		ChangeID: next.OrderID, Who: next.Holder, When: time.Now().UTC(), What: audit.WhatOrder,
 		Name: address, From: version, Detail: next.order().String() + ": sent",
@@ -66,7 +66,7 @@
 }
 
 // close writes the outcome of the open intent.
-func (j journal) close(ctx context.Context, address string, r serverRecord, outcome string, version platform.Version) (serverRecord, platform.Version, error) {
+func (j journal) close(ctx context.Context, address string, r serverRecord, outcome string, version store.Version) (serverRecord, store.Version, error) {
 	r.Intent.Open = false
 	r.History.Entries = r.History.At(version)
 	r.History.Entries[0].Detail = r.Intent.order().String() + ": " + outcome
@@ -74,10 +74,10 @@
 	return r, written, err
 }
 
-func (j journal) write(ctx context.Context, address string, r serverRecord, version platform.Version) (platform.Version, error) {
+func (j journal) write(ctx context.Context, address string, r serverRecord, version store.Version) (store.Version, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return 0, errors.Wrap(err, "order: encode")
 	}
-	return platform.PutSettled(ctx, j.store, audit.OrderKind, address, value, version)
+	return store.PutSettled(ctx, j.store, audit.OrderKind, address, value, version)
 }
--- a/order/options.go
+++ b/order/options.go
@@ -7,14 +7,14 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/lease"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Options puts a Duty together; those without a default are required.
 type Options struct {
 	Host          string
 	FailureDomain string
-	Store         platform.Store
+	Store         store.Store
 	// Engine's calls may take as long as Longest; give a backend.Client a
 	// ControlTimeout of that.
 	Engine    Engine
--- a/order/scenario_test.go
+++ b/order/scenario_test.go
@@ -15,7 +15,7 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/configuration"
 	"github.com/papayasail/papayasail/contract"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // TestScenarios runs the scenarios in testdata, one a failure. Commands:
@@ -66,7 +66,7 @@
 	case "run":
 		w.advance(duration(t, first))
 	case "store":
-		w.store.SetFaults(faultsOf(t, d))
+		w.memory.SetFaults(faultsOf(t, d))
 	case "pause":
 		w.hosts[first].gate.pause()
 	case "resume":
@@ -141,7 +141,7 @@
 
 // trail renders the audit entries of orders.
 func (w *world) trail(t *testing.T) string {
-	entries, err := configuration.NewAcceptor(w.store, parseJSON).Trail(w.ctx)
+	entries, err := configuration.NewAcceptor(w.memory, parseJSON).Trail(w.ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -201,8 +201,8 @@
 	return document
 }
 
-func faultsOf(t *testing.T, d *datadriven.TestData) platform.Faults {
-	var faults platform.Faults
+func faultsOf(t *testing.T, d *datadriven.TestData) store.Faults {
+	var faults store.Faults
 	for _, arg := range d.CmdArgs {
 		switch arg.Key {
 		case "outage":
--- a/order/weights.go
+++ b/order/weights.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayasail/papayasail/lease"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Weights keeps loads of models to the weight store's rate, across holders of
@@ -73,7 +73,7 @@
 	case w.turn <- struct{}{}:
 		defer func() { <-w.turn }()
 	case <-ctx.Done():
-		return errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		return errors.Mark(ctx.Err(), store.ErrUnavailable)
 	}
 	state, err := w.take(held)
 	if err != nil {
--- a/order/wire_test.go
+++ b/order/wire_test.go
@@ -13,7 +13,7 @@
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/fake/engine"
 	"github.com/papayasail/papayasail/fake/network"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const wireDocument = `service: letters
@@ -37,10 +37,10 @@
 		stand := engine.New(engine.Config{OrderToken: "secret", HonourFence: true, LoadTime: 10 * time.Second})
 		go func() { _ = stand.Serve(listener) }()
 		client := backend.NewClient(fabric.Host("10.0.0.1"), backend.ClientOptions{ControlTimeout: testLongest, OrderToken: "secret"})
-		store, table := platform.NewMemory(), configuration.NewTable(contract.ParseDocument)
-		watcher := &configuration.Watcher{Store: store, Table: table}
-		duty := New(Options{Host: "a", FailureDomain: "north", Store: store, Engine: client, Documents: table, Refresh: watcher.Refresh})
-		_, err = configuration.NewAcceptor(store, contract.ParseDocument).Put(ctx, configuration.Change{Service: "letters", Document: []byte(wireDocument), ChangeID: "c1"})
+		memory, table := store.NewMemory(), configuration.NewTable(contract.ParseDocument)
+		watcher := &configuration.Watcher{Store: memory, Table: table}
+		duty := New(Options{Host: "a", FailureDomain: "north", Store: memory, Engine: client, Documents: table, Refresh: watcher.Refresh})
+		_, err = configuration.NewAcceptor(memory, contract.ParseDocument).Put(ctx, configuration.Change{Service: "letters", Document: []byte(wireDocument), ChangeID: "c1"})
 		is.NoErr(err)
 		stopped := make(chan struct{})
 		go func() { _ = duty.Run(ctx); close(stopped) }()
--- a/order/world_test.go
+++ b/order/world_test.go
@@ -17,7 +17,7 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/configuration"
 	"github.com/papayasail/papayasail/contract"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -33,7 +33,7 @@
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 
-	store    *platform.Memory
+	memory   *store.Memory
 	fleet    *fleet
 	hosts    map[string]*host
 	gates    []*gate                   // of all hosts ever
@@ -52,18 +52,18 @@
 	table    *configuration.Table
 	acceptor *configuration.Acceptor
 	duty     *Duty
-	versions map[string]platform.Version // highest served, by service
+	versions map[string]store.Version // highest served, by service
 }
 
 type acceptedChange struct {
 	service string
-	version platform.Version
+	version store.Version
 }
 
 func newWorld() *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &world{
-		ctx: ctx, cancel: cancel, store: platform.NewMemory(),
+		ctx: ctx, cancel: cancel, memory: store.NewMemory(),
 		fleet: &fleet{engines: map[string]*testEngine{}}, hosts: map[string]*host{}, accepted: map[string]acceptedChange{},
 	}
 }
@@ -153,16 +153,16 @@
 
 // gatedStore is the store as a host reaches it.
 type gatedStore struct {
-	*platform.Memory
+	*store.Memory
 	gate *gate
 }
 
-func (s gatedStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	return passed(s.gate, func() (platform.Object, error) { return s.Memory.Get(ctx, kind, name) })
+func (s gatedStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	return passed(s.gate, func() (store.Object, error) { return s.Memory.Get(ctx, kind, name) })
 }
 
-func (s gatedStore) Put(ctx context.Context, kind, name string, value []byte, expect platform.Version) (platform.Version, error) {
-	return passed(s.gate, func() (platform.Version, error) {
+func (s gatedStore) Put(ctx context.Context, kind, name string, value []byte, expect store.Version) (store.Version, error) {
+	return passed(s.gate, func() (store.Version, error) {
 		version, err := s.Memory.Put(ctx, kind, name, value, expect)
 		if kind == audit.OrderKind {
 			s.gate.wroteIntent()
@@ -175,11 +175,11 @@
 func passed[T any](g *gate, call func() (T, error)) (T, error) {
 	var zero T
 	if err := g.pass(); err != nil {
-		return zero, errors.Mark(err, platform.ErrUnavailable)
+		return zero, errors.Mark(err, store.ErrUnavailable)
 	}
 	answer, err := call()
 	if dead := g.pass(); dead != nil {
-		return zero, errors.Mark(dead, platform.ErrOutcomeUnknown)
+		return zero, errors.Mark(dead, store.ErrOutcomeUnknown)
 	}
 	return answer, err
 }
@@ -212,13 +212,13 @@
 // it becomes the holder.
 func (w *world) addHost(name, failureDomain string, watches bool) {
 	ctx, cancel := context.WithCancel(w.ctx)
-	h := &host{name: name, gate: &gate{}, cancel: cancel, table: configuration.NewTable(parseJSON), versions: map[string]platform.Version{}}
-	store := gatedStore{Memory: w.store, gate: h.gate}
+	h := &host{name: name, gate: &gate{}, cancel: cancel, table: configuration.NewTable(parseJSON), versions: map[string]store.Version{}}
+	memory := gatedStore{Memory: w.memory, gate: h.gate}
 	engine := gatedEngine{fleet: w.fleet, host: name, gate: h.gate}
-	h.acceptor = configuration.NewAcceptor(store, parseJSON)
-	watcher := &configuration.Watcher{Store: store, Table: h.table, Active: func() bool { return watches }}
+	h.acceptor = configuration.NewAcceptor(memory, parseJSON)
+	watcher := &configuration.Watcher{Store: memory, Table: h.table, Active: func() bool { return watches }}
 	h.duty = New(Options{
-		Host: name, FailureDomain: failureDomain, Store: store, Engine: engine, Documents: h.table, Refresh: watcher.Refresh,
+		Host: name, FailureDomain: failureDomain, Store: memory, Engine: engine, Documents: h.table, Refresh: watcher.Refresh,
 		LoadsPerMinute: testPerMinute, LoadsAtOnce: testBurst, Term: testTerm, Longest: testLongest,
 	})
 	h.table.Subscribe(func() { w.checkVersions(h) })
@@ -265,7 +265,7 @@
 }
 
 // apply asks a host to accept a document for a service.
-func (w *world) apply(h *host, document contract.Document, expect platform.Version) (configuration.Result, error) {
+func (w *world) apply(h *host, document contract.Document, expect store.Version) (configuration.Result, error) {
 	w.changes++
 	id := fmt.Sprintf("c%d", w.changes)
 	result, err := h.acceptor.Put(w.ctx, changeOf(document, expect, id, h.name))
@@ -275,7 +275,7 @@
 	return result, err
 }
 
-func changeOf(document contract.Document, expect platform.Version, id, who string) configuration.Change {
+func changeOf(document contract.Document, expect store.Version, id, who string) configuration.Change {
 	text, err := json.Marshal(document)
 	if err != nil {
 		panic(err) // plain data always encodes
@@ -284,11 +284,11 @@
 }
 
 // stored returns the version of a service in the store.
-func (w *world) stored(service string) platform.Version {
-	faults := w.store.Faults()
-	w.store.SetFaults(platform.Faults{})
-	defer w.store.SetFaults(faults)
-	object, err := w.store.Get(w.ctx, configuration.Kind, configuration.ServiceName(service))
+func (w *world) stored(service string) store.Version {
+	faults := w.memory.Faults()
+	w.memory.SetFaults(store.Faults{})
+	defer w.memory.SetFaults(faults)
+	object, err := w.memory.Get(w.ctx, configuration.Kind, configuration.ServiceName(service))
 	if err != nil {
 		return 0
 	}
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/papayasail/papayasail/fake/network"
 	"github.com/papayasail/papayasail/peer/peerpb"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const testPort = "7946"
@@ -24,13 +24,13 @@
 // notes when it was asked to go back.
 type tableFake struct {
 	mu      sync.Mutex // guards all below
-	objects map[string]platform.Object
+	objects map[string]store.Object
 	older   int // objects offered in an older version than held
 }
 
-func newTableFake() *tableFake { return &tableFake{objects: make(map[string]platform.Object)} }
+func newTableFake() *tableFake { return &tableFake{objects: make(map[string]store.Object)} }
 
-func (t *tableFake) Version() (v platform.Version) {
+func (t *tableFake) Version() (v store.Version) {
 	for _, o := range t.Since(0) {
 		v = max(v, o.Version)
 	}
@@ -44,7 +44,7 @@
 	return digest
 }
 
-func (t *tableFake) Since(after platform.Version) (list []platform.Object) {
+func (t *tableFake) Since(after store.Version) (list []store.Object) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, o := range t.objects {
@@ -52,11 +52,11 @@
 			list = append(list, o)
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(list, func(a, b store.Object) int { return cmp.Compare(a.Version, b.Version) })
 	return list
 }
 
-func (t *tableFake) Adopt(list []platform.Object) (count int, err error) {
+func (t *tableFake) Adopt(list []store.Object) (count int, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, o := range list {
@@ -72,8 +72,8 @@
 	return count, nil
 }
 
-func (t *tableFake) put(name string, version platform.Version) {
-	_, _ = t.Adopt([]platform.Object{{Kind: "service", Name: name, Version: version, Value: []byte(name)}})
+func (t *tableFake) put(name string, version store.Version) {
+	_, _ = t.Adopt([]store.Object{{Kind: "service", Name: name, Version: version, Value: []byte(name)}})
 }
 
 // String lists the objects as name@version.
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // fuzzRuns is how many drawn sequences of faults CI plays.
@@ -52,8 +52,8 @@
 	defer f.stop()
 	f.start(seven...)
 	time.Sleep(5 * time.Second)
-	highest := make(map[string]platform.Version)
-	version := platform.Version(0)
+	highest := make(map[string]store.Version)
+	version := store.Version(0)
 	for _, s := range steps {
 		if s.kind == "put" {
 			version++
@@ -94,7 +94,7 @@
 	}
 }
 
-func (f *fleet) checkVersions(t *testing.T, highest map[string]platform.Version) {
+func (f *fleet) checkVersions(t *testing.T, highest map[string]store.Version) {
 	t.Helper()
 	for _, host := range f.names() {
 		held := f.hosts[host].table.Version()
--- a/peer/member.go
+++ b/peer/member.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 	"github.com/papayasail/papayasail/peer/peerpb"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // State says what this host believes of another one.
@@ -46,7 +46,7 @@
 	Successor string
 	// ConfigurationVersion is the newest version in force there, as last
 	// heard from the host itself; zero when it was not heard yet.
-	ConfigurationVersion platform.Version
+	ConfigurationVersion store.Version
 }
 
 // overrides reports whether m is newer news of a host than known.
--- a/peer/options.go
+++ b/peer/options.go
@@ -7,7 +7,7 @@
 	"github.com/papayasail/papayasail/internal/defaults"
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer/peerpb"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 )
@@ -34,14 +34,14 @@
 // spreading between peers needs it.
 type ConfigurationTable interface {
 	// Version is the newest version held.
-	Version() platform.Version
+	Version() store.Version
 	// Digest is equal on two hosts that hold the same versions of the same objects.
 	Digest() uint64
 	// Since returns the objects newer than a version, in order of version.
-	Since(platform.Version) []platform.Object
+	Since(store.Version) []store.Object
 	// Adopt takes in objects that are newer than those held, ignores the
 	// others, and returns how many it took.
-	Adopt([]platform.Object) (int, error)
+	Adopt([]store.Object) (int, error)
 }
 
 // Handler serves what other hosts pass to this one.
--- a/peer/pullpage_test.go
+++ b/peer/pullpage_test.go
@@ -6,7 +6,7 @@
 	"github.com/matryer/is"
 
 	"github.com/papayasail/papayasail/peer/peerpb"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // startingTable is a table that may not have everything yet.
@@ -15,10 +15,10 @@
 	complete bool
 }
 
-func (s *startingTable) Complete() bool                           { return s.complete }
-func (s *startingTable) SetComplete()                             { s.complete = true }
-func (s *startingTable) Version() platform.Version                { return 7 }
-func (s *startingTable) Since(platform.Version) []platform.Object { return nil }
+func (s *startingTable) Complete() bool                     { return s.complete }
+func (s *startingTable) SetComplete()                       { s.complete = true }
+func (s *startingTable) Version() store.Version             { return 7 }
+func (s *startingTable) Since(store.Version) []store.Object { return nil }
 
 // A host boots and pulls from another one that boots too. It must not take
 // the little that the other has for all there is, and call the tokens of the
--- a/peer/scenario_test.go
+++ b/peer/scenario_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // TestScenarios runs the failure scenarios of testdata. Each file begins with
@@ -60,7 +60,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.hosts[hosts[0]].table.put(option(d, "name")[0], platform.Version(version))
+		f.hosts[hosts[0]].table.put(option(d, "name")[0], store.Version(version))
 		f.hosts[hosts[0]].Announce()
 	case "silence":
 		f.pairs(hosts, option(d, "from"), f.fabric.Silence)
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -14,7 +14,7 @@
 
 	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/peer/peerpb"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -40,8 +40,8 @@
 	resultNothing = "nothing"
 )
 
-func versionOf(m probeMessage) platform.Version {
-	return platform.Version(m.GetConfigurationVersion())
+func versionOf(m probeMessage) store.Version {
+	return store.Version(m.GetConfigurationVersion())
 }
 
 // compareConfiguration asks for a pull when the other host holds something
@@ -163,7 +163,7 @@
 		response.More = !c.Complete()
 	}
 	size := 0
-	for _, o := range table.Since(platform.Version(request.GetAfterVersion())) {
+	for _, o := range table.Since(store.Version(request.GetAfterVersion())) {
 		if held[hashStrings(o.Kind, o.Name)] >= uint64(o.Version) {
 			continue
 		}
@@ -178,14 +178,14 @@
 	return response
 }
 
-func objectToProto(o platform.Object) *peerpb.ConfigurationObject {
+func objectToProto(o store.Object) *peerpb.ConfigurationObject {
 	return &peerpb.ConfigurationObject{Kind: o.Kind, Name: o.Name, Version: uint64(o.Version), Value: o.Value, Deleted: o.Deleted}
 }
 
-func objectsFromProto(list []*peerpb.ConfigurationObject) []platform.Object {
-	objects := make([]platform.Object, 0, len(list))
+func objectsFromProto(list []*peerpb.ConfigurationObject) []store.Object {
+	objects := make([]store.Object, 0, len(list))
 	for _, p := range list {
-		objects = append(objects, platform.Object{Kind: p.GetKind(), Name: p.GetName(), Version: platform.Version(p.GetVersion()), Value: p.GetValue(), Deleted: p.GetDeleted()})
+		objects = append(objects, store.Object{Kind: p.GetKind(), Name: p.GetName(), Version: store.Version(p.GetVersion()), Value: p.GetValue(), Deleted: p.GetDeleted()})
 	}
 	return objects
 }
--- a/peer/table.go
+++ b/peer/table.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // newsLimit bounds the member records in one message.
@@ -198,7 +198,7 @@
 
 // heard notes a direct exchange with a member: its configuration version, and
 // the end of a suspicion that only this host had.
-func (t *table) heard(host string, incarnation uint64, version platform.Version, now time.Time) (changed bool) {
+func (t *table) heard(host string, incarnation uint64, version store.Version, now time.Time) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.entries[host]
--- a/proof/action.go
+++ b/proof/action.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/papayasail/papayasail/fake/plain"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Action is one step of a sequence. A, B and N choose what it applies to; an
@@ -316,13 +316,13 @@
 }
 
 func platformOut(w *World, a Action) bool {
-	w.Store.SetFaults(platform.Faults{Outage: a.N%2 == 0, LoseAnswers: a.N % 3, LoseRequests: a.N % 2})
+	w.Store.SetFaults(store.Faults{Outage: a.N%2 == 0, LoseAnswers: a.N % 3, LoseRequests: a.N % 2})
 	return true
 }
 
 func platformIn(w *World, _ Action) bool {
-	was := w.Store.Faults() != platform.Faults{}
-	w.Store.SetFaults(platform.Faults{})
+	was := w.Store.Faults() != store.Faults{}
+	w.Store.SetFaults(store.Faults{})
 	return was
 }
 
--- a/proof/gentle.go
+++ b/proof/gentle.go
@@ -11,8 +11,8 @@
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/entryhost"
 	"github.com/papayasail/papayasail/fake/plain"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/relay"
+	"github.com/papayasail/papayasail/store"
 )
 
 // gentleVerbs are actions under which every request has to succeed when its
@@ -63,7 +63,7 @@
 		// One engine and one plain service always stay.
 		return w.drain(w.host(a.A), a.B%2*engines, a.Verb == "end drain")
 	case "platform out":
-		w.Store.SetFaults(platform.Faults{Outage: true})
+		w.Store.SetFaults(store.Faults{Outage: true})
 		return true
 	}
 	return verbs[a.Verb](w, a)
--- a/proof/script.go
+++ b/proof/script.go
@@ -9,7 +9,7 @@
 
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/fake/plain"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 const pollEvery = 10 * time.Millisecond // virtual
@@ -385,7 +385,7 @@
 	case "heal":
 		s.world.Fabric.HealAll()
 	case "store":
-		s.world.Store.SetFaults(platform.Faults{Outage: words[1] == "out"})
+		s.world.Store.SetFaults(store.Faults{Outage: words[1] == "out"})
 	default:
 		return false, nil
 	}
--- a/proof/world.go
+++ b/proof/world.go
@@ -15,7 +15,7 @@
 	"github.com/papayasail/papayasail/fake/engine"
 	"github.com/papayasail/papayasail/fake/network"
 	"github.com/papayasail/papayasail/fake/plain"
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Services of the world.
@@ -52,7 +52,7 @@
 type World struct {
 	policy string // routing policy of the hosts
 	Fabric *network.Fabric
-	Store  *platform.Memory
+	Store  *store.Memory
 	Hosts  []*HostSlot
 	Models []*EngineSlot
 	Plains []*PlainSlot
@@ -67,7 +67,7 @@
 // NewWorld starts a fleet of so many entry hosts under a routing policy and waits until its members
 // know each other.
 func NewWorld(hosts int, policy string) (*World, error) {
-	w := &World{policy: policy, Fabric: network.New(network.Options{}), Store: platform.NewMemory()}
+	w := &World{policy: policy, Fabric: network.New(network.Options{}), Store: store.NewMemory()}
 	w.Oracle = newOracle(w)
 	w.http = &http.Client{Transport: &http.Transport{DialContext: dialFrom(w.Fabric.Host(CallerIP)), DisableKeepAlives: true, DisableCompression: true}}
 	for i := range engines {
@@ -169,7 +169,7 @@
 // stopped or killed runs again.
 func (w *World) Mend() error {
 	w.Fabric.HealAll()
-	w.Store.SetFaults(platform.Faults{})
+	w.Store.SetFaults(store.Faults{})
 	for _, slot := range w.Models {
 		if err := slot.Revive(); err != nil {
 			return err
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,9 +12,9 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/peer/peerpb"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/record"
 	"github.com/papayasail/papayasail/routing"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Headers of the caller API.
@@ -33,8 +33,8 @@
 
 // Configuration gives the service documents in force.
 type Configuration interface {
-	Document(service string) (*contract.Document, platform.Version, bool)
-	Version() platform.Version
+	Document(service string) (*contract.Document, store.Version, bool)
+	Version() store.Version
 }
 
 // Organisations knows callers by their bearer tokens.
--- a/relay/relay_bench_test.go
+++ b/relay/relay_bench_test.go
@@ -16,9 +16,9 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/link"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/record"
 	"github.com/papayasail/papayasail/routing"
+	"github.com/papayasail/papayasail/store"
 )
 
 // BenchmarkRelayToken measures the relay's cost of one token over loopback
@@ -109,10 +109,10 @@
 
 type fixedConfiguration struct{ document *contract.Document }
 
-func (c fixedConfiguration) Document(string) (*contract.Document, platform.Version, bool) {
+func (c fixedConfiguration) Document(string) (*contract.Document, store.Version, bool) {
 	return c.document, 1, true
 }
-func (c fixedConfiguration) Version() platform.Version { return 1 }
+func (c fixedConfiguration) Version() store.Version { return 1 }
 
 type anyone struct{}
 
--- a/platform/store.go
+++ b/store/store.go
@@ -1,6 +1,6 @@
-// Package platform reaches the platform's object API, the only place where
+// Package store reaches the platform's object API, the only place where
 // papayasail keeps or agrees on anything.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/platformtest/conformance.go
+++ b/store/storetest/conformance.go
@@ -1,6 +1,6 @@
-// Package platformtest holds the conformance suite that every platform.Store
+// Package platformtest holds the conformance suite that every store.Store
 // has to pass.
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -12,14 +12,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/store"
 )
 
 // Subject is a store under test with the memory twin behind it, whose switches
 // the suite uses.
 type Subject struct {
-	Store  platform.Store
-	Memory *platform.Memory
+	Store  store.Store
+	Memory *store.Memory
 }
 
 const kind = "thing"
@@ -55,10 +55,10 @@
 func conditionalWrites(t *testing.T, s Subject) {
 	is, ctx := is.New(t), t.Context()
 	_, err := s.Store.Get(ctx, kind, "a")
-	is.True(errors.Is(err, platform.ErrNoObject))
+	is.True(errors.Is(err, store.ErrNoObject))
 	first, err := s.Store.Put(ctx, kind, "a", []byte("1"), 0)
 	is.NoErr(err)
-	var bad *platform.VersionError
+	var bad *store.VersionError
 	_, err = s.Store.Put(ctx, kind, "a", []byte("2"), 0)
 	is.True(errors.As(err, &bad))
 	is.Equal(bad.Current, first)
@@ -70,10 +70,10 @@
 	is.Equal(bad.Current, second)
 	_, err = s.Store.Put(ctx, kind, "b", []byte("3"), second)
 	is.True(errors.As(err, &bad))
-	is.Equal(bad.Current, platform.Version(0)) // b does not exist
+	is.Equal(bad.Current, store.Version(0)) // b does not exist
 	object, err := s.Store.Get(ctx, kind, "a")
 	is.NoErr(err)
-	is.Equal(object, platform.Object{Kind: kind, Name: "a", Version: second, Value: []byte("2")})
+	is.Equal(object, store.Object{Kind: kind, Name: "a", Version: second, Value: []byte("2")})
 }
 
 func oneWriterWins(t *testing.T, s Subject) {
@@ -88,7 +88,7 @@
 	}
 	won := 0
 	for range writers {
-		var bad *platform.VersionError
+		var bad *store.VersionError
 		err := <-results
 		if err == nil {
 			won++
@@ -101,7 +101,7 @@
 
 func listIsOrdered(t *testing.T, s Subject) {
 	is, ctx := is.New(t), t.Context()
-	var last platform.Version
+	var last store.Version
 	for _, name := range []string{"c", "a", "b"} {
 		version, err := s.Store.Put(ctx, kind, name, []byte(name), 0)
 		is.NoErr(err)
@@ -130,7 +130,7 @@
 	is.Equal(names(events), []string{"b", "a", "b"})
 	is.True(events[2].Deleted)
 	is.Equal(reached, events[2].Version)
-	is.True(slices.IsSortedFunc(events, func(a, b platform.Object) int { return int(a.Version) - int(b.Version) }))
+	is.True(slices.IsSortedFunc(events, func(a, b store.Object) int { return int(a.Version) - int(b.Version) }))
 }
 
 func watchWaits(t *testing.T, s Subject) {
@@ -161,46 +161,46 @@
 
 func compacted(t *testing.T, s Subject) {
 	is, ctx := is.New(t), t.Context()
-	var version platform.Version
+	var version store.Version
 	for range s.Memory.KeepEvents + 2 {
 		next, err := s.Memory.Put(ctx, kind, "a", nil, version)
 		is.NoErr(err)
 		version = next
 	}
 	_, _, err := s.Store.Watch(ctx, kind, 1)
-	is.True(errors.Is(err, platform.ErrCompacted))
+	is.True(errors.Is(err, store.ErrCompacted))
 }
 
 func outage(t *testing.T, s Subject) {
 	is, ctx := is.New(t), t.Context()
-	s.Memory.SetFaults(platform.Faults{Outage: true})
+	s.Memory.SetFaults(store.Faults{Outage: true})
 	_, err := s.Store.Put(ctx, kind, "a", nil, 0)
-	is.True(errors.Is(err, platform.ErrUnavailable))
-	is.True(!errors.Is(err, platform.ErrOutcomeUnknown))
+	is.True(errors.Is(err, store.ErrUnavailable))
+	is.True(!errors.Is(err, store.ErrOutcomeUnknown))
 	_, err = s.Store.Get(ctx, kind, "a")
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, store.ErrUnavailable))
 	_, _, err = s.Store.List(ctx, kind)
-	is.True(errors.Is(err, platform.ErrUnavailable))
-	s.Memory.SetFaults(platform.Faults{})
+	is.True(errors.Is(err, store.ErrUnavailable))
+	s.Memory.SetFaults(store.Faults{})
 	_, err = s.Store.Get(ctx, kind, "a")
-	is.True(errors.Is(err, platform.ErrNoObject)) // nothing was written
+	is.True(errors.Is(err, store.ErrNoObject)) // nothing was written
 }
 
 func outageEndsWatch(t *testing.T, s Subject) {
 	is := is.New(t)
 	go func() {
 		time.Sleep(time.Second)
-		s.Memory.SetFaults(platform.Faults{Outage: true})
+		s.Memory.SetFaults(store.Faults{Outage: true})
 	}()
 	_, _, err := s.Store.Watch(t.Context(), kind, 0)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, store.ErrUnavailable))
 }
 
 func lostAnswer(t *testing.T, s Subject) {
 	is, ctx := is.New(t), t.Context()
-	s.Memory.SetFaults(platform.Faults{LoseAnswers: 1})
+	s.Memory.SetFaults(store.Faults{LoseAnswers: 1})
 	_, err := s.Store.Put(ctx, kind, "a", []byte("1"), 0)
-	is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+	is.True(errors.Is(err, store.ErrOutcomeUnknown))
 	object, err := s.Store.Get(ctx, kind, "a")
 	is.NoErr(err)
 	is.Equal(object.Value, []byte("1")) // the write took effect
@@ -208,27 +208,27 @@
 
 func lostRequest(t *testing.T, s Subject) {
 	is, ctx := is.New(t), t.Context()
-	s.Memory.SetFaults(platform.Faults{LoseRequests: 1})
+	s.Memory.SetFaults(store.Faults{LoseRequests: 1})
 	_, err := s.Store.Put(ctx, kind, "a", []byte("1"), 0)
-	is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+	is.True(errors.Is(err, store.ErrOutcomeUnknown))
 	_, err = s.Store.Get(ctx, kind, "a")
-	is.True(errors.Is(err, platform.ErrNoObject))
+	is.True(errors.Is(err, store.ErrNoObject))
 }
 
 func slowStore(t *testing.T, s Subject) {
 	is := is.New(t)
-	s.Memory.SetFaults(platform.Faults{Slow: time.Minute})
+	s.Memory.SetFaults(store.Faults{Slow: time.Minute})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	start := time.Now()
 	_, err := s.Store.Put(ctx, kind, "a", nil, 0)
-	is.True(errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown))
+	is.True(errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown))
 	is.Equal(time.Since(start), time.Second) // the caller's deadline holds
-	s.Memory.SetFaults(platform.Faults{})
+	s.Memory.SetFaults(store.Faults{})
 	time.Sleep(time.Minute)
 	_, readErr := s.Store.Get(t.Context(), kind, "a")
-	if errors.Is(err, platform.ErrUnavailable) {
-		is.True(errors.Is(readErr, platform.ErrNoObject)) // "nothing was written" is true
+	if errors.Is(err, store.ErrUnavailable) {
+		is.True(errors.Is(readErr, store.ErrNoObject)) // "nothing was written" is true
 	}
 }
 
@@ -247,14 +247,14 @@
 
 func overLimit(t *testing.T, s Subject) {
 	is, ctx := is.New(t), t.Context()
-	_, err := s.Store.Put(ctx, kind, "a", make([]byte, platform.MaxValueBytes+1), 0)
+	_, err := s.Store.Put(ctx, kind, "a", make([]byte, store.MaxValueBytes+1), 0)
 	is.True(err != nil)
-	is.True(!errors.Is(err, platform.ErrUnavailable)) // trying again is of no use
-	_, err = s.Store.Put(ctx, kind, "a", make([]byte, platform.MaxValueBytes), 0)
+	is.True(!errors.Is(err, store.ErrUnavailable)) // trying again is of no use
+	_, err = s.Store.Put(ctx, kind, "a", make([]byte, store.MaxValueBytes), 0)
 	is.NoErr(err)
 }
 
-func names(objects []platform.Object) []string {
+func names(objects []store.Object) []string {
 	var all []string
 	for _, object := range objects {
 		all = append(all, object.Name)
--- a/platform/wire.go
+++ b/store/wire.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"net/url"
