The whole path on the users' platform: papayasaild platform

Cause: the product spoke its own interfaces only; nothing served on the users' platform. Change: one request path below the adapter. gateway serves requests (route, organisation, placement, one send or a repeat within the budget, streams relayed by whole events, runs moved off leaving engines); placement and evacuation decide without input or output; fleet is the table of backend servers; replica holds copies of the store's objects, and was taken out of configuration, whose table and watcher now use it. platform translates: settings, store, configuration, host list, callers' and servers' HTTP. deploy/system.toml runs one role on every entry host. Ruled out: serving through backend.Pool, which is keyed by address; a platform's server is one life with an id, and addresses are used again. Before and after: nothing ran before.

--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/peer/peerpb"
+	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
 
@@ -156,7 +157,7 @@
 }
 
 func (f *fleet) run(ctx context.Context, h *host) {
-	watcher := &configuration.Watcher{Store: h.memory, Table: h.table, Active: h.watches}
+	watcher := &replica.Follower{Store: h.memory, Kind: configuration.Kind, Table: h.table.Table, Active: h.watches}
 	f.running.Go(func() { _ = h.node.Run(ctx) })
 	f.running.Go(func() { _ = watcher.Run(ctx) })
 }
--- a/cmd/papayasaild/main.go
+++ b/cmd/papayasaild/main.go
@@ -17,10 +17,18 @@
 
 func main() {
 	app := kingpin.New("papayasaild", "Entry host: serves callers and operators of papayasail.")
-	file := app.Flag("settings", "Settings file, YAML.").Short('s').Required().ExistingFile()
-	policy := app.Flag("policy", "Routing policy.").Default(entryhost.DefaultPolicy).String()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := run(*file, *policy); err != nil {
+	serve := app.Command("serve", "Serve papayasail's own interface.").Default()
+	file := serve.Flag("settings", "Settings file, YAML.").Short('s').Required().ExistingFile()
+	policy := serve.Flag("policy", "Routing policy.").Default(entryhost.DefaultPolicy).String()
+	onPlatform := app.Command("platform", "Serve on the users' platform; the environment names the settings file.")
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	var err error
+	if command == onPlatform.FullCommand() {
+		err = runPlatform()
+	} else {
+		err = run(*file, *policy)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/cmd/papayasaild/platform.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/internal/boundedlog"
+	"github.com/papayasail/papayasail/platform"
+)
+
+const (
+	// memoryShare of the process's limit bounds the heap; the rest is for
+	// stacks, connections' buffers in the kernel and the runtime itself.
+	memoryShare = 0.6
+	msgReload   = "settings read again; they take effect at the next start"
+)
+
+// runPlatform serves on the users' platform until SIGTERM.
+func runPlatform() error {
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	registry := prometheus.NewRegistry()
+	writer := boundedlog.NewWriter(os.Stdout)
+	defer writer.Close()
+	logger := boundedlog.New(writer, zap.InfoLevel, registry)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go reload(path, logger)
+	return platform.NewHost(settings, logger, registry).Run(ctx)
+}
+
+// reload checks the settings again at each SIGHUP and says what it found.
+// Addresses and limits of a running process do not change.
+func reload(path string, logger *zap.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for range hangups {
+		_, err := platform.LoadSettings(path)
+		logger.Info(msgReload, zap.Error(err))
+	}
+}
--- a/configuration/acceptor_test.go
+++ b/configuration/acceptor_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
 
@@ -179,7 +180,7 @@
 		is.NoErr(err)
 		_, err = acceptor.Drain(ctx, "10.0.0.9:80", false, "d1", "olga")
 		is.NoErr(err)
-		watcher := &Watcher{Store: memory, Table: table}
+		watcher := &replica.Follower{Store: memory, Kind: Kind, Table: table.Table}
 		go func() { _ = watcher.Run(ctx) }()
 		synctest.Wait()
 		is.True(table.Drained("10.0.0.9:80"))
--- a/configuration/watcher_test.go
+++ b/configuration/watcher_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
 
@@ -21,7 +22,7 @@
 		defer cancel()
 		memory := store.NewMemory()
 		acceptor, table := NewAcceptor(memory, parseTest), NewTable(parseTest)
-		watcher := &Watcher{Store: memory, Table: table}
+		watcher := &replica.Follower{Store: memory, Kind: Kind, Table: table.Table}
 		go func() { _ = watcher.Run(ctx) }()
 		first, err := acceptor.Put(ctx, change("c1", "x", 0))
 		is.NoErr(err)
@@ -54,7 +55,7 @@
 		memory.KeepEvents = 2
 		acceptor, table := NewAcceptor(memory, parseTest), NewTable(parseTest)
 		var version store.Version
-		watcher := &Watcher{Store: memory, Table: table}
+		watcher := &replica.Follower{Store: memory, Kind: Kind, Table: table.Table}
 		go func() { _ = watcher.Run(ctx) }()
 		synctest.Wait()
 		memory.SetFaults(store.Faults{Outage: true})
@@ -76,7 +77,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		memory := store.NewMemory()
-		watcher := &Watcher{Store: memory, Table: NewTable(parseTest), Active: func() bool { return false }}
+		watcher := &replica.Follower{Store: memory, Kind: Kind, Table: NewTable(parseTest).Table, Active: func() bool { return false }}
 		go func() { _ = watcher.Run(ctx) }()
 		time.Sleep(time.Hour)
 		is.Equal(memory.Calls(), uint64(0))
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -19,6 +19,7 @@
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/record"
 	"github.com/papayasail/papayasail/relay"
+	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/routing"
 	"github.com/papayasail/papayasail/settings"
 	"github.com/papayasail/papayasail/store"
@@ -41,7 +42,7 @@
 	tokens    *settings.Tokens
 	logger    *zap.Logger
 	table     *configuration.Table
-	watcher   *configuration.Watcher
+	watcher   *replica.Follower
 	hostList  *hostList
 	duty      *order.Duty
 	acceptor  *configuration.Acceptor
@@ -93,7 +94,7 @@
 	h.relay.SetHomes(homes)
 	h.hostList = newHostList(o.Store, h.pool, h.watches)
 	h.duty = h.newDuty()
-	h.watcher = &configuration.Watcher{Store: o.Store, Table: h.table, Logger: o.Logger, Active: h.followsStore}
+	h.watcher = &replica.Follower{Store: o.Store, Kind: configuration.Kind, Table: h.table.Table, Logger: o.Logger, Active: h.followsStore}
 	h.server = &http.Server{Handler: h.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	registerCollectors()
 	h.connect()
--- /dev/null
+++ b/fleet/server.go
@@ -0,0 +1,31 @@
+// Package fleet is an entry host's table of the backend servers that it may
+// use: what the host list says of them, what this host runs on them and how
+// that went.
+package fleet
+
+import "time"
+
+// Server is one life of a backend server. A server that starts again has
+// another ID, often at the same address.
+type Server struct {
+	ID      string
+	Service string
+	Address string // IP:port
+	Domain  string // failure domain
+	Slots   int    // requests that it runs at once
+	// Leaving says that it takes no new work.
+	Leaving bool
+	// SlowFor is how much longer it is slow after its start.
+	SlowFor time.Duration
+}
+
+// LeavingSource says from where this host knows that a server is leaving.
+type LeavingSource string
+
+// Sources of the knowledge that a server is leaving.
+const (
+	SourceList     LeavingSource = "host_list"   // its entry says so
+	SourceRemoved  LeavingSource = "removed"     // its entry is gone
+	SourceReplaced LeavingSource = "replaced"    // another server has its address
+	SourceAnswer   LeavingSource = "its_answers" // it refuses new work
+)
--- /dev/null
+++ b/fleet/table.go
@@ -0,0 +1,225 @@
+package fleet
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/placement"
+)
+
+const (
+	msgLeaving  = "backend server takes no new work"
+	msgAdded    = "backend server added"
+	msgDoubtful = "backend server is doubtful"
+	msgTrusted  = "backend server is trusted again"
+
+	// unreachableFor is how long a server gets no work after it refused or
+	// did not take a connection; a restarted process needs about a second.
+	unreachableFor = time.Second
+)
+
+// Table holds all servers. All methods may be called from any goroutine.
+//
+// Lock order: mu is a leaf, but for the logger.
+type Table struct {
+	logger *zap.Logger
+
+	mu       sync.Mutex // guards all below
+	servers  map[string]*entry
+	services map[string]*service
+	changed  chan struct{} // closed and replaced at each change that may free a place
+}
+
+type service struct {
+	memoryTokens int
+	members      []*entry
+}
+
+type entry struct {
+	server         Server
+	leaving        bool
+	removed        bool
+	slowUntil      time.Time
+	unreachable    time.Time // until then it gets no work
+	health         health
+	work           map[*Work]struct{}
+	others         map[string]Load // by entry host
+	gone           chan struct{}   // closed when leaving
+	leavingSince   time.Time
+	leavingBecause LeavingSource
+}
+
+// NewTable returns an empty table.
+func NewTable(logger *zap.Logger) *Table {
+	return &Table{
+		logger:  logger,
+		servers: map[string]*entry{}, services: map[string]*service{},
+		changed: make(chan struct{}),
+	}
+}
+
+// SetMemory notes how many tokens each engine of a service holds; zero: it is
+// a plain service.
+func (t *Table) SetMemory(name string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.service(name).memoryTokens = tokens
+}
+
+func (t *Table) service(name string) *service {
+	s := t.services[name]
+	if s == nil {
+		s = &service{}
+		t.services[name] = s
+	}
+	return s
+}
+
+// Put takes in what the host list says of a server. A server that was known
+// to be leaving stays so: in one life it never comes back, but for one whose
+// entry had only lapsed.
+func (t *Table) Put(server Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[server.ID]
+	if e == nil {
+		e = &entry{health: newHealth(), work: map[*Work]struct{}{}, others: map[string]Load{}, gone: make(chan struct{})}
+		t.servers[server.ID] = e
+		s := t.service(server.Service)
+		s.members = append(s.members, e)
+		t.logger.Info(msgAdded, zap.String("server", server.ID), zap.String("address", server.Address), zap.String("service", server.Service))
+	}
+	e.server = server
+	e.slowUntil = time.Now().Add(server.SlowFor)
+	if e.removed && !server.Leaving {
+		e.removed, e.leaving, e.gone = false, false, make(chan struct{})
+	}
+	if server.Leaving {
+		t.leave(e, SourceList)
+	}
+	t.wake()
+}
+
+// Remove notes that the host list has no entry of a server any more.
+func (t *Table) Remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.servers[id]; e != nil {
+		e.removed = true
+		t.leave(e, SourceRemoved)
+		t.forget(e)
+	}
+}
+
+// MarkLeaving notes that a server takes no new work.
+func (t *Table) MarkLeaving(id string, because LeavingSource) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.servers[id]; e != nil {
+		t.leave(e, because)
+	}
+}
+
+// leave is called with mu held.
+func (t *Table) leave(e *entry, because LeavingSource) {
+	if e.leaving {
+		return
+	}
+	e.leaving, e.leavingSince, e.leavingBecause = true, time.Now(), because
+	close(e.gone)
+	t.logger.Info(msgLeaving, zap.String("server", e.server.ID), zap.String("address", e.server.Address),
+		zap.String("because", string(because)), zap.Int("own_work", len(e.work)))
+}
+
+// forget drops a removed server on which nothing of ours runs. Called with mu
+// held.
+func (t *Table) forget(e *entry) {
+	if !e.removed || len(e.work) > 0 {
+		return
+	}
+	delete(t.servers, e.server.ID)
+	s := t.service(e.server.Service)
+	s.members = slices.DeleteFunc(s.members, func(m *entry) bool { return m == e })
+}
+
+// MarkUnreachable notes that a server took no connection.
+func (t *Table) MarkUnreachable(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.servers[id]; e != nil {
+		e.unreachable = time.Now().Add(unreachableFor)
+	}
+}
+
+// Get returns a server and whether it takes new work.
+func (t *Table) Get(id string) (server Server, usable bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[id]
+	if e == nil {
+		return Server{}, false
+	}
+	return e.server, !e.leaving
+}
+
+// Leaving returns the IDs of the servers of a service that are leaving, in
+// order, with those that already left.
+func (t *Table) Leaving(name string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for _, e := range t.service(name).members {
+		if e.leaving {
+			ids = append(ids, e.server.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Candidates returns the servers of a service that may get work from a failure
+// domain, but for those in except.
+func (t *Table) Candidates(name, domain string, except ...string) []placement.Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, now := t.service(name), time.Now()
+	candidates := make([]placement.Candidate, 0, len(s.members))
+	for _, e := range s.members {
+		if e.leaving || now.Before(e.unreachable) || slices.Contains(except, e.server.ID) {
+			continue
+		}
+		candidates = append(candidates, e.candidate(s, domain, now))
+	}
+	return candidates
+}
+
+func (e *entry) candidate(s *service, domain string, now time.Time) placement.Candidate {
+	c := placement.Candidate{
+		ID: e.server.ID, SameDomain: e.server.Domain == domain, Slots: e.server.Slots, MemoryTokens: s.memoryTokens,
+		Doubtful: e.health.doubtful, Slow: now.Before(e.slowUntil),
+	}
+	load := e.ownLoad()
+	for _, other := range e.others {
+		if now.Sub(other.At) < loadLifetime {
+			load.add(other)
+		}
+	}
+	c.Running, c.HeldTokens, c.UnreadTokens = load.Requests, load.HeldTokens, load.UnreadTokens
+	return c
+}
+
+// Changed returns a channel that is closed when a place may have come free.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// wake is called with mu held.
+func (t *Table) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
--- /dev/null
+++ b/fleet/work.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"time"
+)
+
+// Work is one request of this host on a server.
+type Work struct {
+	table        *Table
+	entry        *entry
+	ID           string // of the request
+	PromptTokens int
+	OutputTokens int // expected
+	produced     int // tokens; guarded by Table.mu
+}
+
+// Load is what one entry host has on a server.
+type Load struct {
+	Requests     int
+	HeldTokens   int
+	UnreadTokens int
+	At           time.Time // when it was heard
+}
+
+// loadLifetime is how long another host's word on its load counts; a host
+// that died is forgotten after it.
+const loadLifetime = 2 * time.Second
+
+func (l *Load) add(other Load) {
+	l.Requests += other.Requests
+	l.HeldTokens += other.HeldTokens
+	l.UnreadTokens += other.UnreadTokens
+}
+
+// Begin books a request on a server. It returns nil if the server takes no
+// new work; resumed says that the request is a run that moves there, which a
+// leaving server may still be given back.
+func (t *Table) Begin(server string, work Work, resumed bool) *Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[server]
+	if e == nil || e.leaving && !resumed {
+		return nil
+	}
+	booked := &work
+	booked.table, booked.entry = t, e
+	e.work[booked] = struct{}{}
+	return booked
+}
+
+// Produced notes how many tokens a generation has made so far.
+func (w *Work) Produced(tokens int) {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.produced = max(w.produced, tokens)
+}
+
+// End takes the request off its server. It may be called again.
+func (w *Work) End() {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	if _, booked := w.entry.work[w]; !booked {
+		return
+	}
+	delete(w.entry.work, w)
+	w.table.forget(w.entry)
+	w.table.wake()
+}
+
+// Gone is closed when the work's server is known to be leaving.
+func (w *Work) Gone() <-chan struct{} {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	return w.entry.gone
+}
+
+// Server returns the server that the work is on.
+func (w *Work) Server() Server { return w.entry.server }
+
+// Outcome takes in how a request went, for the health of its server.
+func (w *Work) Outcome(failed bool) {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.table.judge(w.entry, failed)
+}
+
+// ownLoad is called with the table's mu held.
+func (e *entry) ownLoad() Load {
+	var load Load
+	for w := range e.work {
+		load.Requests++
+		load.HeldTokens += w.PromptTokens + max(w.OutputTokens, w.produced)
+		if w.produced == 0 {
+			load.UnreadTokens += w.PromptTokens
+		}
+	}
+	return load
+}
+
+// OwnLoads returns what this host has on each server, without idle ones.
+func (t *Table) OwnLoads() map[string]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := map[string]Load{}
+	for id, e := range t.servers {
+		if len(e.work) > 0 {
+			loads[id] = e.ownLoad()
+		}
+	}
+	return loads
+}
+
+// SetOthers takes in what another entry host has on the servers; it replaces
+// all that was heard of that host before.
+func (t *Table) SetOthers(host string, loads map[string]Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for id, e := range t.servers {
+		load, has := loads[id]
+		if !has {
+			delete(e.others, host)
+			continue
+		}
+		load.At = now
+		e.others[host] = load
+	}
+	t.wake()
+}
--- /dev/null
+++ b/gateway/backend.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/papayasail/papayasail/evacuation"
+	"github.com/papayasail/papayasail/fleet"
+)
+
+// Call is a request on its way to a backend server.
+type Call struct {
+	Server       fleet.Server
+	Request      *Request
+	Organisation string // "": none
+	Priority     int
+	// Until is when the server may stop working on it.
+	Until time.Time
+	// Resume is set for a run that goes on at another server.
+	Resume *Resume
+	// Stream says that the answer is passed on while it is made.
+	Stream bool
+}
+
+// Resume names the memory of a run and how far the caller has its events.
+type Resume struct {
+	Source      fleet.Server // where the copy was ordered
+	Handle      string
+	LastEventID string
+}
+
+// Reply is a backend server's answer. Body has to be closed; closing it before
+// its end closes the connection, at which the server stops its work.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// NotRun is the server's word that it did not run the request.
+	NotRun bool
+	// WrongServer says that another server has the address; it ran nothing.
+	WrongServer bool
+	// Leaving says that the server closes its connections.
+	Leaving bool
+	// Whole says that the answer carries the server's mark of a complete one.
+	Whole bool
+}
+
+// Copied is the result of copying a run's memory.
+type Copied struct {
+	// Handle names the copy, or the memory that a stopped source keeps.
+	Handle string
+	// Done says that the copy is at the destination.
+	Done bool
+	// Gone says that the source has no such run.
+	Gone bool
+}
+
+// Backend speaks with backend servers. Errors are *backend.CallError, whose
+// evidence says whether the server may have run the request.
+type Backend interface {
+	Send(ctx context.Context, call Call) (*Reply, error)
+	// Copy copies a run's memory from source to destination. With last the
+	// run stops at the source first, and its stream ends there without an end.
+	Copy(ctx context.Context, source, destination fleet.Server, run string, last bool) (Copied, error)
+	// Discard frees a copy that will not be used.
+	Discard(ctx context.Context, source fleet.Server, handle string) error
+	// Runs returns the runs on a server, some hundred ms old.
+	Runs(ctx context.Context, server fleet.Server) ([]evacuation.Run, error)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,261 @@
+// Package gateway serves requests: it finds the route and the organisation,
+// chooses a backend server, sends the request there and passes the answer on,
+// moves generations off servers that leave, and says of each request that
+// fails whether it ran. It knows neither how callers nor how servers spell
+// what they say.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/placement"
+)
+
+const (
+	msgRequest = "request"
+
+	// retryNoConfiguration is when to come back to a host that has just
+	// started; it learns the configuration within a few hundred ms.
+	retryNoConfiguration = 300 * time.Millisecond
+	// retryStopping sends callers to another host at once.
+	retryStopping = 20 * time.Millisecond
+	// retryNoServer is when to come back while no server is known or
+	// reachable; a replaced one takes about a second.
+	retryNoServer = 500 * time.Millisecond
+	// retryFull is the least time after which a place may be free: short
+	// generations take half a second. Up to as much again is drawn, so that
+	// callers do not return together.
+	retryFull = 400 * time.Millisecond
+	// waitShare is the part of a route's goal for which a request waits for a
+	// place; one that waited longer would rarely be answered in time, and the
+	// caller is better off elsewhere.
+	waitShare = 8
+)
+
+// Options sets up a Gateway. All fields are required.
+type Options struct {
+	Domain  string // failure domain of this host
+	Fleet   *fleet.Table
+	Backend Backend
+	Budget  *Budget
+	Logger  *zap.Logger
+	Limits  placement.Limits
+	// Confirm reports whether the configuration in force here is surely the
+	// newest that was accepted. It may ask the store.
+	Confirm func(ctx context.Context) bool
+	Metrics *Metrics
+}
+
+// Gateway serves requests. All methods may be called from any goroutine.
+type Gateway struct {
+	options       Options
+	configuration atomic.Pointer[Configuration]
+	stopping      atomic.Bool
+	runs          runTable
+	departures    departures
+}
+
+// New returns a gateway without a configuration.
+func New(options Options) *Gateway {
+	return &Gateway{options: options, runs: newRunTable(), departures: newDepartures()}
+}
+
+// SetConfiguration puts a configuration in force for requests that come now.
+func (g *Gateway) SetConfiguration(c *Configuration) {
+	g.configuration.Store(c)
+	for _, service := range c.Services {
+		memory := 0
+		if service.Engine != nil {
+			memory = service.Engine.MemoryTokens
+		}
+		g.options.Fleet.SetMemory(service.Name, memory)
+	}
+}
+
+// Configuration returns the configuration in force, or nil.
+func (g *Gateway) Configuration() *Configuration { return g.configuration.Load() }
+
+// Stop makes the gateway take no new generations; calls are still served.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// task is a request in work.
+type task struct {
+	gateway       *Gateway
+	request       *Request
+	configuration *Configuration
+	route         *Route
+	organisation  string
+	priority      int
+	service       *Service
+	until         time.Time // the earlier of the route's timeout and the caller's deadline
+	sends         int       // to servers that may have run it
+	server        fleet.Server
+	tried         []string // servers that it was sent to, or that took no connection
+	moves         int
+	firstEvent    time.Duration // from arrival
+}
+
+// Serve serves one request. The context ends when the caller is gone.
+func (g *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
+	t := &task{gateway: g, request: request, configuration: g.configuration.Load()}
+	outcome := t.serve(ctx, sink)
+	t.log(outcome)
+	return outcome
+}
+
+func (t *task) serve(ctx context.Context, sink Sink) Outcome {
+	if t.configuration == nil {
+		return refused(ReasonNoConfiguration, retryNoConfiguration)
+	}
+	if denial, ok := t.admit(ctx); !ok {
+		return denial
+	}
+	t.until = t.request.Arrived.Add(t.route.Timeout)
+	if t.request.Deadline.Before(t.until) {
+		t.until = t.request.Deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, t.until)
+	defer cancel()
+	if t.route.Kind == Generation {
+		if t.gateway.stopping.Load() {
+			return refused(ReasonStopping, retryStopping)
+		}
+		return t.generate(ctx, sink)
+	}
+	return t.call(ctx)
+}
+
+// admit finds the route and the organisation.
+//
+// Failure: this host is behind, as it is cut off from the store or has just
+// started, and calls a route or key unknown that was added a moment ago. The
+// caller would give up for good on a proper request. Such an answer is given
+// only when the configuration is surely the newest; until then the request is
+// refused as not run.
+func (t *task) admit(ctx context.Context) (Outcome, bool) {
+	denial, ok := t.lookUp()
+	if ok {
+		return Outcome{}, true
+	}
+	if !t.gateway.options.Confirm(ctx) {
+		return refused(ReasonStale, retryNoServer), false
+	}
+	// What was confirmed may be newer than what the request began with.
+	t.configuration = t.gateway.configuration.Load()
+	denial, ok = t.lookUp()
+	return denial, ok
+}
+
+func (t *task) lookUp() (Outcome, bool) {
+	t.route = t.configuration.Route(t.request.Host, t.request.Path)
+	if t.route == nil {
+		return denied(http.StatusNotFound, ReasonNoRoute), false
+	}
+	t.priority = t.route.Priority
+	if t.configuration.NeedsKey(t.route) {
+		organisation, ok := t.configuration.Organisation(t.request.Key)
+		if !ok {
+			return denied(http.StatusUnauthorized, ReasonBadKey), false
+		}
+		t.organisation = organisation.Name
+		if organisation.Priority != nil {
+			t.priority = *organisation.Priority
+		}
+	}
+	name := t.route.target(rand.IntN)
+	t.service = t.configuration.Services[name]
+	if t.service == nil {
+		t.service = &Service{Name: name}
+	}
+	return Outcome{}, true
+}
+
+// place books the request on a server, waiting a little for a place. The
+// second result says why there is none.
+func (t *task) place(ctx context.Context) (*fleet.Work, Reason) {
+	table := t.gateway.options.Fleet
+	need := t.request.Prompt.need(t.route.Kind)
+	giveUp := time.NewTimer(time.Until(t.request.Arrived.Add(t.route.Goal / waitShare)))
+	defer giveUp.Stop()
+	for {
+		changed := table.Changed()
+		candidates := table.Candidates(t.service.Name, t.gateway.options.Domain, t.tried...)
+		if len(candidates) == 0 {
+			return nil, ReasonNoServer
+		}
+		if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
+			work := table.Begin(candidates[i].ID, fleet.Work{ID: t.request.ID, PromptTokens: need.PromptTokens, OutputTokens: need.OutputTokens}, false)
+			if work != nil {
+				t.server = work.Server()
+				return work, ""
+			}
+			continue // it left in between
+		}
+		select {
+		case <-changed:
+		case <-giveUp.C:
+			return nil, ReasonFull
+		case <-ctx.Done():
+			return nil, ReasonFull
+		}
+	}
+}
+
+// unplaced is the answer when there was no place and nothing ran.
+func (t *task) unplaced(ctx context.Context, reason Reason) Outcome {
+	if ctx.Err() == context.Canceled {
+		return abandoned()
+	}
+	if reason == ReasonFull {
+		return refused(reason, retryFull+rand.N(retryFull))
+	}
+	return refused(reason, retryNoServer)
+}
+
+func (t *task) callTo(server fleet.Server) Call {
+	return Call{
+		Server: server, Request: t.request, Organisation: t.organisation, Priority: t.priority,
+		Until: t.until, Stream: t.route.Kind == Generation,
+	}
+}
+
+// log writes the one line that explains the request.
+func (t *task) log(o Outcome) {
+	t.gateway.options.Metrics.observe(t, o)
+	fields := []zap.Field{
+		zap.String("request", t.request.ID),
+		zap.Int("status", o.Status),
+		zap.String("reason", string(o.Reason)),
+		zap.Bool("not_run", o.NotRun),
+		zap.Duration("took", time.Since(t.request.Arrived)),
+		zap.Duration("left", time.Until(t.request.Deadline)),
+	}
+	if o.RetryAfter > 0 {
+		fields = append(fields, zap.Duration("retry_after", o.RetryAfter))
+	}
+	if t.configuration != nil {
+		fields = append(fields, zap.Uint64("configuration", t.configuration.Version))
+	}
+	if t.route != nil {
+		fields = append(fields, zap.String("route", t.route.Name), zap.String("organisation", t.organisation))
+	}
+	if t.service != nil {
+		fields = append(fields, zap.String("service", t.service.Name), zap.String("server", t.server.ID),
+			zap.Int("sends", t.sends), zap.Strings("tried", t.tried))
+	}
+	if o.Streamed {
+		fields = append(fields, zap.Bool("complete", o.Complete), zap.Duration("first_event", t.firstEvent), zap.Int("moves", t.moves))
+	}
+	if o.Reason == "" {
+		t.gateway.options.Logger.Info(msgRequest, fields...)
+		return
+	}
+	t.gateway.options.Logger.Warn(msgRequest, fields...)
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts what became of requests.
+type Metrics struct {
+	requests   *prometheus.CounterVec
+	took       *prometheus.HistogramVec
+	firstEvent prometheus.Histogram
+	moves      *prometheus.CounterVec
+}
+
+// NewMetrics registers the gateway's counters and histograms.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayasail_gateway_requests_total",
+			Help: "Requests by status of the answer and, where it is this system's own, its reason.",
+		}, []string{"status", "reason"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "papayasail_gateway_request_seconds",
+			Help:    "Time from a request's head to the end of its answer, by service.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
+		}, []string{"service"}),
+		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "papayasail_gateway_first_event_seconds",
+			Help:    "Time from a generation's head to its first event.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 1.5, 14),
+		}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayasail_gateway_moves_total",
+			Help: "Generations that were to move off a leaving server, by result.",
+		}, []string{"result"}),
+	}
+	registerer.MustRegister(m.requests, m.took, m.firstEvent, m.moves)
+	return m
+}
+
+func (m *Metrics) observe(t *task, o Outcome) {
+	m.requests.WithLabelValues(strconv.Itoa(o.Status), string(o.Reason)).Inc()
+	if t.service != nil {
+		m.took.WithLabelValues(t.service.Name).Observe(time.Since(t.request.Arrived).Seconds())
+	}
+	if o.Streamed {
+		m.firstEvent.Observe(t.firstEvent.Seconds())
+	}
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/papayasail/papayasail/fleet"
+)
+
+// run is a generation in progress on this host.
+type run struct {
+	task        *task
+	transfers   chan transfer // the result of the move under way
+	settled     chan struct{} // a token for each transfer that was taken or given up
+	lastEventID string        // of the reader's goroutine
+
+	mu         sync.Mutex // guards all below
+	work       *fleet.Work
+	produced   int  // events
+	inMove     bool // a move is under way or its result not taken yet
+	ended      bool
+	perEvent   int // tokens
+	memoryHint int // tokens of the prompt
+}
+
+// transfer is the result of a move whose source has stopped the run.
+type transfer struct {
+	source fleet.Server
+	handle string
+	// works are the servers that may take the run up, in order, with the run
+	// booked on them. None: the run is lost.
+	works []*fleet.Work
+}
+
+func newRun(t *task, work *fleet.Work) *run {
+	r := &run{task: t, work: work, transfers: make(chan transfer, 1), settled: make(chan struct{}, 1), perEvent: 1, memoryHint: t.request.Prompt.Tokens}
+	if t.service.Engine != nil {
+		r.perEvent = max(1, t.service.Engine.TokensPerEvent)
+	}
+	return r
+}
+
+// passed notes that an event went on to the caller.
+func (r *run) passed(id string) {
+	if id != "" {
+		r.lastEventID = id
+	}
+	r.mu.Lock()
+	r.produced++
+	work, tokens := r.work, r.produced*r.perEvent
+	r.mu.Unlock()
+	work.Produced(tokens)
+}
+
+func (r *run) outcome(failed bool) {
+	r.mu.Lock()
+	work := r.work
+	r.mu.Unlock()
+	work.Outcome(failed)
+}
+
+// end closes the stream at its present server.
+func (r *run) end(reply *Reply) {
+	reply.Body.Close()
+	r.mu.Lock()
+	work := r.work
+	r.mu.Unlock()
+	work.End()
+}
+
+func (r *run) moving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inMove
+}
+
+func (r *run) setMoving(moving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inMove = moving
+}
+
+// tokens is the memory that the run holds.
+func (r *run) tokens() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.memoryHint + r.produced*r.perEvent
+}
+
+// server is where the run is.
+func (r *run) server() fleet.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.work.Server()
+}
+
+// expectedMore is how many tokens the run is expected to make yet.
+func (r *run) expectedMore() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, r.task.request.Prompt.expectedOutput()-r.produced*r.perEvent)
+}
+
+// gone is closed when the run's server is known to be leaving.
+func (r *run) gone() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.work.Gone()
+}
+
+// started reports whether the caller has events of the run.
+func (r *run) started() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.produced > 0
+}
+
+// moveTo puts the run on the server where it goes on.
+func (r *run) moveTo(work *fleet.Work) {
+	r.mu.Lock()
+	before, produced := r.work, r.produced*r.perEvent
+	r.work, r.inMove = work, false
+	r.mu.Unlock()
+	before.End()
+	work.Produced(produced)
+}
+
+// settle notes that a transfer was taken or given up.
+func (r *run) settle() {
+	select {
+	case r.settled <- struct{}{}:
+	default:
+	}
+}
+
+// dropTransfer drops what an earlier move left and nobody took.
+func (r *run) dropTransfer() {
+	select {
+	case old := <-r.transfers:
+		endAll(old.works)
+	default:
+	}
+	select {
+	case <-r.settled:
+	default:
+	}
+}
+
+// finish notes that the run needs no move any more.
+func (r *run) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
+
+func (r *run) over() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
+// runTable holds the runs of this host.
+type runTable struct {
+	mu  *sync.Mutex // guards all
+	all map[*run]struct{}
+}
+
+func newRunTable() runTable {
+	return runTable{mu: &sync.Mutex{}, all: map[*run]struct{}{}}
+}
+
+func (t *runTable) add(r *run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all[r] = struct{}{}
+}
+
+func (t *runTable) remove(r *run) {
+	r.finish()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.all, r)
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/fleet"
+)
+
+const (
+	msgResumed      = "run goes on at another server"
+	msgResumeFailed = "run could not go on at another server"
+
+	// moveResultWait bounds the wait for the result of a move whose source
+	// has ended the stream; callers leave after gaps of two seconds.
+	moveResultWait = 2 * time.Second
+)
+
+// generate serves a request that is answered by a stream.
+func (t *task) generate(ctx context.Context, sink Sink) Outcome {
+	for dials := 0; ; {
+		work, reason := t.place(ctx)
+		if work == nil {
+			return t.unplaced(ctx, reason)
+		}
+		if dials == 0 {
+			t.gateway.options.Budget.Request(t.service.Name)
+		}
+		t.tried = append(t.tried, work.Server().ID)
+		reply, err := t.gateway.options.Backend.Send(ctx, t.callTo(work.Server()))
+		if err != nil {
+			result := t.brokenTry(ctx, work, err)
+			work.End()
+			if result.sent || dials >= maxDials || ctx.Err() != nil {
+				return result.outcome
+			}
+			dials++
+			continue
+		}
+		t.sends++
+		if !t.took(work, reply) {
+			result := t.notRun(reply)
+			reply.Body.Close()
+			work.End()
+			if result.sent || dials >= maxDials {
+				return result.outcome
+			}
+			dials++
+			continue
+		}
+		return t.relay(ctx, sink, work, reply)
+	}
+}
+
+// relay passes a stream on, from server to server where its run moves.
+func (t *task) relay(ctx context.Context, sink Sink, work *fleet.Work, reply *Reply) Outcome {
+	if reply.Status != http.StatusOK {
+		return t.whole(ctx, work, reply)
+	}
+	if !reply.Whole {
+		reply.Body.Close()
+		work.End()
+		work.Outcome(true)
+		return t.mayHaveRun(ctx, ReasonBroken).outcome
+	}
+	run := newRun(t, work)
+	t.gateway.runs.add(run)
+	defer t.gateway.runs.remove(run)
+	if t.service.Engine != nil && t.service.Engine.Moves {
+		go t.gateway.guard(ctx, run)
+	}
+	if err := sink.Begin(reply.Status, reply.Header); err != nil {
+		run.end(reply)
+		return abandoned()
+	}
+	for {
+		outcome, done := t.pass(ctx, sink, run, reply)
+		run.end(reply)
+		if done {
+			return outcome
+		}
+		next, ok := t.follow(ctx, run)
+		if !ok {
+			return t.cutOff(ctx, run)
+		}
+		reply = next
+	}
+}
+
+// whole passes on an answer that is no stream.
+func (t *task) whole(ctx context.Context, work *fleet.Work, reply *Reply) Outcome {
+	defer work.End()
+	defer reply.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	if err != nil {
+		return t.mayHaveRun(ctx, ReasonBroken).outcome
+	}
+	work.Outcome(reply.Status >= http.StatusInternalServerError)
+	return Outcome{Status: reply.Status, Header: reply.Header, Body: body, Complete: true}
+}
+
+// pass passes events on until the stream ends. It is not done where the
+// stream ended without its end.
+func (t *task) pass(ctx context.Context, sink Sink, run *run, reply *Reply) (Outcome, bool) {
+	events := newEventReader(reply.Body)
+	for {
+		next, err := events.next()
+		complete := errors.Is(err, io.EOF)
+		if err != nil && !complete {
+			return Outcome{}, false
+		}
+		if len(next.block) > 0 {
+			if t.firstEvent == 0 {
+				t.firstEvent = time.Since(t.request.Arrived)
+			}
+			if err := sink.Event(next.block); err != nil {
+				return t.callerGone(), true
+			}
+		}
+		if complete {
+			run.outcome(false)
+			return Outcome{Status: http.StatusOK, Streamed: true, Complete: true}, true
+		}
+		run.passed(next.id)
+	}
+}
+
+func (t *task) callerGone() Outcome {
+	o := abandoned()
+	o.Streamed = true
+	return o
+}
+
+// follow takes up a run that has moved. It waits for the result of a move
+// that is under way.
+func (t *task) follow(ctx context.Context, run *run) (*Reply, bool) {
+	if ctx.Err() != nil || !run.moving() {
+		return nil, false
+	}
+	timer := time.NewTimer(moveResultWait)
+	defer timer.Stop()
+	var to transfer
+	select {
+	case to = <-run.transfers:
+	case <-timer.C:
+		return nil, false
+	case <-ctx.Done():
+		return nil, false
+	}
+	defer run.settle()
+	for i, work := range to.works {
+		if reply, ok := t.resume(ctx, run, work, to); ok {
+			endAll(to.works[i+1:])
+			return reply, true
+		}
+		work.End()
+	}
+	return nil, false
+}
+
+func endAll(works []*fleet.Work) {
+	for _, work := range works {
+		work.End()
+	}
+}
+
+// resume sends the request to a server that has the run's memory.
+func (t *task) resume(ctx context.Context, run *run, work *fleet.Work, to transfer) (*Reply, bool) {
+	call := t.callTo(work.Server())
+	call.Resume = &Resume{Source: to.source, Handle: to.handle, LastEventID: run.lastEventID}
+	began := time.Now()
+	reply, err := t.gateway.options.Backend.Send(ctx, call)
+	fields := []zap.Field{
+		zap.String("request", t.request.ID), zap.String("from", to.source.ID), zap.String("to", work.Server().ID),
+		zap.String("last_event", run.lastEventID), zap.Duration("took", time.Since(began)),
+	}
+	if err != nil {
+		t.gateway.options.Logger.Warn(msgResumeFailed, append(fields, zap.Error(err))...)
+		return nil, false
+	}
+	if reply.Status != http.StatusOK || reply.NotRun || reply.WrongServer {
+		reply.Body.Close()
+		t.gateway.options.Logger.Warn(msgResumeFailed, append(fields, zap.Int("status", reply.Status))...)
+		return nil, false
+	}
+	run.moveTo(work)
+	t.moves++
+	t.server = work.Server()
+	t.gateway.options.Logger.Info(msgResumed, fields...)
+	return reply, true
+}
+
+// cutOff is a stream that ended without its end and does not go on.
+func (t *task) cutOff(ctx context.Context, run *run) Outcome {
+	o := Outcome{Streamed: true, Reason: ReasonBroken}
+	switch {
+	case ctx.Err() == context.Canceled:
+		o.Reason = ReasonCallerGone
+	case ctx.Err() == context.DeadlineExceeded:
+		o.Reason = ReasonTimeout
+	case run.moving():
+		o.Reason = ReasonMoveFailed
+	default:
+		run.outcome(true)
+	}
+	return o
+}
--- a/link/network.go
+++ b/link/network.go
@@ -18,6 +18,7 @@
 // TCP is the Network of the operating system.
 type TCP struct {
 	Dialer net.Dialer
+	Config net.ListenConfig
 }
 
 // Dial connects over TCP.
@@ -27,5 +28,5 @@
 
 // Listen listens over TCP.
 func (t TCP) Listen(address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
+	return t.Config.Listen(context.Background(), "tcp", address)
 }
--- a/order/wire_test.go
+++ b/order/wire_test.go
@@ -13,6 +13,7 @@
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/fake/engine"
 	"github.com/papayasail/papayasail/fake/network"
+	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
 
@@ -38,7 +39,7 @@
 		go func() { _ = stand.Serve(listener) }()
 		client := backend.NewClient(fabric.Host("10.0.0.1"), backend.ClientOptions{ControlTimeout: testLongest, OrderToken: "secret"})
 		memory, table := store.NewMemory(), configuration.NewTable(contract.ParseDocument)
-		watcher := &configuration.Watcher{Store: memory, Table: table}
+		watcher := &replica.Follower{Store: memory, Kind: configuration.Kind, Table: table.Table}
 		duty := New(Options{Host: "a", FailureDomain: "north", Store: memory, Engine: client, Documents: table, Refresh: watcher.Refresh})
 		_, err = configuration.NewAcceptor(memory, contract.ParseDocument).Put(ctx, configuration.Change{Service: "letters", Document: []byte(wireDocument), ChangeID: "c1"})
 		is.NoErr(err)
--- a/order/world_test.go
+++ b/order/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/configuration"
 	"github.com/papayasail/papayasail/contract"
+	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
 
@@ -216,7 +217,7 @@
 	memory := gatedStore{Memory: w.memory, gate: h.gate}
 	engine := gatedEngine{fleet: w.fleet, host: name, gate: h.gate}
 	h.acceptor = configuration.NewAcceptor(memory, parseJSON)
-	watcher := &configuration.Watcher{Store: memory, Table: h.table, Active: func() bool { return watches }}
+	watcher := &replica.Follower{Store: memory, Kind: configuration.Kind, Table: h.table.Table, Active: func() bool { return watches }}
 	h.duty = New(Options{
 		Host: name, FailureDomain: failureDomain, Store: memory, Engine: engine, Documents: h.table, Refresh: watcher.Refresh,
 		LoadsPerMinute: testPerMinute, LoadsAtOnce: testBurst, Term: testTerm, Longest: testLongest,
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,128 @@
+// Package placement chooses a backend server for a request from a snapshot of
+// what this host knows of the servers. It does no input or output.
+package placement
+
+import "cmp"
+
+// Candidate is a backend server that may run the request.
+type Candidate struct {
+	ID string
+	// SameDomain says that the server is in this host's failure domain.
+	SameDomain bool
+	// Slots is how many requests the server runs at once.
+	Slots int
+	// MemoryTokens is an engine's memory in tokens; zero: a plain service.
+	MemoryTokens int
+	// Running is how many requests run or wait there, as far as is known.
+	Running int
+	// HeldTokens is the memory that those hold now or are expected to.
+	HeldTokens int
+	// UnreadTokens are those of prompts that the engine has still to read.
+	UnreadTokens int
+	// Doubtful says that recent requests failed there: it gets work only
+	// where no other server has a place.
+	Doubtful bool
+	// Slow says that it has just started and is still slow.
+	Slow bool
+}
+
+// Need is what a request will take; both are zero for a plain call.
+type Need struct {
+	PromptTokens int
+	OutputTokens int // expected
+}
+
+// Limits bound what placement fills.
+type Limits struct {
+	// Memory is the share of an engine's memory that may be promised.
+	// Above it, the growth of running generations preempts others.
+	Memory float64
+	// QueueShare is how many requests a plain server may have beside those
+	// that it runs, as a share of its slots.
+	QueueShare float64
+}
+
+// DefaultLimits promise nine tenths of the memory, since expected lengths are
+// right at the median only, and let a plain server have two requests waiting
+// for each that it runs.
+var DefaultLimits = Limits{Memory: 0.9, QueueShare: 2}
+
+const (
+	// readTokensPerMs is how fast an engine reads prompts beside running
+	// generations: chunks of 112 tokens, one each step of 15 to 17 ms.
+	readTokensPerMs = 7.0
+	// patienceMs is the wait for the first token that counts as a full
+	// engine when ranking; the shortest goal of the sites is 1,500 ms.
+	patienceMs = 1500.0
+	// otherDomainCost ranks a server in another failure domain below one
+	// that is fuller by this share: bytes between domains cost more than
+	// small differences of load, and less than large ones.
+	otherDomainCost = 0.1
+	// slowCost does the same for a server that has just started.
+	slowCost = 0.5
+)
+
+// Pick returns the index of the best candidate with a place, or -1 if none
+// has one. Draw returns a number below n; it breaks ties, so that hosts with
+// the same view do not all choose the same server.
+func Pick(need Need, candidates []Candidate, limits Limits, draw func(n int) int) int {
+	best, bestRank := -1, rank{}
+	if len(candidates) == 0 {
+		return best
+	}
+	start := draw(len(candidates))
+	for i := range candidates {
+		index := (start + i) % len(candidates)
+		candidate := &candidates[index]
+		if !candidate.hasPlace(need, limits) {
+			continue
+		}
+		r := rank{candidate.Doubtful, candidate.cost(need)}
+		if best < 0 || r.before(bestRank) {
+			best, bestRank = index, r
+		}
+	}
+	return best
+}
+
+// rank orders candidates: those that are not doubtful first, then by cost.
+type rank struct {
+	doubtful bool
+	cost     float64
+}
+
+func (r rank) before(other rank) bool {
+	if r.doubtful != other.doubtful {
+		return !r.doubtful
+	}
+	return cmp.Less(r.cost, other.cost)
+}
+
+func (c *Candidate) hasPlace(need Need, limits Limits) bool {
+	if c.Running == 0 {
+		return true // an idle server takes one whatever the limits say
+	}
+	if c.MemoryTokens == 0 {
+		return float64(c.Running) < float64(c.Slots)*(1+limits.QueueShare)
+	}
+	promised := float64(c.HeldTokens + need.PromptTokens + need.OutputTokens)
+	return c.Running < c.Slots && promised <= limits.Memory*float64(c.MemoryTokens)
+}
+
+// cost is the share of the server that is taken once the request is there.
+func (c *Candidate) cost(need Need) float64 {
+	cost := 0.0
+	if c.MemoryTokens > 0 {
+		cost = float64(c.HeldTokens+need.PromptTokens) / float64(c.MemoryTokens)
+		cost += float64(c.UnreadTokens+need.PromptTokens) / readTokensPerMs / patienceMs
+	} else {
+		cost = float64(c.Running+1) / float64(max(1, c.Slots))
+	}
+	if !c.SameDomain {
+		cost += otherDomainCost
+	}
+	if c.Slow {
+		cost += slowCost
+	}
+	return cost
+}
--- /dev/null
+++ b/replica/follower.go
@@ -0,0 +1,143 @@
+package replica
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/internal/sleep"
+	"github.com/papayasail/papayasail/store"
+)
+
+const (
+	msgStoreReached   = "platform store reached"
+	msgStoreLost      = "platform store lost"
+	msgNotPutInForce  = "stored configuration not put in force"
+	activeCheckPeriod = time.Second
+)
+
+// Follower keeps a Table up to date from the store: a list, then long-poll
+// watches. A few hosts watch; the others learn from their peers.
+type Follower struct {
+	Store store.Store
+	Kind  string // of the objects followed
+	Table *Table
+	// Active says whether this host watches now; nil: always. A host that is
+	// not active has no call waiting in the store.
+	Active func() bool
+	// Backoff spaces the tries while the store is away; its zero value has
+	// defaults.
+	Backoff store.Backoff
+	Logger  *zap.Logger // nil: no log
+
+	reachable atomic.Bool
+	answered  atomic.Int64 // monotonic time of the last answer, in ns since started
+	failed    atomic.Int64 // the same of the last failure
+}
+
+// started is the origin of monotonic times.
+var started = time.Now()
+
+// Age returns how long ago the store last answered this follower; a follower
+// that never had an answer is as old as the process.
+func (f *Follower) Age() time.Duration { return time.Since(started) - time.Duration(f.answered.Load()) }
+
+// Undisturbed returns how long ago the store last failed to answer this
+// follower; without a failure, how long the process runs.
+func (f *Follower) Undisturbed() time.Duration {
+	return time.Since(started) - time.Duration(f.failed.Load())
+}
+
+// Reachable reports whether the last call to the store succeeded.
+func (f *Follower) Reachable() bool { return f.reachable.Load() }
+
+// Run follows the store until ctx ends, whose error it returns.
+func (f *Follower) Run(ctx context.Context) error {
+	var after store.Version
+	listed := false
+	for ctx.Err() == nil {
+		if f.Active != nil && !f.Active() {
+			listed = false
+			if err := sleep.For(ctx, activeCheckPeriod); err != nil {
+				return err
+			}
+			continue
+		}
+		var err error
+		if listed {
+			after, err = f.watch(ctx, after)
+		} else {
+			after, err = f.list(ctx)
+		}
+		listed = listed && !errors.Is(err, store.ErrCompacted) || !listed && err == nil
+		if err := f.settle(ctx, err); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// settle notes whether the store answered, and waits before the next try when
+// it did not: hosts that lost it together must not come back together.
+func (f *Follower) settle(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if err == nil || errors.Is(err, store.ErrCompacted) {
+		f.Backoff.Reset()
+		f.answered.Store(int64(time.Since(started)))
+		if f.reachable.CompareAndSwap(false, true) {
+			f.logger().Info(msgStoreReached)
+		}
+		return nil
+	}
+	f.failed.Store(int64(time.Since(started)))
+	if f.reachable.CompareAndSwap(true, false) {
+		f.logger().Warn(msgStoreLost, zap.Error(err))
+	}
+	return f.Backoff.Wait(ctx)
+}
+
+// Refresh brings the table up to date with the store once. Errors: those of
+// store.Store.List.
+func (f *Follower) Refresh(ctx context.Context) error {
+	_, err := f.list(ctx)
+	return err
+}
+
+func (f *Follower) list(ctx context.Context) (store.Version, error) {
+	objects, revision, err := f.Store.List(ctx, f.Kind)
+	if err != nil {
+		return 0, err
+	}
+	_, findings := f.Table.AdoptList(f.Kind, objects, revision)
+	f.report(findings)
+	return revision, nil
+}
+
+func (f *Follower) watch(ctx context.Context, after store.Version) (store.Version, error) {
+	objects, revision, err := f.Store.Watch(ctx, f.Kind, after)
+	if err != nil {
+		return after, err
+	}
+	_, findings := f.Table.Adopt(objects)
+	f.report(findings)
+	return max(after, revision), nil
+}
+
+func (f *Follower) report(findings []Finding) {
+	for _, finding := range findings {
+		f.logger().Warn(msgNotPutInForce, zap.String("kind", finding.Kind), zap.String("name", finding.Name),
+			zap.Uint64("version", uint64(finding.Version)), zap.Error(finding.Err))
+	}
+}
+
+func (f *Follower) logger() *zap.Logger {
+	if f.Logger == nil {
+		return zap.NewNop()
+	}
+	return f.Logger
+}
