One host allocates a service's generations and gives turns to their moves

Change: package allocation: the live host with the highest rendezvous score is the allocator of a service; it knows what all hosts run from their reports and from what it has placed since, places generations, and lets one copy at a time leave an engine and arrive at another. A host whose allocator does not answer decides by itself. Ruled out: turns worked out by every host from the engine's own report: copies to another failure domain take twice as long and the turns drift apart.

--- /dev/null
+++ b/allocation/allocator.go
@@ -0,0 +1,144 @@
+// Package allocation places generations, and the moves of generations, with
+// one entry host as the allocator of each service.
+//
+// Failure it answers: every host sees only its own part of what runs on an
+// engine, and engines' reports are half a second old. Hosts that choose by
+// themselves send several prompts to the engine that looks emptiest to all of
+// them, and their copies off a leaving engine queue behind each other. The
+// allocator knows what all hosts run, at most a report old, and what it has
+// placed since.
+//
+// The allocator is chosen by rendezvous among the hosts held for live. It is a
+// matter of quality only: with two of them, or none, each request is still
+// sent once, by the host that has it. A host whose allocator does not answer
+// places by itself.
+package allocation
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/papayasail/papayasail/evacuation"
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/peer"
+	"github.com/papayasail/papayasail/placement"
+)
+
+// Chosen returns the allocator of a service among the members, or "".
+func Chosen(members []peer.Member, service string) string {
+	live := slices.DeleteFunc(slices.Clone(members), func(m peer.Member) bool { return m.State != peer.StateAlive })
+	if len(live) == 0 {
+		return ""
+	}
+	return slices.MaxFunc(live, func(a, b peer.Member) int {
+		return cmp.Or(cmp.Compare(score(a.Host, service), score(b.Host, service)), cmp.Compare(a.Host, b.Host))
+	}).Host
+}
+
+func score(host, service string) uint64 { return xxhash.Sum64String(host + "\x00" + service) }
+
+// Allocator decides for the services whose allocator this host is. It may be
+// used from any goroutine.
+type Allocator struct {
+	fleet  *fleet.Table
+	limits placement.Limits
+	draw   func(n int) int
+
+	mu     sync.Mutex // guards queues
+	queues map[string]*service
+}
+
+// service holds the moves of one service.
+type service struct {
+	queue *evacuation.Queue
+	wake  chan struct{} // holds a token when the queue is to be looked at
+}
+
+// NewAllocator returns an allocator that places by the table; draw breaks ties.
+func NewAllocator(table *fleet.Table, limits placement.Limits, draw func(n int) int) *Allocator {
+	return &Allocator{fleet: table, limits: limits, draw: draw, queues: map[string]*service{}}
+}
+
+// Place chooses a server for a host's generation and books it, until the host
+// reports it itself. It returns "" if none has a place.
+func (a *Allocator) Place(host, domain, service string, need placement.Need, except []string) string {
+	candidates := a.fleet.Candidates(service, domain, except...)
+	i := placement.Pick(need, candidates, a.limits, a.draw)
+	if i < 0 {
+		return ""
+	}
+	a.fleet.BookFor(host, candidates[i].ID, fleet.Load{
+		Requests: 1, HeldTokens: need.PromptTokens + need.OutputTokens, UnreadTokens: need.PromptTokens,
+	})
+	return candidates[i].ID
+}
+
+// TakeTurn waits until a host's run may move. The turn has to be ended.
+func (a *Allocator) TakeTurn(ctx context.Context, host, name string, move evacuation.Move) (destination string, err error) {
+	s := a.service(name)
+	granted, cancel := s.queue.Enter(move)
+	s.look()
+	select {
+	case grant := <-granted:
+		if grant.Destination != "" {
+			a.fleet.BookFor(host, grant.Destination, fleet.Load{Requests: 1, HeldTokens: move.Need.PromptTokens + move.Need.OutputTokens})
+		}
+		return grant.Destination, nil
+	case <-ctx.Done():
+	}
+	cancel()
+	select {
+	case <-granted: // between the end of ctx and cancel
+		a.EndTurn(name, move.Source, move.Run)
+	default:
+	}
+	return "", ctx.Err()
+}
+
+// EndTurn ends a run's turn.
+func (a *Allocator) EndTurn(name, source, run string) {
+	s := a.service(name)
+	s.queue.End(source, run)
+	s.look()
+}
+
+// service returns the moves of a service, and begins to serve them.
+func (a *Allocator) service(name string) *service {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.queues[name]
+	if s == nil {
+		s = &service{wake: make(chan struct{}, 1)}
+		s.queue = evacuation.NewQueue(func(source string) []placement.Candidate {
+			server, _ := a.fleet.Get(source)
+			return a.fleet.Candidates(name, server.Domain)
+		}, time.Now)
+		a.queues[name] = s
+		go s.run()
+	}
+	return s
+}
+
+func (s *service) look() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run steps the queue for as long as the process lives; services are few.
+func (s *service) run() {
+	for range s.wake {
+		for next := s.queue.Step(); next > 0; next = s.queue.Step() {
+			select {
+			case <-s.wake:
+			case <-time.After(next):
+			}
+		}
+	}
+}
--- /dev/null
+++ b/allocation/client.go
@@ -0,0 +1,193 @@
+package allocation
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/papayasail/papayasail/allocation/allocationpb"
+	"github.com/papayasail/papayasail/evacuation"
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/internal/sleep"
+	"github.com/papayasail/papayasail/peer"
+	"github.com/papayasail/papayasail/placement"
+)
+
+const (
+	msgLost     = "allocator does not answer"
+	msgRegained = "allocator answers again"
+
+	// reportInterval spaces a host's reports. What the allocator placed since
+	// the last one it knows by itself, so a report mainly tells what ended.
+	reportInterval = 200 * time.Millisecond
+	// refreshInterval repeats an unchanged report, before the allocator
+	// forgets it.
+	refreshInterval = time.Second
+	// placeTimeout bounds the question for a place; it takes 3 ms between
+	// failure domains.
+	placeTimeout = 80 * time.Millisecond
+	// avoidFor is how long an allocator that did not answer is not asked.
+	avoidFor = time.Second
+)
+
+// Peers reaches other entry hosts; *peer.Node is one.
+type Peers interface {
+	Members() []peer.Member
+	Call(host string, f func(grpc.ClientConnInterface) error) error
+}
+
+// Client asks the allocators, and decides by itself where they do not answer.
+type Client struct {
+	host   string
+	domain string
+	peers  Peers
+	local  *Allocator
+	fleet  *fleet.Table
+	logger *zap.Logger
+
+	mu      sync.Mutex           // guards avoided
+	avoided map[string]time.Time // by host: until when it is not asked
+}
+
+// NewClient returns the client of a host, with its own allocator.
+func NewClient(host, domain string, peers Peers, local *Allocator, table *fleet.Table, logger *zap.Logger) *Client {
+	return &Client{host: host, domain: domain, peers: peers, local: local, fleet: table, logger: logger, avoided: map[string]time.Time{}}
+}
+
+// Place chooses a server for a generation, or returns "" if none has a place.
+func (c *Client) Place(ctx context.Context, service string, need placement.Need, except []string) string {
+	allocator := c.allocator(service)
+	if allocator == c.host {
+		return c.local.Place(c.host, c.domain, service, need, except)
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	var response *allocationpb.PlaceResponse
+	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
+		response, err = client.Place(ctx, &allocationpb.PlaceRequest{
+			Host: c.host, FailureDomain: c.domain, Service: service, Except: except,
+			PromptTokens: uint32(need.PromptTokens), OutputTokens: uint32(need.OutputTokens),
+		})
+		return err
+	})
+	if err != nil {
+		return c.local.Place(c.host, c.domain, service, need, except)
+	}
+	return response.GetServer()
+}
+
+// TakeTurn waits until a run may move off a leaving server, and returns where
+// to ("": nowhere) and what ends the turn.
+func (c *Client) TakeTurn(ctx context.Context, service string, move evacuation.Move) (destination string, end func(), err error) {
+	allocator := c.allocator(service)
+	if allocator != c.host {
+		destination, err = c.takeTurnAt(ctx, allocator, service, move)
+		if err == nil {
+			return destination, func() { c.endTurnAt(allocator, service, move) }, nil
+		}
+		if ctx.Err() != nil {
+			return "", nil, ctx.Err()
+		}
+	}
+	destination, err = c.local.TakeTurn(ctx, c.host, service, move)
+	return destination, func() { c.local.EndTurn(service, move.Source, move.Run) }, err
+}
+
+func (c *Client) takeTurnAt(ctx context.Context, allocator, service string, move evacuation.Move) (string, error) {
+	var response *allocationpb.TakeTurnResponse
+	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
+		response, err = client.TakeTurn(ctx, &allocationpb.TakeTurnRequest{
+			Host: c.host, Service: service, Source: move.Source, Run: move.Run,
+			HeldTokens: uint32(move.Need.PromptTokens), RemainingTokens: uint32(move.Need.OutputTokens),
+		})
+		return err
+	})
+	return response.GetDestination(), err
+}
+
+func (c *Client) endTurnAt(allocator, service string, move evacuation.Move) {
+	ctx, cancel := context.WithTimeout(context.Background(), placeTimeout)
+	defer cancel()
+	// Where this is lost the turn ends by itself, some hundred ms later.
+	_ = c.call(ctx, allocator, func(client allocationpb.AllocationClient) error {
+		_, err := client.EndTurn(ctx, &allocationpb.EndTurnRequest{Host: c.host, Service: service, Source: move.Source, Run: move.Run})
+		return err
+	})
+}
+
+// allocator returns who is asked for a service: this host itself where the
+// chosen one did not answer a moment ago.
+func (c *Client) allocator(service string) string {
+	chosen := Chosen(c.peers.Members(), service)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if chosen == "" || time.Now().Before(c.avoided[chosen]) {
+		return c.host
+	}
+	return chosen
+}
+
+// call calls an allocator and notes whether it answered.
+func (c *Client) call(ctx context.Context, host string, f func(allocationpb.AllocationClient) error) error {
+	err := c.peers.Call(host, func(conn grpc.ClientConnInterface) error { return f(allocationpb.NewAllocationClient(conn)) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, avoided := c.avoided[host]
+	switch {
+	case err != nil && context.Cause(ctx) != context.Canceled:
+		c.avoided[host] = time.Now().Add(avoidFor)
+		if !avoided {
+			c.logger.Warn(msgLost, zap.String("allocator", host), zap.Error(err))
+		}
+	case err == nil && avoided:
+		delete(c.avoided, host)
+		c.logger.Info(msgRegained, zap.String("allocator", host))
+	}
+	return err
+}
+
+// Run reports this host's load to the allocators until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	reported, at := map[string]map[string]fleet.Load{}, time.Time{}
+	for sleep.For(ctx, reportInterval) == nil {
+		refresh := time.Since(at) >= refreshInterval
+		if refresh {
+			at = time.Now()
+		}
+		for service, loads := range c.fleet.OwnGenerations() {
+			if !refresh && maps.Equal(loads, reported[service]) {
+				continue
+			}
+			if c.report(ctx, service, loads) {
+				reported[service] = loads
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// report tells a service's allocator what this host runs there.
+func (c *Client) report(ctx context.Context, service string, loads map[string]fleet.Load) bool {
+	allocator := c.allocator(service)
+	if allocator == c.host {
+		return true
+	}
+	request := &allocationpb.ReportRequest{Host: c.host, Service: service}
+	for _, id := range slices.Sorted(maps.Keys(loads)) {
+		load := loads[id]
+		request.Loads = append(request.Loads, &allocationpb.ServerLoad{
+			Server: id, Requests: uint32(load.Requests), HeldTokens: uint32(load.HeldTokens), UnreadTokens: uint32(load.UnreadTokens),
+		})
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	return c.call(ctx, allocator, func(client allocationpb.AllocationClient) error {
+		_, err := client.Report(ctx, request)
+		return err
+	}) == nil
+}
--- /dev/null
+++ b/allocation/server.go
@@ -0,0 +1,55 @@
+package allocation
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	"github.com/papayasail/papayasail/allocation/allocationpb"
+	"github.com/papayasail/papayasail/evacuation"
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/placement"
+)
+
+// Register serves an allocator to other entry hosts.
+func Register(registrar grpc.ServiceRegistrar, allocator *Allocator) {
+	allocationpb.RegisterAllocationServer(registrar, &server{allocator: allocator})
+}
+
+type server struct {
+	allocationpb.UnimplementedAllocationServer
+	allocator *Allocator
+}
+
+// Place implements allocationpb.AllocationServer.
+func (s *server) Place(_ context.Context, r *allocationpb.PlaceRequest) (*allocationpb.PlaceResponse, error) {
+	need := placement.Need{PromptTokens: int(r.GetPromptTokens()), OutputTokens: int(r.GetOutputTokens())}
+	return &allocationpb.PlaceResponse{
+		Server: s.allocator.Place(r.GetHost(), r.GetFailureDomain(), r.GetService(), need, r.GetExcept()),
+	}, nil
+}
+
+// Report implements allocationpb.AllocationServer.
+func (s *server) Report(_ context.Context, r *allocationpb.ReportRequest) (*allocationpb.ReportResponse, error) {
+	loads := make(map[string]fleet.Load, len(r.GetLoads()))
+	for _, l := range r.GetLoads() {
+		loads[l.GetServer()] = fleet.Load{Requests: int(l.GetRequests()), HeldTokens: int(l.GetHeldTokens()), UnreadTokens: int(l.GetUnreadTokens())}
+	}
+	s.allocator.fleet.SetOthers(r.GetHost(), r.GetService(), loads)
+	return &allocationpb.ReportResponse{}, nil
+}
+
+// TakeTurn implements allocationpb.AllocationServer.
+func (s *server) TakeTurn(ctx context.Context, r *allocationpb.TakeTurnRequest) (*allocationpb.TakeTurnResponse, error) {
+	destination, err := s.allocator.TakeTurn(ctx, r.GetHost(), r.GetService(), evacuation.Move{
+		Source: r.GetSource(), Run: r.GetRun(),
+		Need: placement.Need{PromptTokens: int(r.GetHeldTokens()), OutputTokens: int(r.GetRemainingTokens())},
+	})
+	return &allocationpb.TakeTurnResponse{Destination: destination}, err
+}
+
+// EndTurn implements allocationpb.AllocationServer.
+func (s *server) EndTurn(_ context.Context, r *allocationpb.EndTurnRequest) (*allocationpb.EndTurnResponse, error) {
+	s.allocator.EndTurn(r.GetService(), r.GetSource(), r.GetRun())
+	return &allocationpb.EndTurnResponse{}, nil
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -25,6 +25,7 @@
 //
 // Lock order: mu is a leaf, but for the logger.
 type Table struct {
+	host   string // this entry host
 	logger *zap.Logger
 
 	mu       sync.Mutex // guards all below
@@ -52,10 +53,10 @@
 	leavingBecause LeavingSource
 }
 
-// NewTable returns an empty table.
-func NewTable(logger *zap.Logger) *Table {
+// NewTable returns an empty table of an entry host.
+func NewTable(host string, logger *zap.Logger) *Table {
 	return &Table{
-		logger:  logger,
+		host: host, logger: logger,
 		servers: map[string]*entry{}, services: map[string]*service{},
 		changed: make(chan struct{}),
 	}
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -97,27 +97,35 @@
 	return load
 }
 
-// OwnLoads returns what this host has on each server, without idle ones.
-func (t *Table) OwnLoads() map[string]Load {
+// OwnGenerations returns, by service of engines, what this host has on each
+// server, without idle ones.
+func (t *Table) OwnGenerations() map[string]map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	loads := map[string]Load{}
-	for id, e := range t.servers {
-		if len(e.work) > 0 {
-			loads[id] = e.ownLoad()
+	services := map[string]map[string]Load{}
+	for name, s := range t.services {
+		if s.memoryTokens == 0 {
+			continue
+		}
+		loads := map[string]Load{}
+		for _, e := range s.members {
+			if len(e.work) > 0 {
+				loads[e.server.ID] = e.ownLoad()
+			}
 		}
+		services[name] = loads
 	}
-	return loads
+	return services
 }
 
-// SetOthers takes in what another entry host has on the servers; it replaces
-// all that was heard of that host before.
-func (t *Table) SetOthers(host string, loads map[string]Load) {
+// SetOthers takes in what another entry host has on the servers of a service;
+// it replaces all that was heard of or booked for that host before.
+func (t *Table) SetOthers(host, service string, loads map[string]Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	for id, e := range t.servers {
-		load, has := loads[id]
+	for _, e := range t.service(service).members {
+		load, has := loads[e.server.ID]
 		if !has {
 			delete(e.others, host)
 			continue
@@ -127,3 +135,20 @@
 	}
 	t.wake()
 }
+
+// BookFor adds a load to what is known of another host, until its next report.
+func (t *Table) BookFor(host, server string, load Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[server]
+	if e == nil || host == t.host {
+		return // this host's own work is booked when it begins
+	}
+	known := e.others[host]
+	if time.Since(known.At) >= loadLifetime {
+		known = Load{}
+	}
+	known.add(load)
+	known.At = time.Now()
+	e.others[host] = known
+}
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/placement"
 )
 
 // Call is a request on its way to a backend server.
@@ -57,6 +58,15 @@
 	Gone bool
 }
 
+// Allocator places generations with knowledge of what other hosts run.
+type Allocator interface {
+	// Place returns the server for a generation, or "" if none has a place.
+	Place(ctx context.Context, service string, need placement.Need, except []string) string
+	// TakeTurn waits until a run may move, and returns where to ("": nowhere)
+	// and what ends the turn.
+	TakeTurn(ctx context.Context, service string, move evacuation.Move) (destination string, end func(), err error)
+}
+
 // Backend speaks with backend servers. Errors are *backend.CallError, whose
 // evidence says whether the server may have run the request.
 type Backend interface {
@@ -66,6 +76,4 @@
 	Copy(ctx context.Context, source, destination fleet.Server, run string, last bool) (Copied, error)
 	// Discard frees a copy that will not be used.
 	Discard(ctx context.Context, source fleet.Server, handle string) error
-	// Runs returns the runs on a server, some hundred ms old.
-	Runs(ctx context.Context, server fleet.Server) ([]evacuation.Run, error)
 }
--- a/gateway/evacuate.go
+++ b/gateway/evacuate.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,57 +15,17 @@
 const (
 	msgMove       = "run moves off a leaving server"
 	msgMoveFailed = "run could not be moved"
-	msgTurns      = "turns of the runs on a leaving server"
 
-	// reportTimeout bounds the question for a leaving engine's runs; half of
-	// the shortest notice would be lost with a longer one.
-	reportTimeout = 300 * time.Millisecond
+	// turnTimeout bounds the wait for a turn; a leaving engine is mostly gone
+	// after two seconds.
+	turnTimeout = 3 * time.Second
 	// copyTimeout bounds one copy; an engine that is reclaimed is gone within
 	// about two seconds.
 	copyTimeout = 2 * time.Second
 	// moveRetry spaces the tries of one run's move.
 	moveRetry = 50 * time.Millisecond
-	// departuresKept is how long the turns at a server are remembered.
-	departuresKept = time.Minute
-	// evacuationMemory is the share of an engine's memory that moved runs may
-	// fill: a preemption later costs less than a lost run now.
-	evacuationMemory = 1.0
 )
 
-// departures holds the turns of the runs on servers that leave.
-type departures struct {
-	mu       *sync.Mutex // guards byServer
-	byServer map[string]*departure
-}
-
-// departure is one server's leaving, as this host heard of it.
-type departure struct {
-	noticed time.Time
-	once    sync.Once
-	turns   map[string]time.Duration
-	after   time.Duration // turn of runs that the report lacks
-}
-
-func newDepartures() departures {
-	return departures{mu: &sync.Mutex{}, byServer: map[string]*departure{}}
-}
-
-func (d *departures) of(server string) *departure {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if known := d.byServer[server]; known != nil {
-		return known
-	}
-	for id, old := range d.byServer {
-		if time.Since(old.noticed) > departuresKept {
-			delete(d.byServer, id)
-		}
-	}
-	made := &departure{noticed: time.Now()}
-	d.byServer[server] = made
-	return made
-}
-
 // guard moves a run whenever its server is leaving, until the run is over.
 func (g *Gateway) guard(ctx context.Context, run *run) {
 	for {
@@ -88,17 +46,22 @@
 
 // evacuate waits for the run's turn and tries once to move it.
 func (g *Gateway) evacuate(ctx context.Context, run *run) {
-	source := run.server()
-	departure := g.departures.of(source.ID)
-	departure.once.Do(func() { g.takeTurns(ctx, departure, source, run) })
-	turn, listed := departure.turns[run.task.request.ID]
-	if !listed {
-		turn = departure.after
+	if !run.started() {
+		return
+	}
+	source, id := run.server(), run.task.request.ID
+	waiting, cancel := context.WithTimeout(ctx, turnTimeout)
+	defer cancel()
+	move := evacuation.Move{Source: source.ID, Run: id, Need: placement.Need{PromptTokens: run.tokens(), OutputTokens: run.expectedMore()}}
+	destination, end, err := g.options.Allocator.TakeTurn(waiting, run.task.service.Name, move)
+	if err != nil {
+		return
 	}
-	if sleep.For(ctx, time.Until(departure.noticed.Add(turn))) != nil || run.over() || !run.started() {
+	defer end()
+	if run.over() {
 		return
 	}
-	booked := g.destination(run, source)
+	booked := g.options.Fleet.Begin(destination, fleet.Work{ID: id, PromptTokens: move.Need.PromptTokens, OutputTokens: move.Need.OutputTokens}, false)
 	if booked == nil {
 		g.moved(run, source, "no_destination", nil)
 		return
@@ -106,51 +69,15 @@
 	g.move(ctx, run, source, booked)
 }
 
-func (g *Gateway) takeTurns(ctx context.Context, d *departure, source fleet.Server, run *run) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	runs, err := g.options.Backend.Runs(ctx, source)
-	engine := run.task.service.Engine
-	d.turns, d.after = evacuation.Turns(runs, evacuation.Link{BytesPerToken: engine.BytesPerToken, Mbps: engine.LinkMbps})
-	g.options.Logger.Info(msgTurns, zap.String("server", source.ID), zap.Int("runs", len(runs)), zap.Duration("after", d.after), zap.Error(err))
-}
-
-// destination books the run on the server where it is to go on, or returns nil.
-func (g *Gateway) destination(run *run, source fleet.Server) *fleet.Work {
-	table, name := g.options.Fleet, run.task.service.Name
-	candidates := table.Candidates(name, source.Domain)
-	ids := make([]string, len(candidates))
-	for i, c := range candidates {
-		ids[i] = c.ID
-	}
-	mine := map[string]bool{}
-	for _, id := range evacuation.Share(ids, table.Leaving(name), source.ID) {
-		mine[id] = true
-	}
-	own := candidates[:0:0]
-	for _, c := range candidates {
-		if mine[c.ID] {
-			own = append(own, c)
-		}
-	}
-	need := placement.Need{PromptTokens: run.tokens(), OutputTokens: run.expectedMore()}
-	limits := g.options.Limits
-	limits.Memory = evacuationMemory
-	for _, some := range [][]placement.Candidate{own, candidates} {
-		if i := placement.Pick(need, some, limits, rand.IntN); i >= 0 {
-			return table.Begin(some[i].ID, fleet.Work{ID: run.task.request.ID, PromptTokens: need.PromptTokens, OutputTokens: need.OutputTokens}, false)
-		}
-	}
-	return nil
-}
-
 // move copies the run's memory while it goes on, stops it, copies the rest and
 // hands over to the reader of the stream.
 func (g *Gateway) move(ctx context.Context, run *run, source fleet.Server, booked *fleet.Work) {
 	target, id := booked.Server(), run.task.request.ID
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	began := time.Now()
 	first, err := g.options.Backend.Copy(ctx, source, target, id, false)
+	copied := time.Since(began)
 	if err != nil || !first.Done || run.over() {
 		booked.End()
 		g.moved(run, source, "copy_failed", err)
@@ -163,6 +90,7 @@
 	}
 	run.dropTransfer()
 	run.setMoving(true)
+	stopped := time.Now()
 	last, err := g.options.Backend.Copy(ctx, source, target, id, true)
 	if err == nil && last.Gone {
 		run.setMoving(false)
@@ -187,7 +115,8 @@
 		}
 	}
 	run.transfers <- to
-	g.moved(run, source, moveResult(last, err), err, zap.String("to", target.ID))
+	g.moved(run, source, moveResult(last, err), err, zap.String("to", target.ID),
+		zap.Duration("copy", copied), zap.Duration("stop", time.Since(stopped)), zap.Bool("same_domain", source.Domain == target.Domain))
 	select {
 	case <-run.settled:
 	case <-ctx.Done():
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// place; one that waited longer would rarely be answered in time, and the
 	// caller is better off elsewhere.
 	waitShare = 8
+	// placeAgain is when to ask again for a place: short generations end at a
+	// service every 50 to 100 ms.
+	placeAgain = 40 * time.Millisecond
 )
 
 // Options sets up a Gateway. All fields are required.
@@ -44,9 +47,11 @@
 	Domain  string // failure domain of this host
 	Fleet   *fleet.Table
 	Backend Backend
-	Budget  *Budget
-	Logger  *zap.Logger
-	Limits  placement.Limits
+	// Allocator places generations and gives turns to their moves.
+	Allocator Allocator
+	Budget    *Budget
+	Logger    *zap.Logger
+	Limits    placement.Limits
 	// Confirm reports whether the configuration in force here is surely the
 	// newest that was accepted. It may ask the store.
 	Confirm func(ctx context.Context) bool
@@ -59,12 +64,11 @@
 	configuration atomic.Pointer[Configuration]
 	stopping      atomic.Bool
 	runs          runTable
-	departures    departures
 }
 
 // New returns a gateway without a configuration.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, runs: newRunTable(), departures: newDepartures()}
+	return &Gateway{options: options, runs: newRunTable()}
 }
 
 // SetConfiguration puts a configuration in force for requests that come now.
@@ -100,6 +104,9 @@
 	tried         []string // servers that it was sent to, or that took no connection
 	moves         int
 	firstEvent    time.Duration // from arrival
+	lastEvent     time.Time
+	longestPause  time.Duration // between events
+	pausedAt      time.Duration // from arrival, when the longest pause ended
 }
 
 // Serve serves one request. The context ends when the caller is gone.
@@ -140,8 +147,7 @@
 // only when the configuration is surely the newest; until then the request is
 // refused as not run.
 func (t *task) admit(ctx context.Context) (Outcome, bool) {
-	denial, ok := t.lookUp()
-	if ok {
+	if _, ok := t.lookUp(); ok {
 		return Outcome{}, true
 	}
 	if !t.gateway.options.Confirm(ctx) {
@@ -149,8 +155,7 @@
 	}
 	// What was confirmed may be newer than what the request began with.
 	t.configuration = t.gateway.configuration.Load()
-	denial, ok = t.lookUp()
-	return denial, ok
+	return t.lookUp()
 }
 
 func (t *task) lookUp() (Outcome, bool) {
@@ -190,16 +195,16 @@
 		if len(candidates) == 0 {
 			return nil, ReasonNoServer
 		}
-		if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
-			work := table.Begin(candidates[i].ID, fleet.Work{ID: t.request.ID, PromptTokens: need.PromptTokens, OutputTokens: need.OutputTokens}, false)
+		if id := t.choose(ctx, need, candidates); id != "" {
+			work := table.Begin(id, fleet.Work{ID: t.request.ID, PromptTokens: need.PromptTokens, OutputTokens: need.OutputTokens}, false)
 			if work != nil {
 				t.server = work.Server()
 				return work, ""
 			}
-			continue // it left in between
 		}
 		select {
 		case <-changed:
+		case <-time.After(placeAgain):
 		case <-giveUp.C:
 			return nil, ReasonFull
 		case <-ctx.Done():
@@ -208,6 +213,17 @@
 	}
 }
 
+// choose returns the server for the request, or "".
+func (t *task) choose(ctx context.Context, need placement.Need, candidates []placement.Candidate) string {
+	if t.service.Engine != nil && t.route.Kind == Generation {
+		return t.gateway.options.Allocator.Place(ctx, t.service.Name, need, t.tried)
+	}
+	if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
+		return candidates[i].ID
+	}
+	return ""
+}
+
 // unplaced is the answer when there was no place and nothing ran.
 func (t *task) unplaced(ctx context.Context, reason Reason) Outcome {
 	if ctx.Err() == context.Canceled {
@@ -226,6 +242,17 @@
 	}
 }
 
+// passedEvent notes the times of events, for what callers see of stalls.
+func (t *task) passedEvent() {
+	now := time.Now()
+	if t.firstEvent == 0 {
+		t.firstEvent = now.Sub(t.request.Arrived)
+	} else if pause := now.Sub(t.lastEvent); pause > t.longestPause {
+		t.longestPause, t.pausedAt = pause, now.Sub(t.request.Arrived)
+	}
+	t.lastEvent = now
+}
+
 // log writes the one line that explains the request.
 func (t *task) log(o Outcome) {
 	t.gateway.options.Metrics.observe(t, o)
@@ -251,7 +278,8 @@
 			zap.Int("sends", t.sends), zap.Strings("tried", t.tried))
 	}
 	if o.Streamed {
-		fields = append(fields, zap.Bool("complete", o.Complete), zap.Duration("first_event", t.firstEvent), zap.Int("moves", t.moves))
+		fields = append(fields, zap.Bool("complete", o.Complete), zap.Duration("first_event", t.firstEvent),
+			zap.Duration("longest_pause", t.longestPause), zap.Duration("paused_at", t.pausedAt), zap.Int("moves", t.moves))
 	}
 	if o.Reason == "" {
 		t.gateway.options.Logger.Info(msgRequest, fields...)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -12,6 +12,7 @@
 	requests   *prometheus.CounterVec
 	took       *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
+	pause      prometheus.Histogram
 	moves      *prometheus.CounterVec
 }
 
@@ -32,12 +33,17 @@
 			Help:    "Time from a generation's head to its first event.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 1.5, 14),
 		}),
+		pause: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "papayasail_gateway_longest_pause_seconds",
+			Help:    "Longest pause between two events of a generation.",
+			Buckets: prometheus.ExponentialBuckets(0.02, 1.5, 16),
+		}),
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayasail_gateway_moves_total",
 			Help: "Generations that were to move off a leaving server, by result.",
 		}, []string{"result"}),
 	}
-	registerer.MustRegister(m.requests, m.took, m.firstEvent, m.moves)
+	registerer.MustRegister(m.requests, m.took, m.firstEvent, m.pause, m.moves)
 	return m
 }
 
@@ -48,5 +54,6 @@
 	}
 	if o.Streamed {
 		m.firstEvent.Observe(t.firstEvent.Seconds())
+		m.pause.Observe(t.longestPause.Seconds())
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -115,9 +115,7 @@
 			return Outcome{}, false
 		}
 		if len(next.block) > 0 {
-			if t.firstEvent == 0 {
-				t.firstEvent = time.Since(t.request.Arrived)
-			}
+			t.passedEvent()
 			if err := sink.Event(next.block); err != nil {
 				return t.callerGone(), true
 			}
--- a/peer/options.go
+++ b/peer/options.go
@@ -10,6 +10,7 @@
 	"github.com/papayasail/papayasail/store"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 )
 
 // Defaults of Options.
@@ -62,9 +63,11 @@
 	Seeds         []string // peer addresses asked on joining
 	Configuration ConfigurationTable
 	Handler       Handler
-	Logger        *zap.Logger
-	Registerer    prometheus.Registerer
-	Scope         Scope
+	// Register adds services to the server that peers call; nil: none.
+	Register   func(grpc.ServiceRegistrar)
+	Logger     *zap.Logger
+	Registerer prometheus.Registerer
+	Scope      Scope
 
 	ProbeInterval    time.Duration // one peer is probed per interval
 	ProbeTimeout     time.Duration // for one exchange
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -56,12 +56,16 @@
 // call runs f with a connection to address. After a timeout or a lost
 // connection the next call opens a fresh one.
 func (p *pool) call(address string, f func(peerpb.PeerClient) error) error {
+	return p.callConn(address, func(c *pooledConn) error { return f(c.client) })
+}
+
+func (p *pool) callConn(address string, f func(*pooledConn) error) error {
 	c, err := p.acquire(address)
 	if err != nil {
 		return err
 	}
 	defer p.release(c)
-	err = f(c.client)
+	err = f(c)
 	if code := status.Code(err); code == codes.Unavailable || code == codes.DeadlineExceeded {
 		p.drop(address, c)
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -34,6 +34,9 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * n.options.IdleTimeout, Time: n.options.IdleTimeout}),
 	)
 	peerpb.RegisterPeerServer(server, &service{node: n})
+	if n.options.Register != nil {
+		n.options.Register(server)
+	}
 	return server
 }
 
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -327,6 +327,16 @@
 	return member, nil
 }
 
+// Call calls another service of a host, on the connections for requests and
+// records. Errors: ErrUnknownHost, ErrHostGone, and those of f.
+func (n *Node) Call(host string, f func(grpc.ClientConnInterface) error) error {
+	member, err := n.lookUp(host)
+	if err != nil {
+		return err
+	}
+	return n.data.callConn(member.PeerAddress, func(c *pooledConn) error { return f(c.conn) })
+}
+
 // callData calls a host on the connections for requests and records.
 func (n *Node) callData(host string, request proto.Message, f func(peerpb.PeerClient) error) error {
 	member, err := n.lookUp(host)
