The allocator asks engines whether they leave while the store is away

Change: allocation.Sentinel: the allocator makes a cheap check of the store every 200 ms, and while it fails asks the engines; its answers to hosts' reports name the servers that leave.

--- a/allocation/client.go
+++ b/allocation/client.go
@@ -25,8 +25,7 @@
 	// reportInterval spaces a host's reports. What the allocator placed since
 	// the last one it knows by itself, so a report mainly tells what ended.
 	reportInterval = 200 * time.Millisecond
-	// refreshInterval repeats an unchanged report, before the allocator
-	// forgets it.
+	// refreshInterval repeats an empty report.
 	refreshInterval = time.Second
 	// placeTimeout bounds the question for a place; it takes 3 ms between
 	// failure domains.
@@ -160,8 +159,8 @@
 			at = time.Now()
 		}
 		for service, loads := range c.fleet.OwnGenerations() {
-			if !refresh && maps.Equal(loads, reported[service]) {
-				continue
+			if !refresh && len(loads) == 0 && len(reported[service]) == 0 {
+				continue // with work here, the answer tells which servers leave
 			}
 			if c.report(ctx, service, loads) {
 				reported[service] = loads
@@ -186,8 +185,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	return c.call(ctx, allocator, func(client allocationpb.AllocationClient) error {
-		_, err := client.Report(ctx, request)
+	var response *allocationpb.ReportResponse
+	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
+		response, err = client.Report(ctx, request)
 		return err
-	}) == nil
+	})
+	for _, id := range response.GetLeaving() {
+		c.fleet.MarkLeaving(id, fleet.SourcePeer)
+	}
+	return err == nil
 }
--- /dev/null
+++ b/allocation/sentinel.go
@@ -0,0 +1,94 @@
+package allocation
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/internal/sleep"
+)
+
+const (
+	msgAsking    = "store does not answer: servers are asked whether they leave"
+	msgNotAsking = "store answers again: servers are not asked any more"
+
+	// checkInterval spaces the allocator's checks of the store, and while it
+	// is away its questions to servers. Notices of reclaimed engines are 1.5 s
+	// and longer.
+	checkInterval = 200 * time.Millisecond
+	checkTimeout  = 250 * time.Millisecond
+)
+
+// Sentinel finds out which servers leave while the store is away.
+//
+// Failure: an engine is reclaimed while the store is down. Its notice cannot
+// be written, so no host hears of it, and all its generations are lost. The
+// engine itself knows; the allocator asks, and tells the hosts in its answers
+// to their reports. While the store answers, servers are not asked.
+type Sentinel struct {
+	Host  string
+	Peers Peers
+	Fleet *fleet.Table
+	// Check makes a cheap call to the store.
+	Check func(ctx context.Context) error
+	// Departs asks a server whether it is leaving.
+	Departs func(ctx context.Context, server fleet.Server) (bool, error)
+	Logger  *zap.Logger
+}
+
+// Run watches the services whose allocator this host is, until ctx ends.
+func (s *Sentinel) Run(ctx context.Context) error {
+	away := false
+	for sleep.For(ctx, checkInterval) == nil {
+		services := s.mine()
+		before := away
+		away = len(services) > 0 && !s.check(ctx)
+		switch {
+		case away && !before:
+			s.Logger.Warn(msgAsking, zap.Strings("services", services))
+		case before && !away:
+			s.Logger.Info(msgNotAsking)
+		}
+		if away {
+			s.ask(ctx, services)
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *Sentinel) mine() []string {
+	var mine []string
+	members := s.Peers.Members()
+	for _, service := range s.Fleet.EngineServices() {
+		if Chosen(members, service) == s.Host {
+			mine = append(mine, service)
+		}
+	}
+	return mine
+}
+
+func (s *Sentinel) check(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	return s.Check(ctx) == nil
+}
+
+// ask asks all servers of the services at once.
+func (s *Sentinel) ask(ctx context.Context, services []string) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, service := range services {
+		for _, server := range s.Fleet.Usable(service) {
+			group.Go(func() {
+				if departs, err := s.Departs(ctx, server); err == nil && departs {
+					s.Fleet.MarkLeaving(server.ID, fleet.SourceAnswer)
+				}
+			})
+		}
+	}
+	group.Wait()
+}
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -36,7 +36,7 @@
 		loads[l.GetServer()] = fleet.Load{Requests: int(l.GetRequests()), HeldTokens: int(l.GetHeldTokens()), UnreadTokens: int(l.GetUnreadTokens())}
 	}
 	s.allocator.fleet.SetOthers(r.GetHost(), r.GetService(), loads)
-	return &allocationpb.ReportResponse{}, nil
+	return &allocationpb.ReportResponse{Leaving: s.allocator.fleet.Leaving(r.GetService())}, nil
 }
 
 // TakeTurn implements allocationpb.AllocationServer.
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -27,5 +27,6 @@
 	SourceList     LeavingSource = "host_list"   // its entry says so
 	SourceRemoved  LeavingSource = "removed"     // its entry is gone
 	SourceReplaced LeavingSource = "replaced"    // another server has its address
-	SourceAnswer   LeavingSource = "its_answers" // it refuses new work
+	SourceAnswer   LeavingSource = "its_answers" // it says so itself
+	SourcePeer     LeavingSource = "peer"        // another entry host says so
 )
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -181,6 +181,33 @@
 	return ids
 }
 
+// Usable returns the servers of a service that are not leaving.
+func (t *Table) Usable(name string) []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var usable []Server
+	for _, e := range t.service(name).members {
+		if !e.leaving {
+			usable = append(usable, e.server)
+		}
+	}
+	return usable
+}
+
+// EngineServices returns the names of the services with model engines.
+func (t *Table) EngineServices() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, s := range t.services {
+		if s.memoryTokens > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Candidates returns the servers of a service that may get work from a failure
 // domain, but for those in except.
 func (t *Table) Candidates(name, domain string, except ...string) []placement.Candidate {
