Moves by density, half of the growth as held, servers whose entry is gone are asked

Cause: with twelve runs on two leaving engines and 1.5 s there is time for about ten copies, and the longest came first; admission counted the whole expected output at once, so that requests waited while engines stood at two thirds of their memory and prompts queued 8,000 tokens deep on the rest; a server whose entry vanished during a disturbance of the store counted as staying for 2.5 s and took its generations with it. Change: the move that saves most work for a copied token goes first, those that end soon last; half of what a generation is expected to make yet counts; the backlog of prompts weighs twice, memory by its square; a server whose entry is gone is asked. Placements and turns are logged with what decided.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
@@ -29,6 +30,12 @@
 	"github.com/papayasail/papayasail/placement"
 )
 
+const (
+	msgGranted = "turn to move granted"
+	msgPlaced  = "generation placed"
+	msgNoPlace = "no server has a place"
+)
+
 // Chosen returns the allocator of a service among the members, or "".
 func Chosen(members []peer.Member, service string) string {
 	live := slices.DeleteFunc(slices.Clone(members), func(m peer.Member) bool { return m.State != peer.StateAlive })
@@ -48,6 +55,7 @@
 	fleet  *fleet.Table
 	limits placement.Limits
 	draw   func(n int) int
+	logger *zap.Logger
 
 	mu     sync.Mutex // guards queues
 	queues map[string]*service
@@ -60,20 +68,27 @@
 }
 
 // NewAllocator returns an allocator that places by the table; draw breaks ties.
-func NewAllocator(table *fleet.Table, limits placement.Limits, draw func(n int) int) *Allocator {
-	return &Allocator{fleet: table, limits: limits, draw: draw, queues: map[string]*service{}}
+func NewAllocator(table *fleet.Table, limits placement.Limits, draw func(n int) int, logger *zap.Logger) *Allocator {
+	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[string]*service{}}
 }
 
 // Place chooses a server for a host's generation and books it, until the host
-// reports it itself. It returns "" if none has a place.
-func (a *Allocator) Place(host, domain, service string, need placement.Need, except []string) string {
+// reports it itself. It returns "" if none has a place. The request is named
+// for the log.
+func (a *Allocator) Place(host, domain, service, request string, need placement.Need, except []string) string {
 	candidates := a.fleet.Candidates(service, domain, except...)
 	i := placement.Pick(need, candidates, a.limits, a.draw)
 	if i < 0 {
+		a.logger.Info(msgNoPlace, zap.String("request", request), zap.String("for", host), zap.Int("candidates", len(candidates)),
+			zap.Int("prompt_tokens", need.PromptTokens), zap.Int("output_tokens", need.OutputTokens))
 		return ""
 	}
+	chosen := &candidates[i]
+	a.logger.Info(msgPlaced, zap.String("request", request), zap.String("for", host), zap.String("to", chosen.ID),
+		zap.Int("running", chosen.Running), zap.Int("held_tokens", chosen.HeldTokens), zap.Int("unread_tokens", chosen.UnreadTokens),
+		zap.Int("candidates", len(candidates)))
 	a.fleet.BookFor(host, candidates[i].ID, fleet.Load{
-		Requests: 1, HeldTokens: need.PromptTokens + need.OutputTokens, UnreadTokens: need.PromptTokens,
+		Requests: 1, HeldTokens: placement.Held(need.PromptTokens, 0, need.OutputTokens), UnreadTokens: need.PromptTokens,
 	})
 	return candidates[i].ID
 }
@@ -81,12 +96,15 @@
 // TakeTurn waits until a host's run may move. The turn has to be ended.
 func (a *Allocator) TakeTurn(ctx context.Context, host, name string, move evacuation.Move) (destination string, err error) {
 	s := a.service(name)
+	entered := time.Now()
 	granted, cancel := s.queue.Enter(move)
 	s.look()
 	select {
 	case grant := <-granted:
+		a.logger.Info(msgGranted, zap.String("request", move.Run), zap.String("for", host), zap.String("from", move.Source),
+			zap.String("to", grant.Destination), zap.Duration("waited", time.Since(entered)), zap.Int("tokens", move.Need.PromptTokens))
 		if grant.Destination != "" {
-			a.fleet.BookFor(host, grant.Destination, fleet.Load{Requests: 1, HeldTokens: move.Need.PromptTokens + move.Need.OutputTokens})
+			a.fleet.BookFor(host, grant.Destination, fleet.Load{Requests: 1, HeldTokens: placement.Held(move.Need.PromptTokens, 0, move.Need.OutputTokens)})
 		}
 		return grant.Destination, nil
 	case <-ctx.Done():
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -59,23 +59,23 @@
 }
 
 // Place chooses a server for a generation, or returns "" if none has a place.
-func (c *Client) Place(ctx context.Context, service string, need placement.Need, except []string) string {
+func (c *Client) Place(ctx context.Context, service, request string, need placement.Need, except []string) string {
 	allocator := c.allocator(service)
 	if allocator == c.host {
-		return c.local.Place(c.host, c.domain, service, need, except)
+		return c.local.Place(c.host, c.domain, service, request, need, except)
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var response *allocationpb.PlaceResponse
 	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
 		response, err = client.Place(ctx, &allocationpb.PlaceRequest{
-			Host: c.host, FailureDomain: c.domain, Service: service, Except: except,
+			Host: c.host, FailureDomain: c.domain, Service: service, Request: request, Except: except,
 			PromptTokens: uint32(need.PromptTokens), OutputTokens: uint32(need.OutputTokens),
 		})
 		return err
 	})
 	if err != nil {
-		return c.local.Place(c.host, c.domain, service, need, except)
+		return c.local.Place(c.host, c.domain, service, request, need, except)
 	}
 	return response.GetServer()
 }
@@ -102,7 +102,7 @@
 	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
 		response, err = client.TakeTurn(ctx, &allocationpb.TakeTurnRequest{
 			Host: c.host, Service: service, Source: move.Source, Run: move.Run,
-			HeldTokens: uint32(move.Need.PromptTokens), RemainingTokens: uint32(move.Need.OutputTokens),
+			HeldTokens: uint32(move.Need.PromptTokens), RemainingTokens: uint32(move.Need.OutputTokens), Size: uint32(move.Size),
 		})
 		return err
 	})
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -29,9 +29,9 @@
 // engine itself knows; the allocator asks, and tells the hosts in its answers
 // to their reports. While the store answers, servers are not asked.
 type Sentinel struct {
-	Host  string
-	Peers Peers
-	Fleet *fleet.Table
+	Host   string
+	Client *Client
+	Fleet  *fleet.Table
 	// Check makes a cheap call to the store.
 	Check func(ctx context.Context) error
 	// Departs asks a server whether it is leaving.
@@ -39,7 +39,7 @@
 	Logger  *zap.Logger
 }
 
-// Run watches the services whose allocator this host is, until ctx ends.
+// Run watches the services for which this host decides, until ctx ends.
 func (s *Sentinel) Run(ctx context.Context) error {
 	away := false
 	for sleep.For(ctx, checkInterval) == nil {
@@ -59,11 +59,12 @@
 	return ctx.Err()
 }
 
+// mine returns the services for which this host decides: as their allocator,
+// or as the allocator does not answer it.
 func (s *Sentinel) mine() []string {
 	var mine []string
-	members := s.Peers.Members()
 	for _, service := range s.Fleet.EngineServices() {
-		if Chosen(members, service) == s.Host {
+		if s.Client.allocator(service) == s.Host {
 			mine = append(mine, service)
 		}
 	}
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -25,7 +25,7 @@
 func (s *server) Place(_ context.Context, r *allocationpb.PlaceRequest) (*allocationpb.PlaceResponse, error) {
 	need := placement.Need{PromptTokens: int(r.GetPromptTokens()), OutputTokens: int(r.GetOutputTokens())}
 	return &allocationpb.PlaceResponse{
-		Server: s.allocator.Place(r.GetHost(), r.GetFailureDomain(), r.GetService(), need, r.GetExcept()),
+		Server: s.allocator.Place(r.GetHost(), r.GetFailureDomain(), r.GetService(), r.GetRequest(), need, r.GetExcept()),
 	}, nil
 }
 
@@ -42,7 +42,7 @@
 // TakeTurn implements allocationpb.AllocationServer.
 func (s *server) TakeTurn(ctx context.Context, r *allocationpb.TakeTurnRequest) (*allocationpb.TakeTurnResponse, error) {
 	destination, err := s.allocator.TakeTurn(ctx, r.GetHost(), r.GetService(), evacuation.Move{
-		Source: r.GetSource(), Run: r.GetRun(),
+		Source: r.GetSource(), Run: r.GetRun(), Size: int(r.GetSize()),
 		Need: placement.Need{PromptTokens: int(r.GetHeldTokens()), OutputTokens: int(r.GetRemainingTokens())},
 	})
 	return &allocationpb.TakeTurnResponse{Destination: destination}, err
--- a/evacuation/queue.go
+++ b/evacuation/queue.go
@@ -37,7 +37,23 @@
 type Move struct {
 	Source string // leaving server
 	Run    string
-	Need   placement.Need
+	// Size is the work that is lost with the run, in tokens read and made.
+	Size int
+	// Need is the memory to be copied, and what it is expected to make yet.
+	Need placement.Need
+}
+
+// endsSoon is how many tokens a run makes in about a second; one that has
+// fewer left ends before its server is gone.
+const endsSoon = 120
+
+// density orders moves: the work that a copied token saves. Where time is too
+// short for all, the most work is saved by the densest first.
+func (m Move) density() float64 {
+	if m.Need.OutputTokens < endsSoon {
+		return 0
+	}
+	return float64(m.Size) / float64(max(1, m.Need.PromptTokens))
 }
 
 // Grant says where a run goes; an empty destination: nowhere.
@@ -48,8 +64,8 @@
 type Candidates func(source string) []placement.Candidate
 
 // Queue gives turns to moves so that at any moment at most one copy leaves an
-// engine, and at most one arrives at another. A run that is expected to go on
-// longest goes first: those that end soon may end before their turn.
+// engine, and at most one arrives at another. The run whose copy saves most
+// work for its size goes first; those that end soon go last.
 type Queue struct {
 	candidates Candidates
 	now        func() time.Time
@@ -113,7 +129,7 @@
 	now := q.now()
 	q.expire(now)
 	slices.SortStableFunc(q.waiting, func(a, b *waitingMove) int {
-		return cmp.Or(cmp.Compare(b.move.Need.OutputTokens, a.move.Need.OutputTokens), cmp.Compare(a.move.Run, b.move.Run))
+		return cmp.Or(cmp.Compare(b.move.density(), a.move.density()), cmp.Compare(a.move.Run, b.move.Run))
 	})
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *waitingMove) bool { return q.grant(w, now) })
 	if len(q.waiting) == 0 {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -166,6 +166,17 @@
 	return e.server, !e.leaving
 }
 
+// Known returns a server, leaving or not.
+func (t *Table) Known(id string) (Server, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[id]
+	if e == nil {
+		return Server{}, false
+	}
+	return e.server, true
+}
+
 // Leaving returns the IDs of the servers of a service that are leaving, in
 // order, with those that already left.
 func (t *Table) Leaving(name string) []string {
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/papayasail/papayasail/placement"
 )
 
 // Work is one request of this host on a server.
@@ -89,7 +91,7 @@
 	var load Load
 	for w := range e.work {
 		load.Requests++
-		load.HeldTokens += w.PromptTokens + max(w.OutputTokens, w.produced)
+		load.HeldTokens += placement.Held(w.PromptTokens, w.produced, w.OutputTokens)
 		if w.produced == 0 {
 			load.UnreadTokens += w.PromptTokens
 		}
--- a/gateway/evacuate.go
+++ b/gateway/evacuate.go
@@ -52,7 +52,7 @@
 	source, id := run.server(), run.task.request.ID
 	waiting, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
-	move := evacuation.Move{Source: source.ID, Run: id, Need: placement.Need{PromptTokens: run.tokens(), OutputTokens: run.expectedMore()}}
+	move := evacuation.Move{Source: source.ID, Run: id, Size: run.size(), Need: placement.Need{PromptTokens: run.tokens(), OutputTokens: run.expectedMore()}}
 	destination, end, err := g.options.Allocator.TakeTurn(waiting, run.task.service.Name, move)
 	if err != nil {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -216,7 +216,7 @@
 // choose returns the server for the request, or "".
 func (t *task) choose(ctx context.Context, need placement.Need, candidates []placement.Candidate) string {
 	if t.service.Engine != nil && t.route.Kind == Generation {
-		return t.gateway.options.Allocator.Place(ctx, t.service.Name, need, t.tried)
+		return t.gateway.options.Allocator.Place(ctx, t.service.Name, t.request.ID, need, t.tried)
 	}
 	if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
 		return candidates[i].ID
@@ -278,7 +278,7 @@
 			zap.Int("sends", t.sends), zap.Strings("tried", t.tried))
 	}
 	if o.Streamed {
-		fields = append(fields, zap.Bool("complete", o.Complete), zap.Duration("first_event", t.firstEvent),
+		fields = append(fields, zap.Bool("complete", o.Complete), zap.Int("prompt_tokens", t.request.Prompt.Tokens), zap.Duration("first_event", t.firstEvent),
 			zap.Duration("longest_pause", t.longestPause), zap.Duration("paused_at", t.pausedAt), zap.Int("moves", t.moves))
 	}
 	if o.Reason == "" {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -93,13 +93,28 @@
 	return r.work.Server()
 }
 
+// outliving is the part of what a run has made that it is expected to make yet
+// once it has outlived the caller's estimate, which is right at the median only.
+const outliving = 0.25
+
 // expectedMore is how many tokens the run is expected to make yet.
 func (r *run) expectedMore() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(0, r.task.request.Prompt.expectedOutput()-r.produced*r.perEvent)
+	produced := r.produced * r.perEvent
+	return max(r.task.request.Prompt.expectedOutput()-produced, int(outliving*float64(produced)))
+}
+
+// work is the size of the run as its caller sees it: what is lost with it.
+func (r *run) size() int {
+	produced := r.tokens() - r.memoryHint
+	return r.memoryHint + outputWeight*(produced+r.expectedMore())
 }
 
+// outputWeight is how many tokens of a prompt one generated token is worth: an
+// engine reads some 7,000 tokens a second, and makes 125 for each stream.
+const outputWeight = 10
+
 // gone is closed when the run's server is known to be leaving.
 func (r *run) gone() <-chan struct{} {
 	r.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,6 +32,17 @@
 	OutputTokens int // expected
 }
 
+// GrowthShare is the part of what a generation is expected to make yet that
+// counts as held: generations end at different times, so that while one has
+// grown to its full length others have ended. With all of it counted, engines
+// stood at two thirds of their memory while requests waited.
+const GrowthShare = 0.5
+
+// Held returns the memory that a generation counts for.
+func Held(promptTokens, producedTokens, expectedTokens int) int {
+	return promptTokens + producedTokens + int(GrowthShare*float64(max(0, expectedTokens-producedTokens)))
+}
+
 // Limits bound what placement fills.
 type Limits struct {
 	// Memory is the share of an engine's memory that may be promised.
@@ -51,9 +62,10 @@
 	// readTokensPerMs is how fast an engine reads prompts beside running
 	// generations: chunks of 112 tokens, one each step of 15 to 17 ms.
 	readTokensPerMs = 7.0
-	// patienceMs is the wait for the first token that counts as a full
-	// engine when ranking; the shortest goal of the sites is 1,500 ms.
-	patienceMs = 1500.0
+	// patienceMs is the wait for the first token that weighs as much as a
+	// full engine: half of the shortest goal of the sites, as the slowest
+	// engines read a third more slowly than the others.
+	patienceMs = 750.0
 	// otherDomainCost ranks a server in another failure domain below one
 	// that is fuller by this share: bytes between domains cost more than
 	// small differences of load, and less than large ones.
@@ -105,7 +117,7 @@
 	if c.MemoryTokens == 0 {
 		return float64(c.Running) < float64(c.Slots)*(1+limits.QueueShare)
 	}
-	promised := float64(c.HeldTokens + need.PromptTokens + need.OutputTokens)
+	promised := float64(c.HeldTokens + Held(need.PromptTokens, 0, need.OutputTokens))
 	return c.Running < c.Slots && promised <= limits.Memory*float64(c.MemoryTokens)
 }
 
@@ -113,7 +125,10 @@
 func (c *Candidate) cost(need Need) float64 {
 	cost := 0.0
 	if c.MemoryTokens > 0 {
-		cost = float64(c.HeldTokens+need.PromptTokens) / float64(c.MemoryTokens)
+		// The square: of two engines with room, the fuller one is no worse
+		// until preemptions come near.
+		held := float64(c.HeldTokens+need.PromptTokens) / float64(c.MemoryTokens)
+		cost = held * held
 		cost += float64(c.UnreadTokens+need.PromptTokens) / readTokensPerMs / patienceMs
 	} else {
 		cost = float64(c.Running+1) / float64(max(1, c.Slots))
