--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -24,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/domain"
 	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/peer"
@@ -36,15 +37,16 @@
 	msgNoPlace = "no server has a place"
 )
 
-// Chosen returns the allocator of a service among the members, or "".
+// Chosen returns the allocator of a service among the members, or "": one of
+// the hosts that watch the store, so that it hears first which servers leave.
 func Chosen(members []peer.Member, service string) string {
-	live := slices.DeleteFunc(slices.Clone(members), func(m peer.Member) bool { return m.State != peer.StateAlive })
-	if len(live) == 0 {
+	watchers := domain.Watchers(members, domain.DefaultWatchers)
+	if len(watchers) == 0 {
 		return ""
 	}
-	return slices.MaxFunc(live, func(a, b peer.Member) int {
-		return cmp.Or(cmp.Compare(score(a.Host, service), score(b.Host, service)), cmp.Compare(a.Host, b.Host))
-	}).Host
+	return slices.MaxFunc(watchers, func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(a, service), score(b, service)), cmp.Compare(a, b))
+	})
 }
 
 func score(host, service string) uint64 { return xxhash.Sum64String(host + "\x00" + service) }
@@ -56,6 +58,12 @@
 	limits placement.Limits
 	draw   func(n int) int
 	logger *zap.Logger
+	// Undisturbed returns how long ago the store last failed to answer this
+	// host; it is told to hosts that do not watch the store. Nil: not told.
+	Undisturbed func() time.Duration
+	// Revision returns the revision of the newest configuration, if this host
+	// surely has it; else zero. It is told to other hosts. Nil: not told.
+	Revision func() uint64
 
 	mu     sync.Mutex // guards queues
 	queues map[string]*service
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -49,8 +49,43 @@
 	fleet  *fleet.Table
 	logger *zap.Logger
 
-	mu      sync.Mutex           // guards avoided
-	avoided map[string]time.Time // by host: until when it is not asked
+	mu        sync.Mutex           // guards all below
+	avoided   map[string]time.Time // by host: until when it is not asked
+	disturbed time.Time            // when the store last failed to answer an allocator, as told
+	revision  uint64               // of the newest configuration, as told
+	revisedAt time.Time            // when it was asked for
+}
+
+// Newest returns the revision of the newest configuration, as an allocator
+// said, and how long ago it was asked.
+func (c *Client) Newest() (revision uint64, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision, time.Since(c.revisedAt)
+}
+
+func (c *Client) toldRevision(revision uint64, asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision >= c.revision {
+		c.revision, c.revisedAt = revision, asked
+	}
+}
+
+// Undisturbed returns how long ago the store last failed to answer an
+// allocator, as far as this host was told.
+func (c *Client) Undisturbed() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.disturbed)
+}
+
+func (c *Client) toldDisturbed(ago time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at := time.Now().Add(-ago); at.After(c.disturbed) {
+		c.disturbed = at
+	}
 }
 
 // NewClient returns the client of a host, with its own allocator.
@@ -185,11 +220,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
+	asked := time.Now()
 	var response *allocationpb.ReportResponse
 	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
 		response, err = client.Report(ctx, request)
 		return err
 	})
+	if revision := response.GetConfigurationRevision(); revision > 0 {
+		c.toldRevision(revision, asked)
+	}
+	if ms := response.GetUndisturbedMs(); ms > 0 {
+		c.toldDisturbed(time.Duration(ms) * time.Millisecond)
+	}
 	for _, id := range response.GetLeaving() {
 		c.fleet.MarkLeaving(id, fleet.SourcePeer)
 	}
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,8 +38,16 @@
 	// Departs asks a server whether it is leaving.
 	Departs func(ctx context.Context, server fleet.Server) (bool, error)
 	Logger  *zap.Logger
+
+	answered atomic.Int64 // when the store last answered a check, in ns since started
 }
 
+// started is the origin of monotonic times.
+var started = time.Now()
+
+// Age returns how long ago the store answered this host's check.
+func (s *Sentinel) Age() time.Duration { return time.Since(started) - time.Duration(s.answered.Load()) }
+
 // Run watches the services for which this host decides, until ctx ends.
 func (s *Sentinel) Run(ctx context.Context) error {
 	away := false
@@ -74,7 +83,12 @@
 func (s *Sentinel) check(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	return s.Check(ctx) == nil
+	asked := time.Since(started)
+	if s.Check(ctx) != nil {
+		return false
+	}
+	s.answered.Store(int64(asked))
+	return true
 }
 
 // ask asks all servers of the services at once.
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -36,7 +37,14 @@
 		loads[l.GetServer()] = fleet.Load{Requests: int(l.GetRequests()), HeldTokens: int(l.GetHeldTokens()), UnreadTokens: int(l.GetUnreadTokens())}
 	}
 	s.allocator.fleet.SetOthers(r.GetHost(), r.GetService(), loads)
-	return &allocationpb.ReportResponse{Leaving: s.allocator.fleet.Leaving(r.GetService())}, nil
+	response := &allocationpb.ReportResponse{Leaving: s.allocator.fleet.Leaving(r.GetService())}
+	if s.allocator.Undisturbed != nil {
+		response.UndisturbedMs = uint32(min(s.allocator.Undisturbed(), time.Hour).Milliseconds())
+	}
+	if s.allocator.Revision != nil {
+		response.ConfigurationRevision = s.allocator.Revision()
+	}
+	return response, nil
 }
 
 // TakeTurn implements allocationpb.AllocationServer.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -37,8 +37,13 @@
 type service struct {
 	memoryTokens int
 	members      []*entry
+	departed     map[string]time.Time // servers that were forgotten, and when
 }
 
+// departedKept is how long a forgotten server is told to hosts that ask which
+// servers leave; those that are cut off from the store learn it so.
+const departedKept = 10 * time.Second
+
 type entry struct {
 	server         Server
 	leaving        bool
@@ -73,7 +78,7 @@
 func (t *Table) service(name string) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{}
+		s = &service{departed: map[string]time.Time{}}
 		t.services[name] = s
 	}
 	return s
@@ -144,6 +149,7 @@
 	delete(t.servers, e.server.ID)
 	s := t.service(e.server.Service)
 	s.members = slices.DeleteFunc(s.members, func(m *entry) bool { return m == e })
+	s.departed[e.server.ID] = time.Now()
 }
 
 // MarkUnreachable notes that a server took no connection.
@@ -177,17 +183,25 @@
 	return e.server, true
 }
 
-// Leaving returns the IDs of the servers of a service that are leaving, in
-// order, with those that already left.
+// Leaving returns the IDs of the servers of a service that are leaving or left
+// a moment ago, in order.
 func (t *Table) Leaving(name string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ids []string
-	for _, e := range t.service(name).members {
+	s := t.service(name)
+	for _, e := range s.members {
 		if e.leaving {
 			ids = append(ids, e.server.ID)
 		}
 	}
+	for id, at := range s.departed {
+		if time.Since(at) > departedKept {
+			delete(s.departed, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
 	slices.Sort(ids)
 	return ids
 }
