--- /dev/null
+++ b/allocation/allocation_test.go
@@ -0,0 +1,205 @@
+package allocation
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/papayasail/papayasail/evacuation"
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/peer"
+	"github.com/papayasail/papayasail/placement"
+)
+
+const llm = "llm"
+
+func first(int) int { return 0 }
+
+func engines(host string, ids ...string) *fleet.Table {
+	table := fleet.NewTable(host, zap.NewNop())
+	table.SetMemory(llm, 34000)
+	for _, id := range ids {
+		table.Put(fleet.Server{ID: id, Service: llm, Address: id, Domain: "d", Slots: 24})
+	}
+	return table
+}
+
+// hosts is two entry hosts of one failure domain; the first is the allocator.
+type hosts struct {
+	members []peer.Member
+	conn    *grpc.ClientConn
+	mu      sync.Mutex // guards down
+	down    bool
+}
+
+func (h *hosts) Members() []peer.Member { return h.members }
+
+func (h *hosts) Call(_ string, f func(grpc.ClientConnInterface) error) error {
+	h.mu.Lock()
+	down := h.down
+	h.mu.Unlock()
+	if down {
+		return errors.New("cut off")
+	}
+	return f(h.conn)
+}
+
+func (h *hosts) cut(down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = down
+}
+
+// pair connects a client on one host with the allocator on another.
+func pair(t *testing.T, at, from *fleet.Table) (*hosts, *Allocator, *Client) {
+	t.Helper()
+	members := []peer.Member{
+		{Host: "a", State: peer.StateAlive, FailureDomain: "d"},
+		{Host: "b", State: peer.StateAlive, FailureDomain: "d"},
+	}
+	allocator := NewAllocator(at, placement.DefaultLimits, first, zap.NewNop())
+	listener := bufconn.Listen(1 << 16)
+	server := grpc.NewServer()
+	Register(server, allocator)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient("passthrough:allocator", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }))
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	h := &hosts{members: members, conn: conn}
+	self := "a"
+	if Chosen(members, llm) == "a" {
+		self = "b"
+	}
+	local := NewAllocator(from, placement.DefaultLimits, first, zap.NewNop())
+	return h, allocator, NewClient(self, "d", h, local, from, zap.NewNop())
+}
+
+func TestPromptsOfTwoHostsGoToTwoEngines(t *testing.T) {
+	// Both hosts see both engines idle at the same moment. Each would send
+	// its long prompt to the same one, and one caller would wait for both.
+	is := is.New(t)
+	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
+	_, allocator, client := pair(t, at, from)
+	need := placement.Need{PromptTokens: 6000, OutputTokens: 400}
+	own := allocator.Place("other", "d", llm, "r1", need, nil)
+	other := client.Place(context.Background(), llm, "r2", need, nil)
+	is.True(own != other)
+	is.Equal(client.Place(context.Background(), llm, "r3", need, []string{"e1", "e2"}), "") // both tried
+}
+
+func TestHostDecidesByItselfWhenTheAllocatorIsAway(t *testing.T) {
+	is := is.New(t)
+	h, _, client := pair(t, engines("a", "e1"), engines("b", "e2"))
+	need := placement.Need{PromptTokens: 100}
+	is.Equal(client.Place(context.Background(), llm, "r1", need, nil), "e1")
+	h.cut(true)
+	is.Equal(client.Place(context.Background(), llm, "r2", need, nil), "e2")
+	h.cut(false)
+	is.Equal(client.Place(context.Background(), llm, "r3", need, nil), "e2") // it is given a rest
+}
+
+func TestReportsTellWhatTheStoreWouldNot(t *testing.T) {
+	// A host is cut off from the store. An engine leaves; its generations on
+	// that host were lost, as it heard of nothing.
+	is := is.New(t)
+	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
+	_, allocator, client := pair(t, at, from)
+	allocator.Undisturbed = func() time.Duration { return 4 * time.Second }
+	allocator.Revision = func() uint64 { return 17 }
+	work := from.Begin("e1", fleet.Work{ID: "r1", PromptTokens: 3000, OutputTokens: 400}, false)
+	at.Put(fleet.Server{ID: "e1", Service: llm, Leaving: true})
+	is.True(client.report(context.Background(), llm, from.OwnGenerations()[llm]))
+	select {
+	case <-work.Gone():
+	default:
+		t.Fatal("the host was not told")
+	}
+	revision, age := client.Newest()
+	is.Equal(revision, uint64(17))
+	is.True(age < time.Second)
+	is.True(client.Undisturbed() >= 4*time.Second)
+	is.Equal(at.Leaving(llm), []string{"e1"})
+}
+
+func TestTurnsOverTheWire(t *testing.T) {
+	is := is.New(t)
+	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
+	_, _, client := pair(t, at, from)
+	at.MarkLeaving("e1", fleet.SourceList)
+	move := func(run string) evacuation.Move {
+		return evacuation.Move{Source: "e1", Run: run, Size: 9000, Need: placement.Need{PromptTokens: 3000, OutputTokens: 500}}
+	}
+	destination, end, err := client.TakeTurn(context.Background(), llm, move("r1"))
+	is.NoErr(err)
+	is.Equal(destination, "e2")
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	_, _, err = client.TakeTurn(ctx, llm, move("r2"))
+	cancel()
+	is.True(err != nil) // the first move has not ended
+	end()
+	destination, end, err = client.TakeTurn(context.Background(), llm, move("r3"))
+	is.NoErr(err)
+	is.Equal(destination, "e2")
+	end()
+}
+
+func TestAllocatorWatchesTheStore(t *testing.T) {
+	is := is.New(t)
+	members := []peer.Member{{Host: "gone", State: peer.StateGone, FailureDomain: "d"}}
+	is.Equal(Chosen(members, llm), "")
+	members = append(members, peer.Member{Host: "x", State: peer.StateAlive, FailureDomain: "d"})
+	is.Equal(Chosen(members, llm), "x")
+}
+
+func TestEnginesAreAskedWhileTheStoreIsAway(t *testing.T) {
+	// The store is down when an engine is reclaimed; its notice cannot be
+	// written. The engine itself knows. While the store answers, no engine is
+	// asked.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := engines("a", "e1", "e2")
+		members := []peer.Member{{Host: "a", State: peer.StateAlive, FailureDomain: "d"}}
+		var away atomic.Bool
+		var asked atomic.Int64
+		away.Store(true)
+		sentinel := &Sentinel{
+			Host: "a", Fleet: table, Logger: zap.NewNop(),
+			Client: NewClient("a", "d", &hosts{members: members}, nil, table, zap.NewNop()),
+			Check: func(context.Context) error {
+				if away.Load() {
+					return errors.New("away")
+				}
+				return nil
+			},
+			Departs: func(_ context.Context, server fleet.Server) (bool, error) {
+				asked.Add(1)
+				return server.ID == "e2", nil
+			},
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		go func() { _ = sentinel.Run(ctx) }()
+		time.Sleep(checkInterval + time.Millisecond)
+		synctest.Wait()
+		is.Equal(table.Leaving(llm), []string{"e2"})
+		away.Store(false)
+		before := asked.Load()
+		time.Sleep(time.Second)
+		is.Equal(asked.Load(), before)
+		is.True(sentinel.Age() <= checkInterval)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/internal/moment"
 	"github.com/papayasail/papayasail/internal/sleep"
 )
 
@@ -39,14 +39,11 @@
 	Departs func(ctx context.Context, server fleet.Server) (bool, error)
 	Logger  *zap.Logger
 
-	answered atomic.Int64 // when the store last answered a check, in ns since started
+	answered moment.Moment // when a check was made that the store answered
 }
 
-// started is the origin of monotonic times.
-var started = time.Now()
-
 // Age returns how long ago the store answered this host's check.
-func (s *Sentinel) Age() time.Duration { return time.Since(started) - time.Duration(s.answered.Load()) }
+func (s *Sentinel) Age() time.Duration { return s.answered.Age() }
 
 // Run watches the services for which this host decides, until ctx ends.
 func (s *Sentinel) Run(ctx context.Context) error {
@@ -83,11 +80,11 @@
 func (s *Sentinel) check(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	asked := time.Since(started)
+	asked := time.Now()
 	if s.Check(ctx) != nil {
 		return false
 	}
-	s.answered.Store(int64(asked))
+	s.answered.Mark(asked)
 	return true
 }
 
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -100,7 +100,8 @@
 	}
 	e.server = server
 	e.slowUntil = time.Now().Add(server.SlowFor)
-	if e.removed && !server.Leaving {
+	delete(t.service(server.Service).departed, server.ID)
+	if !server.Leaving && e.mayReturn() {
 		e.removed, e.leaving, e.gone = false, false, make(chan struct{})
 	}
 	if server.Leaving {
@@ -109,6 +110,12 @@
 	t.wake()
 }
 
+// mayReturn reports whether the server counts as leaving only because its
+// entry was gone, here or at another host.
+func (e *entry) mayReturn() bool {
+	return e.leaving && (e.removed || e.leavingBecause == SourcePeer)
+}
+
 // Remove notes that the host list has no entry of a server any more.
 func (t *Table) Remove(id string) {
 	t.mu.Lock()
--- /dev/null
+++ b/fleet/table_test.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+func newTable() *Table {
+	t := NewTable("me", zap.NewNop())
+	t.SetMemory("llm", 34000)
+	t.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24})
+	t.Put(Server{ID: "b", Service: "llm", Address: "10.0.0.2:1", Domain: "d2", Slots: 24})
+	return t
+}
+
+func TestLeavingServersGetNoNewWork(t *testing.T) {
+	// A server says that it leaves. Callers that were sent there afterwards
+	// were cut off when it went.
+	is := is.New(t)
+	table := newTable()
+	work := table.Begin("a", Work{ID: "1"}, false)
+	table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", Leaving: true})
+	select {
+	case <-work.Gone():
+	default:
+		t.Fatal("the work on it was not told")
+	}
+	is.Equal(len(table.Candidates("llm", "d1")), 1)
+	is.True(table.Begin("a", Work{ID: "2"}, false) == nil)
+	table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1"}) // an older word of it
+	is.Equal(len(table.Candidates("llm", "d1")), 1)
+}
+
+func TestLapsedEntryComesBack(t *testing.T) {
+	// The store was away, entries lapsed, and this host took the servers for
+	// gone. Their entries are back, and they must get work again.
+	is := is.New(t)
+	table := newTable()
+	work := table.Begin("a", Work{ID: "1"}, false)
+	table.Remove("a")
+	table.Remove("b")
+	is.Equal(len(table.Candidates("llm", "d1")), 0)
+	is.Equal(table.Leaving("llm"), []string{"a", "b"})
+	table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1"})
+	table.Put(Server{ID: "b", Service: "llm", Address: "10.0.0.2:1"})
+	is.Equal(len(table.Candidates("llm", "d1")), 2)
+	is.Equal(len(table.Leaving("llm")), 0) // or other hosts would be told so
+	table.MarkLeaving("a", SourcePeer)     // by a host that is behind
+	table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1"})
+	is.Equal(len(table.Candidates("llm", "d1")), 2)
+	work.End()
+}
+
+func TestUnreachableServersRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		table.MarkUnreachable("a")
+		is.Equal(len(table.Candidates("llm", "d1")), 1)
+		time.Sleep(unreachableFor + time.Millisecond)
+		is.Equal(len(table.Candidates("llm", "d1")), 2)
+	})
+}
+
+func TestLoadsOfOtherHostsAreForgottenWithThem(t *testing.T) {
+	// A host dies with ten generations. Its word on them must not keep an
+	// engine looking full for good.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		table.SetOthers("h2", "llm", map[string]Load{"a": {Requests: 10, HeldTokens: 30000}})
+		table.BookFor("h2", "a", Load{Requests: 1, HeldTokens: 3000, UnreadTokens: 3000})
+		table.BookFor("me", "a", Load{Requests: 1}) // booked when it begins
+		is.Equal(table.Candidates("llm", "d1")[0].HeldTokens, 33000)
+		is.Equal(table.Candidates("llm", "d1")[0].Running, 11)
+		time.Sleep(loadLifetime)
+		is.Equal(table.Candidates("llm", "d1")[0].HeldTokens, 0)
+	})
+}
+
+func TestWorkCountsWhatItHolds(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	work := table.Begin("a", Work{ID: "1", PromptTokens: 3000, OutputTokens: 400}, false)
+	c := table.Candidates("llm", "d1")[0]
+	is.Equal(c.HeldTokens, 3200)
+	is.Equal(c.UnreadTokens, 3000)
+	is.True(c.SameDomain)
+	work.Produced(300)
+	c = table.Candidates("llm", "d1")[0]
+	is.Equal(c.HeldTokens, 3350)
+	is.Equal(c.UnreadTokens, 0)
+	is.Equal(table.OwnGenerations()["llm"]["a"].Requests, 1)
+	work.End()
+	work.End()
+	is.Equal(table.Candidates("llm", "d1")[0].Running, 0)
+}
+
+func TestFaultyServerIsDoubtful(t *testing.T) {
+	// A server's health check passes while nearly half of its requests fail.
+	// One whose requests fail now and then by themselves stays trusted.
+	is := is.New(t)
+	table := newTable()
+	for i := range 40 {
+		sound := table.Begin("a", Work{}, false)
+		sound.Outcome(i%7 == 0)
+		sound.End()
+		bad := table.Begin("b", Work{}, false)
+		bad.Outcome(i%2 == 0 || i%5 == 0)
+		bad.End()
+	}
+	byID := map[string]bool{}
+	for _, c := range table.Candidates("llm", "d1") {
+		byID[c.ID] = c.Doubtful
+	}
+	is.True(!byID["a"])
+	is.True(byID["b"])
+}
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -21,8 +21,9 @@
 	// Hosts returns how many entry hosts share the allowance.
 	Hosts func() int
 
-	mu       sync.Mutex // guards services
+	mu       sync.Mutex // guards all below
 	services map[string]*ring
+	began    time.Time // of the first slot; the time of day may jump, this does not
 }
 
 const (
@@ -32,9 +33,6 @@
 	ringSlots    = 10
 )
 
-// started is the origin of the slots' numbers.
-var started = time.Now()
-
 // ring counts requests and repeats in slots of a tenth of the window.
 type ring struct {
 	requests, repeats [ringSlots]int
@@ -70,9 +68,9 @@
 // at returns a service's ring turned to the present. Called with mu held.
 func (b *Budget) at(service string) *ring {
 	if b.services == nil {
-		b.services = map[string]*ring{}
+		b.services, b.began = map[string]*ring{}, time.Now()
 	}
-	now := int64(time.Since(started) / (b.Window / ringSlots)) // not the time of day, which may jump
+	now := int64(time.Since(b.began) / (b.Window / ringSlots))
 	r := b.services[service]
 	if r == nil {
 		r = &ring{slot: now}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -36,7 +36,7 @@
 
 // call serves a request whose answer is passed on whole.
 func (t *task) call(ctx context.Context) Outcome {
-	var last *try
+	var last, ran *try // ran: the last that may have run
 	for dials := 0; ; {
 		if last != nil && last.sent && !t.mayRepeat() {
 			return last.outcome
@@ -53,6 +53,12 @@
 		}
 		result := t.send(ctx, work)
 		work.End()
+		// A refusal after a send that may have run must not say "not run".
+		if result.outcome.NotRun && ran != nil {
+			result.outcome = ran.outcome
+		} else if !result.outcome.NotRun {
+			ran = &result
+		}
 		last = &result
 		t.tried = append(t.tried, work.Server().ID)
 		if !result.sent {
--- /dev/null
+++ b/gateway/call_test.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/backend"
+)
+
+func TestWritesAreNeverSentTwice(t *testing.T) {
+	// The connection breaks after an acknowledgement was sent. It may have
+	// been recorded: the caller hears that nobody knows, and no second server
+	// gets it.
+	for _, evidence := range []backend.Evidence{backend.Broken, backend.Silent, backend.Mismatch} {
+		synctest.Test(t, func(t *testing.T) {
+			is, w := is.New(t), newWorld()
+			w.send = func(context.Context, Call) (*Reply, error) { return nil, broken(evidence) }
+			o := w.serve("/write/1")
+			is.Equal(o.Status, http.StatusBadGateway)
+			is.True(!o.NotRun)
+			is.Equal(len(w.calls), 1)
+		})
+	}
+}
+
+func TestReadsGoToASecondServer(t *testing.T) {
+	// A server fails a read by itself, or breaks off its answer. Another one
+	// has it; with two attempts the caller sees no failure.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		n := 0
+		w.send = func(context.Context, Call) (*Reply, error) {
+			n++
+			switch n {
+			case 1:
+				return answer(http.StatusInternalServerError, "no"), nil
+			case 2:
+				return answer(http.StatusOK, "level"), nil
+			case 3:
+				r := answer(http.StatusOK, "")
+				r.Body = io.NopCloser(iotest.ErrReader(errors.New("reset")))
+				return r, nil
+			}
+			return answer(http.StatusOK, "level"), nil
+		}
+		for range 2 {
+			o := w.serve("/read/1")
+			is.Equal(o.Status, http.StatusOK)
+			is.Equal(string(o.Body), "level")
+		}
+		is.True(w.calls[0].Server.ID != w.calls[1].Server.ID)
+	})
+}
+
+func TestReadsStopAtTheirAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.put("p3", "plain")
+		w.send = func(context.Context, Call) (*Reply, error) { return answer(http.StatusInternalServerError, "no"), nil }
+		is.Equal(w.serve("/read/1").Status, http.StatusInternalServerError)
+		is.Equal(len(w.calls), 2)
+	})
+}
+
+func TestHungServerCostsAReadHalfItsTime(t *testing.T) {
+	// A faulty server takes a read and never answers. Waiting for it until
+	// the route's timeout would fail every such read.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(ctx context.Context, _ Call) (*Reply, error) {
+			if len(w.calls) == 1 {
+				<-ctx.Done()
+				return nil, broken(backend.Silent)
+			}
+			return answer(http.StatusOK, "level"), nil
+		}
+		began := time.Now()
+		is.Equal(w.serve("/read/1").Status, http.StatusOK)
+		is.Equal(time.Since(began), 400*time.Millisecond)
+	})
+}
+
+func TestAnswerAtTheTimeout(t *testing.T) {
+	// A server is silent beyond the route's timeout. The caller gets its
+	// answer at the timeout, not when the server has thought about it.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(ctx context.Context, _ Call) (*Reply, error) {
+			<-ctx.Done()
+			return nil, broken(backend.Silent)
+		}
+		began := time.Now()
+		o := w.serve("/write/1")
+		is.Equal(o.Status, http.StatusGatewayTimeout)
+		is.Equal(time.Since(began), 800*time.Millisecond)
+	})
+}
+
+func TestRefusalsThatRanNothing(t *testing.T) {
+	// All servers are full and say so, or none takes a connection. Only then
+	// is the caller told "not run", and when to come back.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(context.Context, Call) (*Reply, error) { return notRunReply(), nil }
+		o := w.serve("/write/1")
+		is.Equal(o.Status, http.StatusServiceUnavailable)
+		is.True(o.NotRun)
+		is.True(o.RetryAfter > 0)
+		is.Equal(len(w.calls), 2) // a second server may have room
+
+		w = newWorld()
+		w.send = func(context.Context, Call) (*Reply, error) { return nil, broken(backend.NothingSent) }
+		o = w.serve("/write/1")
+		is.Equal(o.Reason, ReasonUnreachable)
+		is.True(o.NotRun)
+	})
+}
+
+func TestNotRunIsNotSaidAfterASendThatMayHaveRun(t *testing.T) {
+	// The first server broke off a read, the second one refused it as full.
+	// "Not run" would be false: the first may have run it.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(context.Context, Call) (*Reply, error) {
+			if len(w.calls) == 1 {
+				return nil, broken(backend.Broken)
+			}
+			return notRunReply(), nil
+		}
+		o := w.serve("/read/1")
+		is.True(!o.NotRun)
+		is.Equal(o.Status, http.StatusBadGateway)
+	})
+}
+
+func TestAddressWithAnotherServer(t *testing.T) {
+	// A server ended, and its address went to a server of another service.
+	// That one says so and runs nothing; the request goes on to a sound one,
+	// and nothing more is sent to the address.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(context.Context, Call) (*Reply, error) {
+			if len(w.calls) == 1 {
+				r := answer(http.StatusMisdirectedRequest, "")
+				r.WrongServer = true
+				return r, nil
+			}
+			return answer(http.StatusOK, "ok"), nil
+		}
+		is.Equal(w.serve("/write/1").Status, http.StatusOK)
+		wrong := w.calls[0].Server.ID
+		for range 5 {
+			w.serve("/write/1")
+		}
+		for _, c := range w.calls[1:] {
+			is.True(c.Server.ID != wrong)
+		}
+	})
+}
+
+func TestHostThatIsBehindDeniesNothing(t *testing.T) {
+	// A key or route was just added, and this host has not heard of it. A 401
+	// or 404 would make the caller give up for good on a proper request.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(context.Context, Call) (*Reply, error) { return answer(http.StatusOK, "ok"), nil }
+		w.sure = false
+		r := w.request("/write/1")
+		r.Key = "new"
+		o := w.gateway.Serve(context.Background(), r, &recorder{})
+		is.Equal(o.Status, http.StatusServiceUnavailable)
+		is.True(o.NotRun)
+		is.Equal(w.serve("/none/1").Status, http.StatusServiceUnavailable)
+		w.sure = true
+		is.Equal(w.gateway.Serve(context.Background(), r, &recorder{}).Status, http.StatusUnauthorized)
+		is.Equal(w.serve("/none/1").Status, http.StatusNotFound)
+		w.gateway.SetConfiguration(w.configuration(2, "new"))
+		is.Equal(w.gateway.Serve(context.Background(), r, &recorder{}).Status, http.StatusOK)
+		is.Equal(w.serve("/write/1").Status, http.StatusUnauthorized) // its key was taken away
+	})
+}
+
+func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
+	is, w := is.New(t), newWorld()
+	empty := New(w.gateway.options)
+	o := empty.Serve(context.Background(), w.request("/write/1"), &recorder{})
+	is.Equal(o.Status, http.StatusServiceUnavailable)
+	is.True(o.NotRun)
+}
+
+func TestCallerThatLeavesEndsTheSend(t *testing.T) {
+	// The caller closes its connection while a server works. The send ends at
+	// once, which closes the server's connection and stops its work.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(ctx context.Context, _ Call) (*Reply, error) {
+			<-ctx.Done()
+			return nil, broken(backend.Broken)
+		}
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, leave)
+		began := time.Now()
+		o := w.gateway.Serve(ctx, w.request("/read/1"), &recorder{})
+		is.Equal(o.Reason, ReasonCallerGone)
+		is.Equal(time.Since(began), 50*time.Millisecond)
+		is.Equal(len(w.calls), 1)
+	})
+}
+
+func TestBudgetOfRepeats(t *testing.T) {
+	// A service fails everything. Sending each read twice would double the
+	// load that makes it fail; the hosts together may add a fifth and 54.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(context.Context, Call) (*Reply, error) { return answer(http.StatusInternalServerError, ""), nil }
+		for range 200 {
+			w.serve("/read/1")
+		}
+		repeats := len(w.calls) - 200
+		is.True(repeats > 20)
+		is.True(float64(repeats) <= 54.0/7+0.2*200)
+		time.Sleep(11 * time.Second)
+		before := len(w.calls)
+		w.serve("/read/1")
+		is.Equal(len(w.calls)-before, 2)
+	})
+}
--- /dev/null
+++ b/gateway/world_test.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/evacuation"
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/placement"
+)
+
+// world is a gateway with a scripted Backend and Allocator.
+type world struct {
+	gateway *Gateway
+	fleet   *fleet.Table
+	sure    bool
+
+	mu    sync.Mutex // guards all below
+	calls []Call
+	send  func(ctx context.Context, call Call) (*Reply, error)
+	copy  func(source, destination fleet.Server, last bool) (Copied, error)
+	turns int // turns not ended
+}
+
+func newWorld() *world {
+	w := &world{fleet: fleet.NewTable("me", zap.NewNop()), sure: true}
+	w.gateway = New(Options{
+		Domain: "d1", Fleet: w.fleet, Backend: w, Allocator: w, Logger: zap.NewNop(), Limits: placement.DefaultLimits,
+		Budget:  &Budget{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second, Hosts: func() int { return 7 }},
+		Confirm: func(context.Context) bool { return w.sure }, Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
+	w.put("e1", "llm")
+	w.put("e2", "llm")
+	w.put("p1", "plain")
+	w.put("p2", "plain")
+	w.gateway.SetConfiguration(w.configuration(1, "key"))
+	return w
+}
+
+func (w *world) put(id, service string) {
+	w.fleet.Put(fleet.Server{ID: id, Service: service, Address: id + ":1", Domain: "d1", Slots: 6})
+}
+
+func (w *world) configuration(version uint64, key string) *Configuration {
+	route := func(name, service string, kind Kind, timeout time.Duration) *Route {
+		return &Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: timeout, Goal: 400 * time.Millisecond,
+			Attempts: 2, Targets: []Target{{Service: service, Weight: 1}},
+		}
+	}
+	routes := []*Route{
+		route("read", "plain", Idempotent, 800*time.Millisecond),
+		route("write", "plain", AtMostOnce, 800*time.Millisecond),
+		route("letter", "llm", Generation, 39*time.Second),
+	}
+	services := []*Service{
+		{Name: "llm", Engine: &Engine{MemoryTokens: 34000, Moves: true, TokensPerEvent: 4, BytesPerToken: 18432, LinkMbps: 2700}},
+		{Name: "plain"},
+	}
+	return NewConfiguration(version, routes, services, map[string]*Organisation{key: {Name: "o"}}, ClientLimits{})
+}
+
+func (w *world) Send(ctx context.Context, call Call) (*Reply, error) {
+	w.mu.Lock()
+	w.calls = append(w.calls, call)
+	w.mu.Unlock()
+	return w.send(ctx, call)
+}
+
+func (w *world) Copy(_ context.Context, source, destination fleet.Server, _ string, last bool) (Copied, error) {
+	return w.copy(source, destination, last)
+}
+
+func (w *world) Discard(context.Context, fleet.Server, string) error { return nil }
+
+func (w *world) Place(_ context.Context, service, _ string, need placement.Need, except []string) string {
+	candidates := w.fleet.Candidates(service, "d1", except...)
+	if i := placement.Pick(need, candidates, placement.DefaultLimits, func(int) int { return 0 }); i >= 0 {
+		return candidates[i].ID
+	}
+	return ""
+}
+
+func (w *world) TakeTurn(ctx context.Context, service string, move evacuation.Move) (string, func(), error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turns++
+	return w.Place(ctx, service, move.Run, move.Need, nil), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.turns--
+	}, nil
+}
+
+func (w *world) request(path string) *Request {
+	now := time.Now()
+	return &Request{
+		ID: "r", Method: http.MethodPost, Host: "h", Path: path, Header: http.Header{}, Key: "key",
+		Arrived: now, Deadline: now.Add(40 * time.Second), Prompt: Prompt{Tokens: 3000, HintedOutput: 400},
+	}
+}
+
+func (w *world) serve(path string) Outcome {
+	return w.gateway.Serve(context.Background(), w.request(path), &recorder{})
+}
+
+func answer(status int, body string) *Reply {
+	return &Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Whole: true}
+}
+
+func notRunReply() *Reply {
+	r := answer(http.StatusServiceUnavailable, "")
+	r.NotRun = true
+	return r
+}
+
+func broken(evidence backend.Evidence) error {
+	return &backend.CallError{Evidence: evidence, Err: errors.New("broken")}
+}
+
+// recorder is a caller that reads everything.
+type recorder struct {
+	mu    sync.Mutex // guards body
+	body  strings.Builder
+	began int
+}
+
+func (r *recorder) Begin(int, http.Header) error {
+	r.began++
+	return nil
+}
+
+func (r *recorder) Event(block []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.body.Write(block)
+	return nil
+}
+
+func (r *recorder) events() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Count(r.body.String(), "\n\n")
+}
+
+// generation is a stream of events with ids from first to last, one each gap,
+// that a move or a death can break off.
+type generation struct {
+	first, last int
+	gap         time.Duration
+	tail        string // bytes after the last event, before the end
+	broke       chan struct{}
+	reader      *io.PipeReader
+}
+
+func newGeneration(first, last int, gap time.Duration) *generation {
+	g := &generation{first: first, last: last, gap: gap, broke: make(chan struct{})}
+	reader, writer := io.Pipe()
+	g.reader = reader
+	go g.run(writer)
+	return g
+}
+
+func (g *generation) run(writer *io.PipeWriter) {
+	for id := g.first; id <= g.last; id++ {
+		select {
+		case <-time.After(g.gap):
+		case <-g.broke:
+			_, _ = io.WriteString(writer, g.tail)
+			writer.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		if _, err := io.WriteString(writer, event4(id)); err != nil {
+			return
+		}
+	}
+	writer.Close()
+}
+
+func event4(id int) string { return fmt.Sprintf("id: %d\ndata: t%d\n\n", id, id) }
+
+func (g *generation) reply() *Reply {
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: g.reader, Whole: true}
+}
+
+// wholeStream is what a caller must have read of events 1 to last.
+func wholeStream(last int) string {
+	var b strings.Builder
+	for id := 1; id <= last; id++ {
+		b.WriteString(event4(id))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/boundedlog/boundedlog_test.go
@@ -0,0 +1,60 @@
+package boundedlog
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+)
+
+// stuck is an output that nobody reads.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+func TestLogNeverBlocks(t *testing.T) {
+	// Nobody reads the process's output. Requests must not wait for it; what
+	// finds no room is counted.
+	is := is.New(t)
+	release := make(chan struct{})
+	w := NewWriter(stuck{release})
+	for range 3 * queued {
+		n, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+		is.Equal(n, 5)
+	}
+	is.True(w.Dropped() >= 2*queued-1)
+	close(release)
+	w.Close()
+}
+
+type collected struct {
+	mu   sync.Mutex // guards text
+	text strings.Builder
+}
+
+func (c *collected) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.Write(p)
+}
+
+func TestAlikeLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	out := &collected{}
+	w := NewWriter(out)
+	logger := New(w, zap.InfoLevel, prometheus.NewRegistry())
+	for range 10 * first {
+		logger.Info("request")
+	}
+	logger.Warn("request")
+	w.Close()
+	is.True(strings.Count(out.text.String(), `"level":"info"`) < 2*first)
+	is.Equal(strings.Count(out.text.String(), `"level":"warn"`), 1)
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Conn is a connection for exchanges one after another.
@@ -130,10 +133,10 @@
 	expired := time.AfterFunc(idleFor, func() { p.remove(conn) })
 	defer expired.Stop()
 	_, err := conn.Reader.Peek(1)
-	timeout, ok := err.(net.Error)
-	conn.silent = ok && timeout.Timeout()
-	close(conn.watched)
-	if !conn.silent {
+	silent, watched := errors.Is(err, os.ErrDeadlineExceeded), conn.watched
+	conn.silent = silent
+	close(watched) // from here on the connection may be in use again
+	if !silent {
 		p.remove(conn)
 	}
 }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/papayasail/papayasail/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Flags{"seed": "1"}) }
+
+func noDraw(int) int { return 0 }
+
+func engine(id string, running, held, unread int) Candidate {
+	return Candidate{ID: id, Slots: 24, MemoryTokens: 34000, Running: running, HeldTokens: held, UnreadTokens: unread, SameDomain: true}
+}
+
+func TestBacklogOfPromptsWeighsMoreThanMemory(t *testing.T) {
+	// A burst of prompts comes while one engine has just started. Its memory
+	// is empty, so all prompts went there and the last of them waited three
+	// seconds for its first token; the others had nothing to read.
+	is := is.New(t)
+	candidates := []Candidate{engine("new", 4, 10000, 10000), engine("old", 5, 23000, 0)}
+	i := Pick(Need{PromptTokens: 2500, OutputTokens: 200}, candidates, DefaultLimits, noDraw)
+	is.Equal(candidates[i].ID, "old")
+}
+
+func TestNoPlaceAboveTheMemoryLimit(t *testing.T) {
+	// All engines are nearly full. One more generation would preempt others in
+	// the middle of their streams; it has to be refused or wait.
+	is := is.New(t)
+	full := []Candidate{engine("a", 8, 29000, 0), engine("b", 8, 30000, 0)}
+	is.Equal(Pick(Need{PromptTokens: 3000, OutputTokens: 400}, full, DefaultLimits, noDraw), -1)
+	is.Equal(Pick(Need{PromptTokens: 1000, OutputTokens: 400}, full, DefaultLimits, noDraw), 0)
+}
+
+func TestDoubtfulServersGetWorkOnlyWhenOthersAreFull(t *testing.T) {
+	// A server fails nearly half of its requests, quickly, and so looks idle.
+	// Least loaded first would send it most of the traffic.
+	is := is.New(t)
+	bad := Candidate{ID: "bad", Slots: 6, Doubtful: true}
+	busy := Candidate{ID: "busy", Slots: 6, Running: 10}
+	full := Candidate{ID: "full", Slots: 6, Running: 18}
+	is.Equal(Pick(Need{}, []Candidate{bad, busy}, DefaultLimits, noDraw), 1)
+	is.Equal(Pick(Need{}, []Candidate{bad, full}, DefaultLimits, noDraw), 0)
+}
+
+func TestPickKeepsToLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var candidates []Candidate
+		for range rapid.IntRange(0, 12).Draw(t, "n") {
+			candidates = append(candidates, Candidate{
+				Slots: rapid.IntRange(1, 24).Draw(t, "slots"), MemoryTokens: rapid.SampledFrom([]int{0, 20000}).Draw(t, "memory"),
+				Running: rapid.IntRange(0, 30).Draw(t, "running"), HeldTokens: rapid.IntRange(0, 25000).Draw(t, "held"),
+				Doubtful: rapid.Bool().Draw(t, "doubtful"),
+			})
+		}
+		need := Need{PromptTokens: rapid.IntRange(0, 6000).Draw(t, "prompt"), OutputTokens: rapid.IntRange(0, 2000).Draw(t, "output")}
+		draw := rapid.IntRange(0, 11).Draw(t, "draw")
+		i := Pick(need, candidates, DefaultLimits, func(n int) int { return draw % n })
+		if i < 0 {
+			for _, c := range candidates {
+				if c.Running == 0 {
+					t.Fatalf("an idle server was passed over")
+				}
+			}
+			return
+		}
+		c := candidates[i]
+		if c.Running > 0 && c.MemoryTokens > 0 && float64(c.HeldTokens+Held(need.PromptTokens, 0, need.OutputTokens)) > DefaultLimits.Memory*float64(c.MemoryTokens) {
+			t.Fatalf("over the memory limit: %+v", c)
+		}
+		if c.Doubtful {
+			for _, other := range candidates {
+				if !other.Doubtful && other.Running == 0 {
+					t.Fatalf("a doubtful server before an idle sound one")
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkPickOf600(b *testing.B) {
+	var candidates []Candidate
+	for i := range 600 {
+		candidates = append(candidates, engine("e", i%20, i*40, i%5000))
+	}
+	for b.Loop() {
+		Pick(Need{PromptTokens: 3000, OutputTokens: 300}, candidates, DefaultLimits, noDraw)
+	}
+}
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/internal/moment"
 	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/store"
 )
@@ -34,22 +35,12 @@
 	Logger  *zap.Logger // nil: no log
 
 	reachable atomic.Bool
-	answered  atomic.Int64 // monotonic time of the last answer, in ns since started
-	failed    atomic.Int64 // the same of the last failure
+	failed    moment.Moment // when the store last did not answer
 }
 
-// started is the origin of monotonic times.
-var started = time.Now()
-
-// Age returns how long ago the store last answered this follower; a follower
-// that never had an answer is as old as the process.
-func (f *Follower) Age() time.Duration { return time.Since(started) - time.Duration(f.answered.Load()) }
-
 // Undisturbed returns how long ago the store last failed to answer this
-// follower; without a failure, how long the process runs.
-func (f *Follower) Undisturbed() time.Duration {
-	return time.Since(started) - time.Duration(f.failed.Load())
-}
+// follower, or moment.Never.
+func (f *Follower) Undisturbed() time.Duration { return f.failed.Age() }
 
 // Reachable reports whether the last call to the store succeeded.
 func (f *Follower) Reachable() bool { return f.reachable.Load() }
@@ -88,13 +79,12 @@
 	}
 	if err == nil || errors.Is(err, store.ErrCompacted) {
 		f.Backoff.Reset()
-		f.answered.Store(int64(time.Since(started)))
 		if f.reachable.CompareAndSwap(false, true) {
 			f.logger().Info(msgStoreReached)
 		}
 		return nil
 	}
-	f.failed.Store(int64(time.Since(started)))
+	f.failed.Mark(time.Now())
 	if f.reachable.CompareAndSwap(true, false) {
 		f.logger().Warn(msgStoreLost, zap.Error(err))
 	}
