--- a/placement/placement.go
+++ b/placement/placement.go
@@ -45,18 +45,27 @@
 
 // Limits bound what placement fills.
 type Limits struct {
-	// Memory is the share of an engine's memory that may be promised.
-	// Above it, the growth of running generations preempts others.
+	// Memory is the share of an engine's memory that may be promised to
+	// generations. Above it, their growth preempts others.
 	Memory float64
+	// BriefMemory is the same for brief generations, which give their memory
+	// back within a second.
+	BriefMemory float64
 	// QueueShare is how many requests a plain server may have beside those
 	// that it runs, as a share of its slots.
 	QueueShare float64
 }
 
-// DefaultLimits promise nine tenths of the memory, since expected lengths are
-// right at the median only, and let a plain server have two requests waiting
-// for each that it runs.
-var DefaultLimits = Limits{Memory: 0.9, QueueShare: 2}
+// DefaultLimits promise the whole memory, with a tenth more for brief
+// generations, and let a plain server have two requests waiting for each that
+// it runs. On engines with a seventh too little memory for all callers, worth
+// was 0.58 with nine tenths promised, 0.62 with all, 0.63 with a tenth more for
+// all (98 preemptions instead of 35) and 0.67 with a tenth more for brief ones.
+var DefaultLimits = Limits{Memory: 1.0, BriefMemory: 1.1, QueueShare: 2}
+
+// briefTokens is how many tokens a brief generation makes; an engine makes
+// some 120 a second for each.
+const briefTokens = 120
 
 const (
 	// readTokensPerMs is how fast an engine reads prompts beside running
@@ -118,7 +127,11 @@
 		return float64(c.Running) < float64(c.Slots)*(1+limits.QueueShare)
 	}
 	promised := float64(c.HeldTokens + Held(need.PromptTokens, 0, need.OutputTokens))
-	return c.Running < c.Slots && promised <= limits.Memory*float64(c.MemoryTokens)
+	share := limits.Memory
+	if need.OutputTokens < briefTokens {
+		share = max(share, limits.BriefMemory)
+	}
+	return c.Running < c.Slots && promised <= share*float64(c.MemoryTokens)
 }
 
 // cost is the share of the server that is taken once the request is there.
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -29,6 +29,9 @@
 	// Active says whether this host watches now; nil: always. A host that is
 	// not active has no call waiting in the store.
 	Active func() bool
+	// Spacing is the least time between two calls that found changes; zero:
+	// none. Changes come in groups, and each call has its price.
+	Spacing time.Duration
 	// Backoff spaces the tries while the store is away; its zero value has
 	// defaults.
 	Backoff store.Backoff
@@ -115,7 +118,7 @@
 	}
 	_, findings := f.Table.Adopt(objects)
 	f.report(findings)
-	return max(after, revision), nil
+	return max(after, revision), sleep.For(ctx, f.Spacing)
 }
 
 func (f *Follower) report(findings []Finding) {
