--- a/demo/operatingpage_test.go
+++ b/demo/operatingpage_test.go
@@ -17,7 +17,7 @@
 
 func operatingPage(t *testing.T) string {
 	t.Helper()
-	page, err := os.ReadFile("../docs/OPERATING.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	is.New(t).NoErr(err)
 	return string(page)
 }
@@ -39,7 +39,7 @@
 	for _, list := range lists {
 		for _, name := range strings.Split(list[1], ", ") {
 			if !regexp.MustCompile(`[.\x60]` + name + `[.\x60]`).MatchString(page) {
-				t.Errorf("docs/OPERATING.md does not name %s", name)
+				t.Errorf("docs/OPERATIONS.md does not name %s", name)
 			}
 		}
 	}
@@ -63,7 +63,7 @@
 	is.True(len(families) > 0)
 	for _, match := range families {
 		if !strings.Contains(page, "`"+match[1]) {
-			t.Errorf("docs/OPERATING.md does not name %s", match[1])
+			t.Errorf("docs/OPERATIONS.md does not name %s", match[1])
 		}
 	}
 	t.Logf("%d metrics compared", len(families))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -122,6 +122,16 @@
 	return r.work.Gone()
 }
 
+// leaving reports whether the run's server is known to be leaving.
+func (r *run) leaving() bool {
+	select {
+	case <-r.gone():
+		return true
+	default:
+		return false
+	}
+}
+
 // started reports whether the caller has events of the run.
 func (r *run) started() bool {
 	r.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -201,7 +201,7 @@
 		o.Reason = ReasonCallerGone
 	case ctx.Err() == context.DeadlineExceeded:
 		o.Reason = ReasonTimeout
-	case run.moving():
+	case run.moving() || run.leaving():
 		o.Reason = ReasonMoveFailed
 	default:
 		run.outcome(true)
