A fault soak of our own; a host that was cut off is stuck no more

When an entry's removal reaches a host whose store link was disturbed, the host asked the membership who watches the store while it held the replica's lock; the membership asks the replica for its version. Neither ever answered again. Ruled out: news lost between peers (the host's log ends at 18.0 s while it still answers requests).

--- a/allocation/client.go
+++ b/allocation/client.go
@@ -48,6 +48,9 @@
 	local  *Allocator
 	fleet  *fleet.Table
 	logger *zap.Logger
+	// Told is called with each word of an allocator on the newest
+	// configuration; nil: with none. It must not block.
+	Told func(allocator string, revision uint64)
 
 	mu        sync.Mutex           // guards all below
 	avoided   map[string]time.Time // by host: until when it is not asked
@@ -228,6 +231,9 @@
 	})
 	if revision := response.GetConfigurationRevision(); revision > 0 {
 		c.toldRevision(revision, asked)
+		if c.Told != nil {
+			c.Told(allocator, revision)
+		}
 	}
 	if ms := response.GetUndisturbedMs(); ms > 0 {
 		c.toldDisturbed(time.Duration(ms) * time.Millisecond)
--- a/cli/app.go
+++ b/cli/app.go
@@ -96,7 +96,7 @@
 // bounded bounds the commands that ask an entry host for one thing.
 func (a *App) bounded(ctx context.Context, name string) (context.Context, context.CancelFunc) {
 	switch name {
-	case "demo", "bench", "wait", "generate":
+	case "demo", "bench", "soak", "wait", "generate":
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, a.timeout)
@@ -128,6 +128,7 @@
 	a.stateCommands(parser, commands)
 	a.callerCommands(parser, commands)
 	a.trialCommands(parser, commands)
+	a.addSoak(parser, commands)
 	return parser, stop
 }
 
