A quiet kind is listed again after a compaction; the allocator reads the configuration

Change: a follower that is told of a dropped history makes the others list again; the allocator reads the configuration every 0.6 s and tells the others its revision, in place of trusting a watch that waits. Ruled out: shorter waits of watches (a call each, on every watcher).

--- a/allocation/client.go
+++ b/allocation/client.go
@@ -26,7 +26,7 @@
 	// the last one it knows by itself, so a report mainly tells what ended.
 	reportInterval = 200 * time.Millisecond
 	// refreshInterval repeats an empty report.
-	refreshInterval = time.Second
+	refreshInterval = 700 * time.Millisecond
 	// placeTimeout bounds the question for a place; it takes 3 ms between
 	// failure domains.
 	placeTimeout = 80 * time.Millisecond
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/fleet"
-	"github.com/papayasail/papayasail/internal/moment"
 	"github.com/papayasail/papayasail/internal/sleep"
 )
 
@@ -21,6 +20,7 @@
 	// and longer.
 	checkInterval = 200 * time.Millisecond
 	checkTimeout  = 250 * time.Millisecond
+	verifyEvery   = 3
 )
 
 // Sentinel finds out which servers leave while the store is away.
@@ -35,23 +35,22 @@
 	Fleet  *fleet.Table
 	// Check makes a cheap call to the store.
 	Check func(ctx context.Context) error
+	// Verify reads the configuration, which shows as well whether the store
+	// answers. It is called in place of every third check: what the allocator
+	// then knows of the newest configuration it tells the other hosts.
+	Verify func(ctx context.Context) error
 	// Departs asks a server whether it is leaving.
 	Departs func(ctx context.Context, server fleet.Server) (bool, error)
 	Logger  *zap.Logger
-
-	answered moment.Moment // when a check was made that the store answered
 }
 
-// Age returns how long ago the store answered this host's check.
-func (s *Sentinel) Age() time.Duration { return s.answered.Age() }
-
 // Run watches the services for which this host decides, until ctx ends.
 func (s *Sentinel) Run(ctx context.Context) error {
 	away := false
-	for sleep.For(ctx, checkInterval) == nil {
+	for n := 0; sleep.For(ctx, checkInterval) == nil; n++ {
 		services := s.mine()
 		before := away
-		away = len(services) > 0 && !s.check(ctx)
+		away = len(services) > 0 && !s.check(ctx, n%verifyEvery == 0)
 		switch {
 		case away && !before:
 			s.Logger.Warn(msgAsking, zap.Strings("services", services))
@@ -77,15 +76,13 @@
 	return mine
 }
 
-func (s *Sentinel) check(ctx context.Context) bool {
+func (s *Sentinel) check(ctx context.Context, verify bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	asked := time.Now()
-	if s.Check(ctx) != nil {
-		return false
+	if verify {
+		return s.Verify(ctx) == nil
 	}
-	s.answered.Mark(asked)
-	return true
+	return s.Check(ctx) == nil
 }
 
 // ask asks all servers of the services at once.
--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -15,20 +15,20 @@
 	// confirmTimeout bounds the question whether the configuration is the
 	// newest, confirmAge how long an answer of the store counts for it.
 	confirmTimeout = 400 * time.Millisecond
-	confirmAge     = 500 * time.Millisecond
+	confirmAge     = 700 * time.Millisecond
 	// toldAge is how long an allocator's word on the newest configuration
-	// counts: hosts report once a second at least. The operator allows 2 s
-	// until a configuration is in force.
-	toldAge = 1300 * time.Millisecond
+	// counts: hosts report every 0.7 s at least. Together they are less than
+	// the 2 s that the operator allows until a configuration is in force.
+	toldAge = 900 * time.Millisecond
 	// pullTimeout bounds one catching up with an allocator.
 	pullTimeout = time.Second
 )
 
 // surelyNewest returns the revision of the configuration in force, or zero if
-// there may be a newer one. A follower whose watch waits while the store
-// answers checks has all there is.
+// there may be a newer one. A watch that waits proves nothing: it may have
+// missed a change. The store was asked for the configuration a moment ago.
 func (h *Host) surelyNewest() uint64 {
-	if !h.configuration.Reachable() || h.sentinel.Age() > confirmAge {
+	if h.confirmed.Age() > confirmAge {
 		return 0
 	}
 	return h.revision()
@@ -52,19 +52,21 @@
 }
 
 func (h *Host) confirmAtStore(ctx context.Context) bool {
-	if h.confirmed.Age() < confirmAge {
-		return true
-	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	return h.verify(ctx) == nil
+}
+
+// verify asks the store for the configuration and puts it in force.
+func (h *Host) verify(ctx context.Context) error {
 	asked := time.Now()
 	object, err := h.options.Store.Get(ctx, h.options.Objects.Configuration, h.options.Objects.ConfigurationName)
 	if err != nil {
-		return false
+		return err
 	}
 	h.table.Adopt([]store.Object{object})
 	h.confirmed.Mark(asked)
-	return true
+	return nil
 }
 
 // catchUp fetches what an allocator has newer than this host.
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -126,6 +126,7 @@
 	h.table = replica.New(h.apply)
 	h.configuration = h.follower(o.Objects.Configuration)
 	h.servers = h.follower(o.Objects.Servers)
+	h.configuration.OnCompacted, h.servers.OnCompacted = h.servers.Relist, h.configuration.Relist
 	h.fleet = fleet.NewTable(o.Name, o.Logger)
 	h.allocator = allocation.NewAllocator(h.fleet, placement.DefaultLimits, rand.IntN, o.Logger)
 	h.allocator.Undisturbed = h.servers.Undisturbed
@@ -135,7 +136,7 @@
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
 	h.allocation.Told = h.catchUp
 	h.sentinel = &allocation.Sentinel{
-		Host: o.Name, Client: h.allocation, Fleet: h.fleet, Check: o.Store.Check, Departs: o.Backend.Departs, Logger: o.Logger,
+		Host: o.Name, Client: h.allocation, Fleet: h.fleet, Check: o.Store.Check, Verify: h.verify, Departs: o.Backend.Departs, Logger: o.Logger,
 	}
 	h.gateway = gateway.New(gateway.Options{
 		Domain: o.Domain, Fleet: h.fleet, Backend: o.Backend, Allocator: h.allocation, Logger: o.Logger, Limits: placement.DefaultLimits,
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,8 +38,50 @@
 	Backoff store.Backoff
 	Logger  *zap.Logger // nil: no log
 
+	// OnCompacted is called when the store has dropped changes that this
+	// follower waited for; nil: nothing is. It must not block.
+	OnCompacted func()
+
 	reachable atomic.Bool
 	failed    moment.Moment // when the store last did not answer
+
+	mu     sync.Mutex         // guards all below
+	cancel context.CancelFunc // of the waiting watch; nil: none waits
+	doubt  bool               // list again
+}
+
+// Relist makes the follower list its objects again instead of waiting on.
+//
+// Failure: the store drops its history while changes are made. A follower of
+// a kind that goes on changing is told so; one whose kind is quiet waits on a
+// watch that has missed a change, and hears of it with the next one only. The
+// history is that of all kinds, so that whoever is told so tells the others.
+func (f *Follower) Relist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubt = true
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// doubted reports whether Relist was called since it was asked last.
+func (f *Follower) doubted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	doubt := f.doubt
+	f.doubt = false
+	return doubt
+}
+
+// waiting notes what ends the watch that begins or, if nil, that it has ended.
+func (f *Follower) waiting(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = cancel
+	if f.doubt && cancel != nil {
+		cancel()
+	}
 }
 
 // Undisturbed returns how long ago the store last failed to answer this
@@ -64,9 +107,18 @@
 		if listed {
 			after, err = f.watch(ctx, after)
 		} else {
+			f.doubted()
 			after, err = f.list(ctx)
 		}
-		listed = listed && !errors.Is(err, store.ErrCompacted) || !listed && err == nil
+		compacted := errors.Is(err, store.ErrCompacted)
+		if compacted && f.OnCompacted != nil {
+			f.OnCompacted()
+		}
+		if listed && f.doubted() {
+			listed = false
+			continue
+		}
+		listed = listed && !compacted || !listed && err == nil
 		if err := f.settle(ctx, err); err != nil {
 			return err
 		}
@@ -112,7 +164,11 @@
 }
 
 func (f *Follower) watch(ctx context.Context, after store.Version) (store.Version, error) {
-	objects, revision, err := f.Store.Watch(ctx, f.Kind, after)
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.waiting(cancel)
+	objects, revision, err := f.Store.Watch(watching, f.Kind, after)
+	f.waiting(nil)
 	if err != nil {
 		return after, err
 	}
--- /dev/null
+++ b/replica/follower_test.go
@@ -0,0 +1,66 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/store"
+)
+
+// deafStore is a store whose watches of a kind hear nothing.
+type deafStore struct {
+	*store.Memory
+	mu   sync.Mutex // guards deaf
+	deaf string
+}
+
+func (s *deafStore) Watch(ctx context.Context, kind string, after store.Version) ([]store.Object, store.Version, error) {
+	s.mu.Lock()
+	deaf := s.deaf == kind
+	s.mu.Unlock()
+	if deaf {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return s.Memory.Watch(ctx, kind, after)
+}
+
+func (s *deafStore) set(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = kind
+}
+
+func TestQuietKindIsListedAgainAfterACompaction(t *testing.T) {
+	// The store's watches hear nothing while a configuration is accepted, and
+	// then its history is dropped. The follower of the servers, which go on
+	// changing, is told so; that of the configuration waited on a watch that
+	// had missed the change, and the host refused what was just allowed.
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx := is.New(t), t.Context()
+		memory := &deafStore{Memory: store.NewMemory(), deaf: "configuration"}
+		table := New(func(store.Object) error { return nil })
+		configuration := &Follower{Store: memory, Kind: "configuration", Table: table}
+		servers := &Follower{Store: memory, Kind: "servers", Table: table}
+		configuration.OnCompacted, servers.OnCompacted = servers.Relist, configuration.Relist
+		running, stop := context.WithCancel(ctx)
+		go func() { _ = configuration.Run(running) }()
+		go func() { _ = servers.Run(running) }()
+		time.Sleep(time.Second)
+		version, err := memory.Put(ctx, "configuration", "main", []byte("1"), 0)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		is.True(table.Version() < version) // nobody heard of it
+		memory.set("")
+		servers.OnCompacted() // as the servers' watch is told
+		time.Sleep(time.Second)
+		is.Equal(table.Version(), version)
+		stop()
+		synctest.Wait()
+	})
+}
