--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -6,10 +6,12 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/store"
 )
 
 const (
+	msgReread = "store answers again: what it has is listed anew"
 	msgBehind = "host is behind an allocator and could not catch up"
 
 	// confirmTimeout bounds the question whether the configuration is the
@@ -20,6 +22,10 @@
 	// counts: hosts report every 0.7 s at least. Together they are less than
 	// the 2 s that the operator allows until a configuration is in force.
 	toldAge = 900 * time.Millisecond
+	// guardInterval spaces the checks of the hosts that watch the store, each
+	// at a tenth of a call's price; guardTimeout bounds one.
+	guardInterval = 500 * time.Millisecond
+	guardTimeout  = 250 * time.Millisecond
 	// pullTimeout bounds one catching up with an allocator.
 	pullTimeout = time.Second
 )
@@ -69,6 +75,33 @@
 	return nil
 }
 
+// guardWatches checks the store while this host watches it, until ctx ends.
+//
+// Failure: the store takes calls and never answers them. A watch that began
+// meanwhile waits for its whole time after the store is back; a host knew
+// nothing of two replaced servers for 15 s, and 8 in 10 requests failed. After
+// a check that failed everything is therefore listed anew.
+func (h *Host) guardWatches(ctx context.Context) error {
+	away := false
+	for sleep.For(ctx, guardInterval) == nil {
+		before := away
+		away = h.watches() && !h.answers(ctx)
+		if before && !away {
+			h.logger.Info(msgReread)
+			h.configuration.Relist()
+			h.servers.Relist()
+		}
+	}
+	return ctx.Err()
+}
+
+// answers reports whether the store answers a cheap call.
+func (h *Host) answers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, guardTimeout)
+	defer cancel()
+	return h.options.Store.Check(ctx) == nil
+}
+
 // catchUp fetches what an allocator has newer than this host.
 //
 // Failure: a configuration is accepted, and the few hosts that watch the store
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -169,7 +169,7 @@
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
-	for _, run := range []func(context.Context) error{h.configuration.Run, h.servers.Run, h.runNode, h.allocation.Run, h.sentinel.Run} {
+	for _, run := range []func(context.Context) error{h.configuration.Run, h.servers.Run, h.runNode, h.allocation.Run, h.sentinel.Run, h.guardWatches} {
 		group.Go(func() error { return ignoreEnd(run(inner)) })
 	}
 	server := h.serve(inner, group, callers)
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -170,6 +171,58 @@
 	})
 }
 
+// silentStore takes calls and, while it is silent, never answers those.
+type silentStore struct {
+	checkedStore
+	silent atomic.Bool
+}
+
+func (s *silentStore) hush(ctx context.Context) error {
+	if !s.silent.Load() {
+		return nil
+	}
+	<-ctx.Done() // also when the store is back
+	return ctx.Err()
+}
+
+func (s *silentStore) Check(ctx context.Context) error {
+	return errors.CombineErrors(s.hush(ctx), s.checkedStore.Check(ctx))
+}
+
+func (s *silentStore) Watch(ctx context.Context, kind string, after store.Version) ([]store.Object, store.Version, error) {
+	if err := s.hush(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.checkedStore.Watch(ctx, kind, after)
+}
+
+func TestWatchThatBeganInSilence(t *testing.T) {
+	// The store is silent for a second and a half. The watch that began then
+	// is never answered; a server that is added after the store's return was
+	// unknown to the hosts for a quarter of a minute.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h, memory := alone(stays)
+		silent := &silentStore{checkedStore: checkedStore{memory}}
+		h.options.Store, h.servers.Store, h.configuration.Store = silent, silent, silent
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = h.servers.Run(ctx) }()
+		go func() { _ = h.guardWatches(ctx) }()
+		time.Sleep(time.Second)
+		silent.silent.Store(true)
+		_, err := memory.Put(ctx, kindOfServers, "i-1", []byte("ready"), 0) // ends the watch, and another begins
+		is.NoErr(err)
+		time.Sleep(1500 * time.Millisecond)
+		silent.silent.Store(false)
+		_, err = memory.Put(ctx, kindOfServers, "i-2", []byte("ready"), 0)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		is.Equal(len(h.fleet.Usable("s")), 2)
+		stop()
+		synctest.Wait()
+	})
+}
+
 func TestUnreadableConfigurationLeavesTheLastGoodOne(t *testing.T) {
 	is := is.New(t)
 	h, _ := alone(stays)
