allocation: hosts of large fleets report less often

Cause: every host with work reports five times a second; at 390 hosts one allocator would hear 1,950 reports a second. Change: above 64 hosts the interval grows with the fleet, so that an allocator hears 320 a second at most. TestReportsOfALargeFleetAreBounded fails with a fixed interval.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -156,6 +156,17 @@
 	end()
 }
 
+func TestReportsOfALargeFleetAreBounded(t *testing.T) {
+	// 390 hosts report to one allocator. At the interval of a small fleet it
+	// would spend a fifth of a core on hearing them.
+	is := is.New(t)
+	members := make([]peer.Member, 7)
+	client := NewClient("a", "d", &hosts{members: members}, nil, nil, zap.NewNop())
+	is.Equal(client.interval(), reportInterval)
+	client.peers = &hosts{members: make([]peer.Member, 390)}
+	is.True(390/client.interval().Seconds() <= reportingHosts/reportInterval.Seconds())
+}
+
 func TestAllocatorWatchesTheStore(t *testing.T) {
 	is := is.New(t)
 	members := []peer.Member{{Host: "gone", State: peer.StateGone, FailureDomain: "d"}}
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -25,6 +25,10 @@
 	// reportInterval spaces a host's reports. What the allocator placed since
 	// the last one it knows by itself, so a report mainly tells what ended.
 	reportInterval = 200 * time.Millisecond
+	// reportingHosts is how many hosts report at that interval; in larger
+	// fleets each reports less often, so that an allocator hears 320 reports
+	// a second at most, some 3% of a core.
+	reportingHosts = 64
 	// refreshInterval repeats an empty report.
 	refreshInterval = 700 * time.Millisecond
 	// placeTimeout bounds the question for a place; it takes 3 ms between
@@ -191,7 +195,7 @@
 // Run reports this host's load to the allocators until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	reported, at := map[string]map[string]fleet.Load{}, time.Time{}
-	for sleep.For(ctx, reportInterval) == nil {
+	for sleep.For(ctx, c.interval()) == nil {
 		refresh := time.Since(at) >= refreshInterval
 		if refresh {
 			at = time.Now()
@@ -208,6 +212,12 @@
 	return ctx.Err()
 }
 
+// interval returns the time between two reports of this host.
+func (c *Client) interval() time.Duration {
+	hosts := len(c.peers.Members())
+	return reportInterval * time.Duration(max(reportingHosts, hosts)) / reportingHosts
+}
+
 // report tells a service's allocator what this host runs there.
 func (c *Client) report(ctx context.Context, service string, loads map[string]fleet.Load) bool {
 	allocator := c.allocator(service)
