--- /dev/null
+++ b/gateway/explain.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const msgRequest = "request"
+
+// passedEvent notes the times of events, for what callers see of stalls.
+func (t *task) passedEvent() {
+	now := time.Now()
+	if t.firstEvent == 0 {
+		t.firstEvent = now.Sub(t.request.Arrived)
+	} else if pause := now.Sub(t.lastEvent); pause > t.longestPause {
+		t.longestPause, t.pausedAt = pause, now.Sub(t.request.Arrived)
+	}
+	t.lastEvent = now
+}
+
+// log writes the one line that explains the request.
+func (t *task) log(o Outcome) {
+	t.gateway.options.Metrics.observe(t, o)
+	fields := []zap.Field{
+		zap.String("request", t.request.ID),
+		zap.Int("status", o.Status),
+		zap.String("reason", string(o.Reason)),
+		zap.Bool("not_run", o.NotRun),
+		zap.Duration("took", time.Since(t.request.Arrived)),
+		zap.Duration("left", time.Until(t.request.Deadline)),
+	}
+	if o.RetryAfter > 0 {
+		fields = append(fields, zap.Duration("retry_after", o.RetryAfter))
+	}
+	if t.configuration != nil {
+		fields = append(fields, zap.Uint64("configuration", t.configuration.Version))
+	}
+	if t.route != nil {
+		fields = append(fields, zap.String("route", t.route.Name), zap.String("organisation", t.organisation))
+	}
+	if t.service != nil {
+		fields = append(fields, zap.String("service", t.service.Name), zap.String("server", t.server.ID),
+			zap.Int("sends", t.sends), zap.Strings("tried", t.tried))
+	}
+	if o.Streamed {
+		fields = append(fields, zap.Bool("complete", o.Complete), zap.Int("prompt_tokens", t.request.Prompt.Tokens), zap.Duration("first_event", t.firstEvent),
+			zap.Duration("longest_pause", t.longestPause), zap.Duration("paused_at", t.pausedAt), zap.Int("moves", t.moves))
+	}
+	if o.Reason == "" {
+		t.gateway.options.Logger.Info(msgRequest, fields...)
+		return
+	}
+	t.gateway.options.Logger.Warn(msgRequest, fields...)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	msgRequest = "request"
-
 	// retryNoConfiguration is when to come back to a host that has just
 	// started; it learns the configuration within a few hundred ms.
 	retryNoConfiguration = 300 * time.Millisecond
@@ -29,17 +27,6 @@
 	// retryNoServer is when to come back while no server is known or
 	// reachable; a replaced one takes about a second.
 	retryNoServer = 500 * time.Millisecond
-	// retryFull is the least time after which a place may be free: short
-	// generations take half a second. Up to as much again is drawn, so that
-	// callers do not return together.
-	retryFull = 400 * time.Millisecond
-	// waitShare is the part of a route's goal for which a request waits for a
-	// place; one that waited longer would rarely be answered in time, and the
-	// caller is better off elsewhere.
-	waitShare = 8
-	// placeAgain is when to ask again for a place: short generations end at a
-	// service every 50 to 100 ms.
-	placeAgain = 40 * time.Millisecond
 )
 
 // Options sets up a Gateway. All fields are required.
@@ -182,108 +169,9 @@
 	return Outcome{}, true
 }
 
-// place books the request on a server, waiting a little for a place. The
-// second result says why there is none.
-func (t *task) place(ctx context.Context) (*fleet.Work, Reason) {
-	table := t.gateway.options.Fleet
-	need := t.request.Prompt.need(t.route.Kind)
-	giveUp := time.NewTimer(time.Until(t.request.Arrived.Add(t.route.Goal / waitShare)))
-	defer giveUp.Stop()
-	for {
-		changed := table.Changed()
-		candidates := table.Candidates(t.service.Name, t.gateway.options.Domain, t.tried...)
-		if len(candidates) == 0 {
-			return nil, ReasonNoServer
-		}
-		if id := t.choose(ctx, need, candidates); id != "" {
-			work := table.Begin(id, fleet.Work{ID: t.request.ID, PromptTokens: need.PromptTokens, OutputTokens: need.OutputTokens}, false)
-			if work != nil {
-				t.server = work.Server()
-				return work, ""
-			}
-		}
-		select {
-		case <-changed:
-		case <-time.After(placeAgain):
-		case <-giveUp.C:
-			return nil, ReasonFull
-		case <-ctx.Done():
-			return nil, ReasonFull
-		}
-	}
-}
-
-// choose returns the server for the request, or "".
-func (t *task) choose(ctx context.Context, need placement.Need, candidates []placement.Candidate) string {
-	if t.service.Engine != nil && t.route.Kind == Generation {
-		return t.gateway.options.Allocator.Place(ctx, t.service.Name, t.request.ID, need, t.tried)
-	}
-	if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
-		return candidates[i].ID
-	}
-	return ""
-}
-
-// unplaced is the answer when there was no place and nothing ran.
-func (t *task) unplaced(ctx context.Context, reason Reason) Outcome {
-	if ctx.Err() == context.Canceled {
-		return abandoned()
-	}
-	if reason == ReasonFull {
-		return refused(reason, retryFull+rand.N(retryFull))
-	}
-	return refused(reason, retryNoServer)
-}
-
 func (t *task) callTo(server fleet.Server) Call {
 	return Call{
 		Server: server, Request: t.request, Organisation: t.organisation, Priority: t.priority,
 		Until: t.until, Stream: t.route.Kind == Generation,
 	}
 }
-
-// passedEvent notes the times of events, for what callers see of stalls.
-func (t *task) passedEvent() {
-	now := time.Now()
-	if t.firstEvent == 0 {
-		t.firstEvent = now.Sub(t.request.Arrived)
-	} else if pause := now.Sub(t.lastEvent); pause > t.longestPause {
-		t.longestPause, t.pausedAt = pause, now.Sub(t.request.Arrived)
-	}
-	t.lastEvent = now
-}
-
-// log writes the one line that explains the request.
-func (t *task) log(o Outcome) {
-	t.gateway.options.Metrics.observe(t, o)
-	fields := []zap.Field{
-		zap.String("request", t.request.ID),
-		zap.Int("status", o.Status),
-		zap.String("reason", string(o.Reason)),
-		zap.Bool("not_run", o.NotRun),
-		zap.Duration("took", time.Since(t.request.Arrived)),
-		zap.Duration("left", time.Until(t.request.Deadline)),
-	}
-	if o.RetryAfter > 0 {
-		fields = append(fields, zap.Duration("retry_after", o.RetryAfter))
-	}
-	if t.configuration != nil {
-		fields = append(fields, zap.Uint64("configuration", t.configuration.Version))
-	}
-	if t.route != nil {
-		fields = append(fields, zap.String("route", t.route.Name), zap.String("organisation", t.organisation))
-	}
-	if t.service != nil {
-		fields = append(fields, zap.String("service", t.service.Name), zap.String("server", t.server.ID),
-			zap.Int("sends", t.sends), zap.Strings("tried", t.tried))
-	}
-	if o.Streamed {
-		fields = append(fields, zap.Bool("complete", o.Complete), zap.Int("prompt_tokens", t.request.Prompt.Tokens), zap.Duration("first_event", t.firstEvent),
-			zap.Duration("longest_pause", t.longestPause), zap.Duration("paused_at", t.pausedAt), zap.Int("moves", t.moves))
-	}
-	if o.Reason == "" {
-		t.gateway.options.Logger.Info(msgRequest, fields...)
-		return
-	}
-	t.gateway.options.Logger.Warn(msgRequest, fields...)
-}
--- /dev/null
+++ b/gateway/place.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/placement"
+)
+
+const (
+	// retryFull is the least time after which a place may be free: short
+	// generations take half a second. Up to as much again is drawn, so that
+	// callers do not return together.
+	retryFull = 400 * time.Millisecond
+	// waitShare is the part of a route's goal for which a request waits for a
+	// place; one that waited longer would rarely be answered in time, and the
+	// caller is better off elsewhere.
+	waitShare = 8
+	// placeAgain is when to ask again for a place: short generations end at a
+	// service every 50 to 100 ms.
+	placeAgain = 40 * time.Millisecond
+)
+
+// place books the request on a server, waiting a little for a place. The
+// second result says why there is none.
+func (t *task) place(ctx context.Context) (*fleet.Work, Reason) {
+	table := t.gateway.options.Fleet
+	need := t.request.Prompt.need(t.route.Kind)
+	giveUp := time.NewTimer(time.Until(t.request.Arrived.Add(t.route.Goal / waitShare)))
+	defer giveUp.Stop()
+	for {
+		changed := table.Changed()
+		candidates := table.Candidates(t.service.Name, t.gateway.options.Domain, t.tried...)
+		if len(candidates) == 0 {
+			return nil, ReasonNoServer
+		}
+		if id := t.choose(ctx, need, candidates); id != "" {
+			work := table.Begin(id, fleet.Work{ID: t.request.ID, PromptTokens: need.PromptTokens, OutputTokens: need.OutputTokens}, false)
+			if work != nil {
+				t.server = work.Server()
+				return work, ""
+			}
+		}
+		select {
+		case <-changed:
+		case <-time.After(placeAgain):
+		case <-giveUp.C:
+			return nil, ReasonFull
+		case <-ctx.Done():
+			return nil, ReasonFull
+		}
+	}
+}
+
+// choose returns the server for the request, or "".
+func (t *task) choose(ctx context.Context, need placement.Need, candidates []placement.Candidate) string {
+	if t.service.Engine != nil && t.route.Kind == Generation {
+		return t.gateway.options.Allocator.Place(ctx, t.service.Name, t.request.ID, need, t.tried)
+	}
+	if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
+		return candidates[i].ID
+	}
+	return ""
+}
+
+// unplaced is the answer when there was no place and nothing ran.
+func (t *task) unplaced(ctx context.Context, reason Reason) Outcome {
+	if ctx.Err() == context.Canceled {
+		return abandoned()
+	}
+	if reason == ReasonFull {
+		return refused(reason, retryFull+rand.N(retryFull))
+	}
+	return refused(reason, retryNoServer)
+}
