Bounded reading before an engine; callers that come back go first

Change: an engine has at most 8,000 tokens of prompts to read before a request is refused or waits; a request that was refused a moment ago may fill as much as a brief one.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -94,21 +94,45 @@
 	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
 	_, allocator, client := pair(t, at, from)
 	need := placement.Need{PromptTokens: 6000, OutputTokens: 400}
-	own := allocator.Place("other", "d", llm, "r1", need, nil)
-	other := client.Place(context.Background(), llm, "r2", need, nil)
+	own := allocator.Place("other", "d", llm, Asked{Request: "r1", Need: need}, nil)
+	other := client.Place(context.Background(), llm, Asked{Request: "r2", Need: need}, nil)
 	is.True(own != other)
-	is.Equal(client.Place(context.Background(), llm, "r3", need, []string{"e1", "e2"}), "") // both tried
+	is.Equal(client.Place(context.Background(), llm, Asked{Request: "r3", Need: need}, []string{"e1", "e2"}), "") // both tried
+}
+
+func TestCallersThatComeBackGoFirst(t *testing.T) {
+	// Engines are full for seconds. A caller is refused, comes back when it
+	// was told to, and met the same full engines as all who came first; it
+	// does not come a third time.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		at := engines("a", "e1")
+		allocator := NewAllocator(at, placement.DefaultLimits, first, zap.NewNop())
+		at.SetOthers("h", llm, map[string]fleet.Load{"e1": {Requests: 9, HeldTokens: 32000}})
+		need := placement.Need{PromptTokens: 3000, OutputTokens: 400}
+		ask := func(request string, fingerprint uint64) string {
+			return allocator.Place("h", "d", llm, Asked{Request: request, Fingerprint: fingerprint, Need: need}, nil)
+		}
+		is.Equal(ask("r1", 7), "")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(ask("r1", 7), "") // it asks again while it waits
+		is.Equal(ask("r2", 8), "") // another one
+		time.Sleep(time.Second)
+		is.Equal(ask("r3", 7), "e1")
+		time.Sleep(refusalKept)
+		is.True(!allocator.refusals.returning(8, "r4"))
+	})
 }
 
 func TestHostDecidesByItselfWhenTheAllocatorIsAway(t *testing.T) {
 	is := is.New(t)
 	h, _, client := pair(t, engines("a", "e1"), engines("b", "e2"))
 	need := placement.Need{PromptTokens: 100}
-	is.Equal(client.Place(context.Background(), llm, "r1", need, nil), "e1")
+	is.Equal(client.Place(context.Background(), llm, Asked{Request: "r1", Need: need}, nil), "e1")
 	h.cut(true)
-	is.Equal(client.Place(context.Background(), llm, "r2", need, nil), "e2")
+	is.Equal(client.Place(context.Background(), llm, Asked{Request: "r2", Need: need}, nil), "e2")
 	h.cut(false)
-	is.Equal(client.Place(context.Background(), llm, "r3", need, nil), "e2") // it is given a rest
+	is.Equal(client.Place(context.Background(), llm, Asked{Request: "r3", Need: need}, nil), "e2") // it is given a rest
 }
 
 func TestReportsTellWhatTheStoreWouldNot(t *testing.T) {
--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -67,6 +67,17 @@
 
 	mu     sync.Mutex // guards queues
 	queues map[string]*service
+
+	refusals *refusals
+}
+
+// Asked is a generation for which a place is asked.
+type Asked struct {
+	Request string // id, for the log
+	// Fingerprint is the same for a request that comes back with another id;
+	// zero: not known.
+	Fingerprint uint64
+	Need        placement.Need
 }
 
 // service holds the moves of one service.
@@ -77,16 +88,18 @@
 
 // NewAllocator returns an allocator that places by the table; draw breaks ties.
 func NewAllocator(table *fleet.Table, limits placement.Limits, draw func(n int) int, logger *zap.Logger) *Allocator {
-	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[string]*service{}}
+	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[string]*service{}, refusals: newRefusals()}
 }
 
 // Place chooses a server for a host's generation and books it, until the host
-// reports it itself. It returns "" if none has a place. The request is named
-// for the log.
-func (a *Allocator) Place(host, domain, service, request string, need placement.Need, except []string) string {
+// reports it itself. It returns "" if none has a place.
+func (a *Allocator) Place(host, domain, service string, asked Asked, except []string) string {
+	need, request := asked.Need, asked.Request
+	need.Returning = a.refusals.returning(asked.Fingerprint, request)
 	candidates := a.fleet.Candidates(service, domain, except...)
 	i := placement.Pick(need, candidates, a.limits, a.draw)
 	if i < 0 {
+		a.refusals.note(asked.Fingerprint, request)
 		a.logger.Info(msgNoPlace, zap.String("request", request), zap.String("for", host), zap.Int("candidates", len(candidates)),
 			zap.Int("prompt_tokens", need.PromptTokens), zap.Int("output_tokens", need.OutputTokens))
 		return ""
@@ -94,7 +107,7 @@
 	chosen := &candidates[i]
 	a.logger.Info(msgPlaced, zap.String("request", request), zap.String("for", host), zap.String("to", chosen.ID),
 		zap.Int("running", chosen.Running), zap.Int("held_tokens", chosen.HeldTokens), zap.Int("unread_tokens", chosen.UnreadTokens),
-		zap.Int("candidates", len(candidates)))
+		zap.Bool("returning", need.Returning), zap.Int("candidates", len(candidates)))
 	a.fleet.BookFor(host, candidates[i].ID, fleet.Load{
 		Requests: 1, HeldTokens: placement.Held(need.PromptTokens, 0, need.OutputTokens), UnreadTokens: need.PromptTokens,
 	})
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -15,7 +15,6 @@
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/peer"
-	"github.com/papayasail/papayasail/placement"
 )
 
 const (
@@ -101,23 +100,23 @@
 }
 
 // Place chooses a server for a generation, or returns "" if none has a place.
-func (c *Client) Place(ctx context.Context, service, request string, need placement.Need, except []string) string {
+func (c *Client) Place(ctx context.Context, service string, asked Asked, except []string) string {
 	allocator := c.allocator(service)
 	if allocator == c.host {
-		return c.local.Place(c.host, c.domain, service, request, need, except)
+		return c.local.Place(c.host, c.domain, service, asked, except)
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var response *allocationpb.PlaceResponse
 	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
 		response, err = client.Place(ctx, &allocationpb.PlaceRequest{
-			Host: c.host, FailureDomain: c.domain, Service: service, Request: request, Except: except,
-			PromptTokens: uint32(need.PromptTokens), OutputTokens: uint32(need.OutputTokens),
+			Host: c.host, FailureDomain: c.domain, Service: service, Request: asked.Request, Fingerprint: asked.Fingerprint, Except: except,
+			PromptTokens: uint32(asked.Need.PromptTokens), OutputTokens: uint32(asked.Need.OutputTokens),
 		})
 		return err
 	})
 	if err != nil {
-		return c.local.Place(c.host, c.domain, service, request, need, except)
+		return c.local.Place(c.host, c.domain, service, asked, except)
 	}
 	return response.GetServer()
 }
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -24,9 +24,12 @@
 
 // Place implements allocationpb.AllocationServer.
 func (s *server) Place(_ context.Context, r *allocationpb.PlaceRequest) (*allocationpb.PlaceResponse, error) {
-	need := placement.Need{PromptTokens: int(r.GetPromptTokens()), OutputTokens: int(r.GetOutputTokens())}
+	asked := Asked{
+		Request: r.GetRequest(), Fingerprint: r.GetFingerprint(),
+		Need: placement.Need{PromptTokens: int(r.GetPromptTokens()), OutputTokens: int(r.GetOutputTokens())},
+	}
 	return &allocationpb.PlaceResponse{
-		Server: s.allocator.Place(r.GetHost(), r.GetFailureDomain(), r.GetService(), r.GetRequest(), need, r.GetExcept()),
+		Server: s.allocator.Place(r.GetHost(), r.GetFailureDomain(), r.GetService(), asked, r.GetExcept()),
 	}, nil
 }
 
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
+	"github.com/papayasail/papayasail/allocation"
 	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
-	"github.com/papayasail/papayasail/placement"
 )
 
 // Call is a request on its way to a backend server.
@@ -61,7 +61,7 @@
 // Allocator places generations with knowledge of what other hosts run.
 type Allocator interface {
 	// Place returns the server for a generation, or "" if none has a place.
-	Place(ctx context.Context, service, request string, need placement.Need, except []string) string
+	Place(ctx context.Context, service string, asked allocation.Asked, except []string) string
 	// TakeTurn waits until a run may move, and returns where to ("": nowhere)
 	// and what ends the turn.
 	TakeTurn(ctx context.Context, service string, move evacuation.Move) (destination string, end func(), err error)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/papayasail/papayasail/allocation"
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/placement"
 )
@@ -57,7 +58,8 @@
 // choose returns the server for the request, or "".
 func (t *task) choose(ctx context.Context, need placement.Need, candidates []placement.Candidate) string {
 	if t.service.Engine != nil && t.route.Kind == Generation {
-		return t.gateway.options.Allocator.Place(ctx, t.service.Name, t.request.ID, need, t.tried)
+		asked := allocation.Asked{Request: t.request.ID, Fingerprint: t.request.fingerprint(t.organisation), Need: need}
+		return t.gateway.options.Allocator.Place(ctx, t.service.Name, asked, t.tried)
 	}
 	if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
 		return candidates[i].ID
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/papayasail/papayasail/placement"
 )
 
@@ -26,6 +27,18 @@
 	Prompt   Prompt
 }
 
+// fingerprint is the same for a request that its caller sends again with
+// another id.
+func (r *Request) fingerprint(organisation string) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{organisation, r.Method, r.Host, r.Path, r.Query} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return d.Sum64()
+}
+
 // Prompt is what a request says of the generation that it asks for.
 type Prompt struct {
 	Tokens    int
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/allocation"
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
@@ -83,9 +84,9 @@
 
 func (w *world) Discard(context.Context, fleet.Server, string) error { return nil }
 
-func (w *world) Place(_ context.Context, service, _ string, need placement.Need, except []string) string {
+func (w *world) Place(_ context.Context, service string, asked allocation.Asked, except []string) string {
 	candidates := w.fleet.Candidates(service, "d1", except...)
-	if i := placement.Pick(need, candidates, placement.DefaultLimits, func(int) int { return 0 }); i >= 0 {
+	if i := placement.Pick(asked.Need, candidates, placement.DefaultLimits, func(int) int { return 0 }); i >= 0 {
 		return candidates[i].ID
 	}
 	return ""
@@ -95,7 +96,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.turns++
-	return w.Place(ctx, service, move.Run, move.Need, nil), func() {
+	return w.Place(ctx, service, allocation.Asked{Need: move.Need}, nil), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.turns--
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,6 +30,9 @@
 type Need struct {
 	PromptTokens int
 	OutputTokens int // expected
+	// Returning says that the caller was refused a moment ago and has come
+	// back when it was told to.
+	Returning bool
 }
 
 // GrowthShare is the part of what a generation is expected to make yet that
@@ -49,8 +52,13 @@
 	// generations. Above it, their growth preempts others.
 	Memory float64
 	// BriefMemory is the same for brief generations, which give their memory
-	// back within a second.
+	// back within a second, and for callers that have come back: most come
+	// back once only, so that a second refusal is for good.
 	BriefMemory float64
+	// UnreadTokens are those of prompts that an engine may have still to
+	// read. Beyond it the first token comes after the goal, and each prompt
+	// more makes those behind it late too.
+	UnreadTokens int
 	// QueueShare is how many requests a plain server may have beside those
 	// that it runs, as a share of its slots.
 	QueueShare float64
@@ -61,7 +69,10 @@
 // it runs. On engines with a seventh too little memory for all callers, worth
 // was 0.58 with nine tenths promised, 0.62 with all, 0.63 with a tenth more for
 // all (98 preemptions instead of 35) and 0.67 with a tenth more for brief ones.
-var DefaultLimits = Limits{Memory: 1.0, BriefMemory: 1.1, QueueShare: 2}
+//
+// Of prompts an engine may have 1.1 to 1.4 s of reading before it; the
+// shortest goal is 1.5 s.
+var DefaultLimits = Limits{Memory: 1.0, BriefMemory: 1.1, UnreadTokens: 8000, QueueShare: 2}
 
 // briefTokens is how many tokens a brief generation makes; an engine makes
 // some 120 a second for each.
@@ -127,8 +138,11 @@
 		return float64(c.Running) < float64(c.Slots)*(1+limits.QueueShare)
 	}
 	promised := float64(c.HeldTokens + Held(need.PromptTokens, 0, need.OutputTokens))
+	if limits.UnreadTokens > 0 && c.UnreadTokens > 0 && c.UnreadTokens+need.PromptTokens > limits.UnreadTokens {
+		return false
+	}
 	share := limits.Memory
-	if need.OutputTokens < briefTokens {
+	if need.OutputTokens < briefTokens || need.Returning {
 		share = max(share, limits.BriefMemory)
 	}
 	return c.Running < c.Slots && promised <= share*float64(c.MemoryTokens)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -36,6 +36,17 @@
 	is.Equal(Pick(Need{PromptTokens: 1000, OutputTokens: 400}, full, DefaultLimits, noDraw), 0)
 }
 
+func TestNoPlaceBehindTooManyPrompts(t *testing.T) {
+	// Prompts come faster for a second than engines read. Each one that was
+	// let in behind 10,000 tokens came too late, and made the next one late.
+	is := is.New(t)
+	busy := []Candidate{engine("a", 4, 12000, 7000)}
+	is.Equal(Pick(Need{PromptTokens: 2500, OutputTokens: 300}, busy, DefaultLimits, noDraw), -1)
+	is.Equal(Pick(Need{PromptTokens: 900, OutputTokens: 300}, busy, DefaultLimits, noDraw), 0)
+	busy[0].UnreadTokens = 0
+	is.Equal(Pick(Need{PromptTokens: 9000, OutputTokens: 300}, busy, DefaultLimits, noDraw), 0) // nobody waits
+}
+
 func TestBriefGenerationsFitBetweenLongOnes(t *testing.T) {
 	// Engines are full of letters of eight seconds. A verdict of a few tokens
 	// gives its memory back at once; refusing it with the letters would keep
@@ -44,6 +55,8 @@
 	full := []Candidate{engine("a", 8, 33000, 0)}
 	is.Equal(Pick(Need{PromptTokens: 2500, OutputTokens: 16}, full, DefaultLimits, noDraw), 0)
 	is.Equal(Pick(Need{PromptTokens: 2500, OutputTokens: 300}, full, DefaultLimits, noDraw), -1)
+	// A letter that was refused a moment ago has come back, as it was told to.
+	is.Equal(Pick(Need{PromptTokens: 2500, OutputTokens: 300, Returning: true}, full, DefaultLimits, noDraw), 0)
 	full[0].HeldTokens = 36000
 	is.Equal(Pick(Need{PromptTokens: 2500, OutputTokens: 16}, full, DefaultLimits, noDraw), -1)
 }
