--- a/fleet/table.go
+++ b/fleet/table.go
@@ -54,7 +54,6 @@
 	work           map[*Work]struct{}
 	others         map[string]Load // by entry host
 	gone           chan struct{}   // closed when leaving
-	leavingSince   time.Time
 	leavingBecause LeavingSource
 }
 
@@ -141,7 +140,7 @@
 	if e.leaving {
 		return
 	}
-	e.leaving, e.leavingSince, e.leavingBecause = true, time.Now(), because
+	e.leaving, e.leavingBecause = true, because
 	close(e.gone)
 	t.logger.Info(msgLeaving, zap.String("server", e.server.ID), zap.String("address", e.server.Address),
 		zap.String("because", string(because)), zap.Int("own_work", len(e.work)))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -13,13 +13,14 @@
 	settled     chan struct{} // a token for each transfer that was taken or given up
 	lastEventID string        // of the reader's goroutine
 
-	mu         sync.Mutex // guards all below
-	work       *fleet.Work
-	produced   int  // events
-	inMove     bool // a move is under way or its result not taken yet
-	ended      bool
-	perEvent   int // tokens
-	memoryHint int // tokens of the prompt
+	perEvent     int // tokens
+	promptTokens int
+
+	mu       sync.Mutex // guards all below
+	work     *fleet.Work
+	produced int  // events
+	inMove   bool // a move is under way or its result not taken yet
+	ended    bool
 }
 
 // transfer is the result of a move whose source has stopped the run.
@@ -32,7 +33,10 @@
 }
 
 func newRun(t *task, work *fleet.Work) *run {
-	r := &run{task: t, work: work, transfers: make(chan transfer, 1), settled: make(chan struct{}, 1), perEvent: 1, memoryHint: t.request.Prompt.Tokens}
+	r := &run{
+		task: t, work: work, transfers: make(chan transfer, 1), settled: make(chan struct{}, 1),
+		perEvent: 1, promptTokens: t.request.Prompt.Tokens,
+	}
 	if t.service.Engine != nil {
 		r.perEvent = max(1, t.service.Engine.TokensPerEvent)
 	}
@@ -83,7 +87,7 @@
 func (r *run) tokens() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.memoryHint + r.produced*r.perEvent
+	return r.promptTokens + r.produced*r.perEvent
 }
 
 // server is where the run is.
@@ -107,8 +111,8 @@
 
 // size is the work that is lost with the run, in tokens.
 func (r *run) size() int {
-	produced := r.tokens() - r.memoryHint
-	return r.memoryHint + outputWeight*(produced+r.expectedMore())
+	produced := r.tokens() - r.promptTokens
+	return r.promptTokens + outputWeight*(produced+r.expectedMore())
 }
 
 // outputWeight is how many tokens of a prompt one generated token is worth: an
