gateway: a move whose reader has ended keeps no bookings; the table of runs goes

Beside it, the table of runs was filled and never read since moves are guarded run by run. Change: the end of a run gives up what a move has left or leaves for it; the table is gone. Ruled out: dropping the result when the copy's time is over, which could take it from a reader that has not seen its stream end yet.

--- a/gateway/evacuate.go
+++ b/gateway/evacuate.go
@@ -97,7 +97,7 @@
 	if err == nil && last.Gone {
 		run.setMoving(false)
 		booked.End()
-		run.transfers <- transfer{} // for a reader that waits already
+		run.hand(transfer{}) // for a reader that waits already
 		g.discard(source, first.Handle)
 		g.moved(run, source, "ended_before", nil)
 		return
@@ -117,7 +117,7 @@
 			to.works = append(to.works, back)
 		}
 	}
-	run.transfers <- to
+	run.hand(to)
 	g.moved(run, source, moveResult(last, err), err, zap.String("to", target.ID),
 		zap.Duration("copy", copied), zap.Duration("stop", time.Since(stopped)), zap.Bool("same_domain", source.Domain == target.Domain))
 	select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,12 +50,11 @@
 	options       Options
 	configuration atomic.Pointer[Configuration]
 	stopping      atomic.Bool
-	runs          runTable
 }
 
 // New returns a gateway without a configuration.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, runs: newRunTable()}
+	return &Gateway{options: options}
 }
 
 // SetConfiguration puts a configuration in force for requests that come now.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -174,11 +174,25 @@
 	}
 }
 
-// finish notes that the run needs no move any more.
+// finish notes that the run needs no move any more, and gives up what a move
+// has left for it.
 func (r *run) finish() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.ended = true
+	r.mu.Unlock()
+	r.dropTransfer()
+}
+
+// hand passes the result of a move to the stream's reader.
+//
+// Failure: the reader has ended meanwhile, and the result keeps its bookings
+// on servers for good. finish drops what came before it; what comes after it
+// is dropped here.
+func (r *run) hand(to transfer) {
+	r.transfers <- to
+	if r.over() {
+		r.dropTransfer()
+	}
 }
 
 func (r *run) over() bool {
@@ -186,26 +200,3 @@
 	defer r.mu.Unlock()
 	return r.ended
 }
-
-// runTable holds the runs of this host.
-type runTable struct {
-	mu  *sync.Mutex // guards all
-	all map[*run]struct{}
-}
-
-func newRunTable() runTable {
-	return runTable{mu: &sync.Mutex{}, all: map[*run]struct{}{}}
-}
-
-func (t *runTable) add(r *run) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.all[r] = struct{}{}
-}
-
-func (t *runTable) remove(r *run) {
-	r.finish()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.all, r)
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,8 +69,7 @@
 		return t.mayHaveRun(ctx, ReasonBroken).outcome
 	}
 	run := newRun(t, work)
-	t.gateway.runs.add(run)
-	defer t.gateway.runs.remove(run)
+	defer run.finish()
 	if t.service.Engine != nil && t.service.Engine.Moves {
 		go t.gateway.guard(ctx, run)
 	}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -56,6 +56,32 @@
 	})
 }
 
+func TestMoveOfACallerThatLeftBooksNothing(t *testing.T) {
+	// A caller leaves while the last part of its run's memory is copied. The
+	// destination stayed booked for a run that nobody takes up, and looked
+	// fuller to all hosts with each such move.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		first := newGeneration(1, 100, gap)
+		w.send = func(context.Context, Call) (*Reply, error) { return first.reply(), nil }
+		ctx, leave := context.WithCancel(context.Background())
+		w.copy = func(_, _ fleet.Server, last bool) (Copied, error) {
+			if last {
+				leave()
+				close(first.broke)
+			}
+			time.Sleep(200 * time.Millisecond)
+			return Copied{Handle: "h", Done: true}, nil
+		}
+		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.ID, fleet.SourceList) })
+		o := w.gateway.Serve(ctx, w.request("/letter/1"), &recorder{})
+		is.Equal(o.Reason, ReasonCallerGone)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		is.Equal(len(w.fleet.OwnGenerations()["llm"]), 0)
+	})
+}
+
 func TestRefusedCopyGoesOnAtItsSource(t *testing.T) {
 	// The last part of a move finds no room: the engine has stopped the run
 	// and keeps its memory. The letter goes on there rather than be lost.
