allocation: ends, first tokens and failures are told at once; brief generations go by what engines hold now

Change: a host reports a first token, an end or a failure after 20 ms, within a limit of one report an interval and a burst of five; reports carry how requests ended; a server where requests of two hosts failed, without an answer to anybody between, gets no work for 3 s; a host names the servers that it could not reach when it asks for a place. Brief generations are placed by the memory that is used now, and wait for the prompts of brief ones only.

What a generation is expected to make hardly matters: memory is full.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -108,9 +108,7 @@
 	a.logger.Info(msgPlaced, zap.String("request", request), zap.String("for", host), zap.String("to", chosen.ID),
 		zap.Int("running", chosen.Running), zap.Int("held_tokens", chosen.HeldTokens), zap.Int("unread_tokens", chosen.UnreadTokens),
 		zap.Bool("returning", need.Returning), zap.Int("candidates", len(candidates)))
-	a.fleet.BookFor(host, candidates[i].ID, fleet.Load{
-		Requests: 1, HeldTokens: placement.Held(need.PromptTokens, 0, need.OutputTokens), UnreadTokens: need.PromptTokens,
-	})
+	a.fleet.BookFor(host, candidates[i].ID, fleet.LoadOf(need, 0, false))
 	return candidates[i].ID
 }
 
@@ -125,7 +123,7 @@
 		a.logger.Info(msgGranted, zap.String("request", move.Run), zap.String("for", host), zap.String("from", move.Source),
 			zap.String("to", grant.Destination), zap.Duration("waited", time.Since(entered)), zap.Int("tokens", move.Need.PromptTokens))
 		if grant.Destination != "" {
-			a.fleet.BookFor(host, grant.Destination, fleet.Load{Requests: 1, HeldTokens: placement.Held(move.Need.PromptTokens, 0, move.Need.OutputTokens)})
+			a.fleet.BookFor(host, grant.Destination, fleet.LoadOf(move.Need, 0, true))
 		}
 		return grant.Destination, nil
 	case <-ctx.Done():
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	"github.com/papayasail/papayasail/allocation/allocationpb"
@@ -21,13 +22,18 @@
 	msgLost     = "allocator does not answer"
 	msgRegained = "allocator answers again"
 
-	// reportInterval spaces a host's reports. What the allocator placed since
-	// the last one it knows by itself, so a report mainly tells what ended.
+	// reportInterval spaces a host's reports while nothing changes. What the
+	// allocator placed since the last one it knows by itself, so a report
+	// tells what was read or has ended, and that goes out at once.
 	reportInterval = 200 * time.Millisecond
 	// reportingHosts is how many hosts report at that interval; in larger
-	// fleets each reports less often, so that an allocator hears 320 reports
-	// a second at most, some 3% of a core.
+	// fleets each reports less often, so that an allocator hears 320 of these
+	// reports a second at most, and as many again of changes: 6% of a core.
 	reportingHosts = 64
+	// reportGap gathers changes that come together; reportBurst is how many
+	// reports of changes a host may send in a row, faster than at the interval.
+	reportGap   = 20 * time.Millisecond
+	reportBurst = 5
 	// refreshInterval repeats an empty report.
 	refreshInterval = 700 * time.Millisecond
 	// placeTimeout bounds the question for a place; it takes 3 ms between
@@ -105,6 +111,8 @@
 	if allocator == c.host {
 		return c.local.Place(c.host, c.domain, service, asked, except)
 	}
+	// The allocator may reach a server that this host does not.
+	except = append(c.fleet.Avoided(service), except...)
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var response *allocationpb.PlaceResponse
@@ -194,16 +202,20 @@
 // Run reports this host's load to the allocators until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	reported, at := map[string]map[string]fleet.Load{}, time.Time{}
-	for sleep.For(ctx, c.interval()) == nil {
+	changes := rate.NewLimiter(rate.Every(c.interval()), reportBurst)
+	for c.pause(ctx, changes) == nil {
 		refresh := time.Since(at) >= refreshInterval
 		if refresh {
 			at = time.Now()
 		}
 		for service, loads := range c.fleet.OwnGenerations() {
-			if !refresh && len(loads) == 0 && len(reported[service]) == 0 {
+			evidence := c.fleet.TakeEvidence(service)
+			if !refresh && len(loads) == 0 && len(reported[service]) == 0 && len(evidence) == 0 {
 				continue // with work here, the answer tells which servers leave
 			}
-			if c.report(ctx, service, loads) {
+			// Where a report is lost its evidence is too; what goes on failing
+			// makes new evidence.
+			if c.report(ctx, service, loads, evidence) {
 				reported[service] = loads
 			}
 		}
@@ -211,14 +223,44 @@
 	return ctx.Err()
 }
 
+// pause waits until the next report is due: at once when this host's work has
+// changed, else after the interval.
+//
+// Without changes at once an allocator of 91 hosts held engines for full that
+// had room for 140 ms on average after a generation had ended.
+func (c *Client) pause(ctx context.Context, changes *rate.Limiter) error {
+	if err := sleep.For(ctx, reportGap); err != nil {
+		return err
+	}
+	interval := c.interval()
+	changes.SetLimit(rate.Every(interval))
+	timer := time.NewTimer(interval - reportGap)
+	defer timer.Stop()
+	changed := c.fleet.OwnChanged()
+	for {
+		select {
+		case <-changed:
+			if changes.Allow() {
+				return nil
+			}
+			changed = nil // the next report at the interval tells it
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // interval returns the time between two reports of this host.
 func (c *Client) interval() time.Duration {
 	hosts := len(c.peers.Members())
 	return reportInterval * time.Duration(max(reportingHosts, hosts)) / reportingHosts
 }
 
-// report tells a service's allocator what this host runs there.
-func (c *Client) report(ctx context.Context, service string, loads map[string]fleet.Load) bool {
+// report tells a service's allocator what this host runs there, and how its
+// requests ended.
+func (c *Client) report(ctx context.Context, service string, loads map[string]fleet.Load, evidence map[string]fleet.Evidence) bool {
 	allocator := c.allocator(service)
 	if allocator == c.host {
 		return true
@@ -227,7 +269,13 @@
 	for _, id := range slices.Sorted(maps.Keys(loads)) {
 		load := loads[id]
 		request.Loads = append(request.Loads, &allocationpb.ServerLoad{
-			Server: id, Requests: uint32(load.Requests), HeldTokens: uint32(load.HeldTokens), UnreadTokens: uint32(load.UnreadTokens),
+			Server: id, Requests: uint32(load.Requests), HeldTokens: uint32(load.HeldTokens), UsedTokens: uint32(load.UsedTokens),
+			UnreadTokens: uint32(load.UnreadTokens), BriefUnreadTokens: uint32(load.BriefUnreadTokens),
+		})
+	}
+	for _, id := range slices.Sorted(maps.Keys(evidence)) {
+		request.Evidence = append(request.Evidence, &allocationpb.ServerEvidence{
+			Server: id, Failed: uint32(evidence[id].Failed), Answered: uint32(evidence[id].Answered),
 		})
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -37,7 +37,13 @@
 func (s *server) Report(_ context.Context, r *allocationpb.ReportRequest) (*allocationpb.ReportResponse, error) {
 	loads := make(map[string]fleet.Load, len(r.GetLoads()))
 	for _, l := range r.GetLoads() {
-		loads[l.GetServer()] = fleet.Load{Requests: int(l.GetRequests()), HeldTokens: int(l.GetHeldTokens()), UnreadTokens: int(l.GetUnreadTokens())}
+		loads[l.GetServer()] = fleet.Load{
+			Requests: int(l.GetRequests()), HeldTokens: int(l.GetHeldTokens()), UsedTokens: int(l.GetUsedTokens()),
+			UnreadTokens: int(l.GetUnreadTokens()), BriefUnreadTokens: int(l.GetBriefUnreadTokens()),
+		}
+	}
+	for _, e := range r.GetEvidence() {
+		s.allocator.fleet.Witness(r.GetHost(), e.GetServer(), fleet.Evidence{Failed: int(e.GetFailed()), Answered: int(e.GetAnswered())})
 	}
 	s.allocator.fleet.SetOthers(r.GetHost(), r.GetService(), loads)
 	response := &allocationpb.ReportResponse{Leaving: s.allocator.fleet.Leaving(r.GetService())}
--- /dev/null
+++ b/fleet/evidence_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestServerWhereTwoHostsFailedIsAvoided(t *testing.T) {
+	// An engine crashes. All its generations end at once, and to the allocator
+	// it looks like the emptiest engine: it sent the next ones there, one after
+	// the other, until the entry lapsed three seconds later.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		table.Witness("h1", "a", Evidence{Failed: 1})
+		is.Equal(len(table.Candidates("llm", "d1")), 2) // h1 may be cut off itself
+		table.Witness("h2", "a", Evidence{Failed: 1})
+		is.Equal(len(table.Candidates("llm", "d1")), 1)
+		is.Equal(table.Avoided("llm"), []string{"a"})
+		time.Sleep(avoidedFor)
+		is.Equal(len(table.Candidates("llm", "d1")), 2)
+	})
+}
+
+func TestServerThatAnswersIsNotAvoided(t *testing.T) {
+	// Two hosts fail at an engine at different times: one broken stream each,
+	// among others that are answered. Taking it out would overload the rest.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		table.Witness("h1", "a", Evidence{Failed: 1})
+		table.Witness("h3", "a", Evidence{Failed: 1, Answered: 1})
+		table.Witness("h2", "a", Evidence{Failed: 1})
+		is.Equal(len(table.Candidates("llm", "d1")), 2)
+		time.Sleep(witnessWindow + time.Millisecond)
+		table.Witness("h4", "a", Evidence{Failed: 1}) // the failure before it is too old
+		is.Equal(len(table.Candidates("llm", "d1")), 2)
+	})
+}
+
+func TestOwnOutcomesAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	work := table.Begin("a", Work{ID: "1", PromptTokens: 3000, OutputTokens: 400}, false)
+	work.Outcome(true)
+	select {
+	case <-table.OwnChanged():
+	default:
+		t.Fatal("nobody is told of the failure")
+	}
+	is.Equal(table.TakeEvidence("llm"), map[string]Evidence{"a": {Failed: 1}})
+	is.Equal(len(table.TakeEvidence("llm")), 0)
+	table.Witness("h2", "a", Evidence{Failed: 1}) // this host is the other witness
+	is.Equal(table.Avoided("llm"), []string{"a"})
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex // guards all below
 	servers  map[string]*entry
 	services map[string]*service
+	own      chan struct{} // holds a token when this host's work on engines has changed
 	changed  chan struct{} // closed and replaced at each change that may free a place
 }
 
@@ -51,6 +52,8 @@
 	slowUntil      time.Time
 	unreachable    time.Time // until then it gets no work
 	health         health
+	evidence       Evidence             // of this host, since it was told
+	witnesses      map[string]time.Time // entry hosts whose requests failed there, and when; an answer clears it
 	work           map[*Work]struct{}
 	others         map[string]Load // by entry host
 	gone           chan struct{}   // closed when leaving
@@ -62,7 +65,7 @@
 	return &Table{
 		host: host, logger: logger,
 		servers: map[string]*entry{}, services: map[string]*service{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), own: make(chan struct{}, 1),
 	}
 }
 
@@ -91,7 +94,7 @@
 	defer t.mu.Unlock()
 	e := t.servers[server.ID]
 	if e == nil {
-		e = &entry{health: newHealth(), work: map[*Work]struct{}{}, others: map[string]Load{}, gone: make(chan struct{})}
+		e = &entry{health: newHealth(), work: map[*Work]struct{}{}, others: map[string]Load{}, witnesses: map[string]time.Time{}, gone: make(chan struct{})}
 		t.servers[server.ID] = e
 		s := t.service(server.Service)
 		s.members = append(s.members, e)
@@ -275,7 +278,8 @@
 			load.add(other)
 		}
 	}
-	c.Running, c.HeldTokens, c.UnreadTokens = load.Requests, load.HeldTokens, load.UnreadTokens
+	c.Running, c.HeldTokens, c.UsedTokens = load.Requests, load.HeldTokens, load.UsedTokens
+	c.UnreadTokens, c.BriefUnreadTokens = load.UnreadTokens, load.BriefUnreadTokens
 	return c
 }
 
@@ -286,6 +290,21 @@
 	return t.changed
 }
 
+// OwnChanged returns a channel that gets a token when a generation of this
+// host has had its first token or has ended.
+func (t *Table) OwnChanged() <-chan struct{} { return t.own }
+
+// ownChanged is called with mu held. Only engines' work is told to others.
+func (t *Table) ownChanged(e *entry) {
+	if t.service(e.server.Service).memoryTokens == 0 {
+		return
+	}
+	select {
+	case t.own <- struct{}{}:
+	default:
+	}
+}
+
 // wake is called with mu held.
 func (t *Table) wake() {
 	close(t.changed)
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -16,12 +16,31 @@
 	produced     int // tokens; guarded by Table.mu
 }
 
-// Load is what one entry host has on a server.
+// Load is what one entry host has on a server; its fields are those of
+// placement.Candidate.
 type Load struct {
-	Requests     int
-	HeldTokens   int
-	UnreadTokens int
-	At           time.Time // when it was heard
+	Requests          int
+	HeldTokens        int
+	UsedTokens        int
+	UnreadTokens      int
+	BriefUnreadTokens int
+	At                time.Time // when it was heard
+}
+
+// LoadOf returns the load of one generation that has made so many tokens. With
+// read its prompt is in memory already.
+func LoadOf(need placement.Need, produced int, read bool) Load {
+	load := Load{
+		Requests: 1, HeldTokens: placement.Held(need.PromptTokens, produced, need.OutputTokens), UsedTokens: need.PromptTokens + produced,
+	}
+	if read {
+		return load
+	}
+	load.UnreadTokens = need.PromptTokens
+	if need.Brief() {
+		load.BriefUnreadTokens = need.PromptTokens
+	}
+	return load
 }
 
 // loadLifetime is how long another host's word on its load counts; a host
@@ -31,7 +50,9 @@
 func (l *Load) add(other Load) {
 	l.Requests += other.Requests
 	l.HeldTokens += other.HeldTokens
+	l.UsedTokens += other.UsedTokens
 	l.UnreadTokens += other.UnreadTokens
+	l.BriefUnreadTokens += other.BriefUnreadTokens
 }
 
 // Begin books a request on a server. It returns nil if the server takes no
@@ -54,6 +75,9 @@
 func (w *Work) Produced(tokens int) {
 	w.table.mu.Lock()
 	defer w.table.mu.Unlock()
+	if w.produced == 0 && tokens > 0 {
+		w.table.ownChanged(w.entry)
+	}
 	w.produced = max(w.produced, tokens)
 }
 
@@ -67,6 +91,7 @@
 	delete(w.entry.work, w)
 	w.table.forget(w.entry)
 	w.table.wake()
+	w.table.ownChanged(w.entry)
 }
 
 // Gone is closed when the work's server is known to be leaving.
@@ -84,17 +109,14 @@
 	w.table.mu.Lock()
 	defer w.table.mu.Unlock()
 	w.table.judge(w.entry, failed)
+	w.table.noteOwn(w.entry, failed)
 }
 
 // ownLoad is called with the table's mu held.
 func (e *entry) ownLoad() Load {
 	var load Load
 	for w := range e.work {
-		load.Requests++
-		load.HeldTokens += placement.Held(w.PromptTokens, w.produced, w.OutputTokens)
-		if w.produced == 0 {
-			load.UnreadTokens += w.PromptTokens
-		}
+		load.add(LoadOf(placement.Need{PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens}, w.produced, w.produced > 0))
 	}
 	return load
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,8 +17,11 @@
 	Running int
 	// HeldTokens is the memory that those hold now or are expected to.
 	HeldTokens int
-	// UnreadTokens are those of prompts that the engine has still to read.
-	UnreadTokens int
+	// UsedTokens is the part of it that they hold now.
+	UsedTokens int
+	// UnreadTokens are those of prompts that the engine has still to read;
+	// BriefUnreadTokens the part of it that brief generations have.
+	UnreadTokens, BriefUnreadTokens int
 	// Doubtful says that recent requests failed there: it gets work only
 	// where no other server has a place.
 	Doubtful bool
@@ -35,6 +38,9 @@
 	Returning bool
 }
 
+// Brief reports whether the request ends within about a second.
+func (n Need) Brief() bool { return n.OutputTokens < briefTokens }
+
 // GrowthShare is the part of what a generation is expected to make yet that
 // counts as held: generations end at different times, so that while one has
 // grown to its full length others have ended. With all of it counted, engines
@@ -51,38 +57,38 @@
 	// Memory is the share of an engine's memory that may be promised to
 	// generations. Above it, their growth preempts others.
 	Memory float64
-	// BriefMemory is the same for brief generations, which give their memory
-	// back within a second, and for callers that have come back: most come
+	// ReturningMemory is the same for callers that have come back: most come
 	// back once only, so that a second refusal is for good.
-	BriefMemory float64
+	ReturningMemory float64
 	// UnreadTokens are those of prompts that an engine may have still to
 	// read. Beyond it the first token comes after the goal, and each prompt
-	// more makes those behind it late too.
+	// more makes those behind it late too. Brief generations wait for those
+	// of brief ones only, which engines read first.
 	UnreadTokens int
-	// BriefUnreadTokens is the same for brief generations, whose prompts
-	// engines read first.
-	BriefUnreadTokens int
 	// QueueShare is how many requests a plain server may have beside those
 	// that it runs, as a share of its slots.
 	QueueShare float64
 }
 
-// DefaultLimits promise the whole memory, with a tenth more for brief
-// generations, and let a plain server have two requests waiting for each that
-// it runs. On engines with a seventh too little memory for all callers, of 960
-// long and 993 brief generations 770 and 867 were on time with nine tenths
-// promised, 796 and 878 with all, 757 and 856 with a tenth more for all (98
-// preemptions instead of 35), 788 and 927 with a tenth more for brief ones.
+// DefaultLimits promise the whole memory, with a tenth more for callers that
+// have come back, and let a plain server have two requests waiting for each
+// that it runs. On engines with a seventh too little memory for all callers, of
+// 960 long generations 770 were on time with nine tenths promised, 796 with
+// all, 757 with a tenth more (98 preemptions instead of 35).
 //
-// Of prompts an engine may have 0.8 to 1 s of reading before it, and a fifth
-// more for brief ones; the shortest goal is 1.5 s. Of 1,042 long generations on
-// an overloaded day 619 were on time without this bound, 734 with 8,000 tokens
-// for all and 745 with 5,500.
-var DefaultLimits = Limits{Memory: 1.0, BriefMemory: 1.1, UnreadTokens: 5500, BriefUnreadTokens: 6600, QueueShare: 2}
+// Of prompts an engine may have 0.8 s of reading before it; the shortest goal
+// is 1.5 s. Of 1,042 long generations on an overloaded day 619 were on time
+// without this bound, 734 with 8,000 tokens and 745 with 5,500.
+var DefaultLimits = Limits{Memory: 1.0, ReturningMemory: 1.1, UnreadTokens: 5500, QueueShare: 2}
 
-// briefTokens is how many tokens a brief generation makes; an engine makes
-// some 120 a second for each.
-const briefTokens = 120
+const (
+	// briefTokens is how many tokens a brief generation makes at most; an
+	// engine makes some 120 a second for each.
+	briefTokens = 120
+	// briefGrowth is how many tokens each running generation makes while a
+	// brief one is read and ends, which takes about half a second.
+	briefGrowth = 60
+)
 
 const (
 	// readTokensPerMs is how fast an engine reads prompts beside running
@@ -143,18 +149,37 @@
 	if c.MemoryTokens == 0 {
 		return float64(c.Running) < float64(c.Slots)*(1+limits.QueueShare)
 	}
-	promised := float64(c.HeldTokens + Held(need.PromptTokens, 0, need.OutputTokens))
-	share, unread := limits.Memory, limits.UnreadTokens
-	if need.OutputTokens < briefTokens {
-		unread = max(unread, limits.BriefUnreadTokens)
+	unread := c.unreadBefore(need)
+	if limits.UnreadTokens > 0 && unread > 0 && unread+need.PromptTokens > limits.UnreadTokens {
+		return false
 	}
-	if need.OutputTokens < briefTokens || need.Returning {
-		share = max(share, limits.BriefMemory)
+	return c.Running < c.Slots && c.hasMemory(need, limits)
+}
+
+// hasMemory reports whether the engine's memory has room for the request.
+//
+// A brief generation is gone before those beside it have grown: it needs room
+// now, not in what is promised. Engines keep it waiting where there is none:
+// with a tenth more than the whole memory promised to brief ones, some waited
+// for seconds on an engine that was full, beside others that had room.
+func (c *Candidate) hasMemory(need Need, limits Limits) bool {
+	if need.Brief() {
+		return c.UsedTokens+need.PromptTokens+briefGrowth*c.Running <= c.MemoryTokens
 	}
-	if unread > 0 && c.UnreadTokens > 0 && c.UnreadTokens+need.PromptTokens > unread {
-		return false
+	share := limits.Memory
+	if need.Returning {
+		share = max(share, limits.ReturningMemory)
+	}
+	promised := c.HeldTokens + Held(need.PromptTokens, 0, need.OutputTokens)
+	return float64(promised) <= share*float64(c.MemoryTokens)
+}
+
+// unreadBefore returns the tokens that the engine reads before the request.
+func (c *Candidate) unreadBefore(need Need) int {
+	if need.Brief() {
+		return c.BriefUnreadTokens
 	}
-	return c.Running < c.Slots && promised <= share*float64(c.MemoryTokens)
+	return c.UnreadTokens
 }
 
 // cost is the share of the server that is taken once the request is there.
@@ -163,9 +188,15 @@
 	if c.MemoryTokens > 0 {
 		// The square: of two engines with room, the fuller one is no worse
 		// until preemptions come near.
-		held := float64(c.HeldTokens+need.PromptTokens) / float64(c.MemoryTokens)
+		tokens := c.HeldTokens
+		if need.Brief() {
+			tokens = c.UsedTokens
+		}
+		held := float64(tokens+need.PromptTokens) / float64(c.MemoryTokens)
 		cost = held * held
-		cost += float64(c.UnreadTokens+need.PromptTokens) / readTokensPerMs / patienceMs
+		// Prompts that are being read slow the others down, whoever goes first.
+		unread := (c.UnreadTokens + c.unreadBefore(need)) / 2
+		cost += float64(unread+need.PromptTokens) / readTokensPerMs / patienceMs
 	} else {
 		cost = float64(c.Running+1) / float64(max(1, c.Slots))
 	}
