One client and one stand-in for the platform's store

Cause: our own interface spoke an object API of our own design (entity tags, base64), with a client and a stand-in that nothing else has. The platform's store has a published protocol, and a second client and a second stand-in stood beside them: two sets of rules for lost answers and conflicts.

Change: entry hosts of our own interface use platform.ObjectStore too, within their budget of calls. store.Client, its wire format and fake/platform go out of the tree with fake/platform's tests, which move to platform and now run against the one client: the whole conformance suite, a store without a listener, a slow write, the budget, faults over HTTP. The stand-in serves the memory twin, which learned silence, writes of the platform itself and a forgotten history; the soak uses the same.

What the client reports is sharper than before: without a connection nothing was written (it said "unknown"), and a write refused with another 5xx than 503 is unknown (it was a plain error). The check that expected "unknown" of a read at a port without a listener is replaced by "unavailable", for a read and for a write. Values in the suite are JSON now, as the store holds nothing else; the largest one is also read back.

Ruled out: leaving the own protocol behind an adapter of its own; nobody but our stand-in would speak it.

--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -18,10 +18,11 @@
 	"github.com/papayasail/papayasail/configuration"
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/domain"
-	fakeplatform "github.com/papayasail/papayasail/fake/platform"
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/peer/peerpb"
+	"github.com/papayasail/papayasail/platform"
+	"github.com/papayasail/papayasail/platform/standin"
 	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
@@ -59,7 +60,8 @@
 	domain   string
 	node     *peer.Node
 	table    *configuration.Table
-	memory   *store.Client
+	client   *platform.ObjectStore
+	store    store.Store // client, within a budget of calls
 	acceptor *configuration.Acceptor
 	registry *prometheus.Registry
 	inForce  atomic.Pointer[func(*host)] // called after each change of the table
@@ -74,7 +76,7 @@
 		return nil, errors.Wrap(err, "stand-in platform")
 	}
 	f.platformAt = listener.Addr().String()
-	f.server = &http.Server{Handler: fakeplatform.New(f.memory)}
+	f.server = &http.Server{Handler: standin.NewStore(f.memory)}
 	f.running.Go(func() { _ = f.server.Serve(listener) })
 	ctx, f.stopHosts = context.WithCancel(ctx)
 	addresses, err := freeAddresses(hosts)
@@ -132,8 +134,9 @@
 
 func (f *fleet) newHost(i int, address string, addresses []string) *host {
 	h := &host{domain: domainOf(i, len(addresses)), table: configuration.NewTable(contract.ParseDocument), registry: prometheus.NewRegistry()}
-	h.memory = store.NewClient(f.network, f.platformAt, store.ClientOptions{})
-	h.acceptor = configuration.NewAcceptor(h.memory, contract.ParseDocument)
+	h.client = platform.NewObjectStore(f.network, f.platformAt)
+	h.store = store.NewLimited(h.client, store.Budget{})
+	h.acceptor = configuration.NewAcceptor(h.store, contract.ParseDocument)
 	h.acceptor.Seen = func(object store.Object) { h.table.Adopt([]store.Object{object}) }
 	h.node = peer.New(peer.Options{
 		Self: peer.Member{
@@ -157,7 +160,7 @@
 }
 
 func (f *fleet) run(ctx context.Context, h *host) {
-	watcher := &replica.Follower{Store: h.memory, Kind: configuration.Kind, Table: h.table.Table, Active: h.watches}
+	watcher := &replica.Follower{Store: h.store, Kind: configuration.Kind, Table: h.table.Table, Active: h.watches}
 	f.running.Go(func() { _ = h.node.Run(ctx) })
 	f.running.Go(func() { _ = watcher.Run(ctx) })
 }
@@ -218,7 +221,7 @@
 	_ = f.server.Close()
 	f.running.Wait()
 	for _, h := range f.hosts {
-		h.memory.Close()
+		h.client.Close()
 	}
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
 // Command standin runs the stand-ins of outside systems: the platform's
-// object API, a model engine, a plain service.
+// metadata store, a model engine, a plain service.
 package main
 
 import (
--- a/demo/site.go
+++ b/demo/site.go
@@ -15,9 +15,9 @@
 	"github.com/papayasail/papayasail/entryhost"
 	"github.com/papayasail/papayasail/fake/engine"
 	"github.com/papayasail/papayasail/fake/plain"
-	fakeplatform "github.com/papayasail/papayasail/fake/platform"
 	"github.com/papayasail/papayasail/gen/operator"
 	"github.com/papayasail/papayasail/internal/operatorclient"
+	"github.com/papayasail/papayasail/platform/standin"
 	"github.com/papayasail/papayasail/settings"
 	"github.com/papayasail/papayasail/store"
 )
@@ -103,7 +103,7 @@
 
 func (s *Site) start(ctx context.Context) error {
 	var err error
-	if s.platform, err = s.serve(fakeplatform.New(s.Store)); err != nil {
+	if s.platform, err = s.serve(standin.NewStore(s.Store)); err != nil {
 		return err
 	}
 	for i := range engines {
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/link"
+	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/routing"
 	"github.com/papayasail/papayasail/settings"
 	"github.com/papayasail/papayasail/store"
@@ -22,7 +23,7 @@
 type Options struct {
 	Settings *settings.Settings
 	Network  link.Network // default: TCP
-	Store    store.Store  // default: the object API at Settings.Platform
+	Store    store.Store  // default: the platform's store at Settings.Platform
 	Policy   string       // routing policy, default DefaultPolicy
 	Logger   *zap.Logger  // default: none
 	Registry *prometheus.Registry
@@ -50,7 +51,7 @@
 	}
 	if o.Store == nil {
 		budget := store.Budget{Rate: float64(o.Settings.Limits.PlatformCalls)}
-		o.Store = store.NewClient(o.Network, o.Settings.Platform, store.ClientOptions{Budget: budget})
+		o.Store = store.NewLimited(platform.NewObjectStore(o.Network, o.Settings.Platform), budget)
 	}
 	if o.Policy == "" {
 		o.Policy = DefaultPolicy
--- a/fake/standin/app.go
+++ b/fake/standin/app.go
@@ -1,5 +1,5 @@
 // Package standin runs the stand-ins of outside systems as processes: the
-// platform's object API, a model engine, a plain service. Their switches can
+// platform's metadata store, a model engine, a plain service. Their switches can
 // be set by flags at the start and over HTTP, under /admin/, at any time.
 package standin
 
--- a/fake/standin/app_test.go
+++ b/fake/standin/app_test.go
@@ -91,11 +91,11 @@
 func TestPlatformSwitches(t *testing.T) {
 	is := is.New(t)
 	client := start(t, "platform", "--outage")
-	status, _ := do(t, client, "GET", "/v1/objects/service/none", "")
+	status, _ := do(t, client, "GET", "/objects/service/none", "")
 	is.Equal(status, http.StatusServiceUnavailable)
 	status, _ = do(t, client, "PUT", "/admin/faults", `{"outage":false}`)
 	is.True(status < http.StatusBadRequest)
-	status, _ = do(t, client, "GET", "/v1/objects/service/none", "")
+	status, _ = do(t, client, "GET", "/objects/service/none", "")
 	is.Equal(status, http.StatusNotFound)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,7 +17,7 @@
 	CallerAddress string   // IP:port for callers and operators
 	PeerAddress   string   // IP:port for other entry hosts
 	Peers         []string // peer addresses to start from, IP:port
-	Platform      string   // IP:port of the platform's object API
+	Platform      string   // IP:port of the platform's metadata store
 	EventKey      []byte   // HMAC key of event ids and homes, the same on all entry hosts
 	// PreviousEventKeys are checked, but sign nothing: event ids that hosts with
 	// another EventKey have given out, or soon will, stay good.
--- a/store/memory.go
+++ b/store/memory.go
@@ -12,7 +12,7 @@
 	"github.com/papayasail/papayasail/internal/sleep"
 )
 
-// Memory is a Store in memory: the twin of the platform's object API for tests
+// Memory is a Store in memory: the twin of the platform's metadata store for tests
 // and stand-ins, with switches for its failures.
 type Memory struct {
 	// WatchLimit is how long Watch waits for a change. Set before first use.
@@ -36,6 +36,8 @@
 type Faults struct {
 	// Outage refuses every call; nothing is written.
 	Outage bool `json:"outage"`
+	// Silent takes every call and answers none; waiting watches end.
+	Silent bool `json:"silent"`
 	// Slow delays every call; watches too.
 	Slow time.Duration `json:"slow_ns"`
 	// LoseAnswers loses the answers of so many writes after they took effect.
@@ -60,7 +62,7 @@
 	}
 }
 
-// SetFaults replaces the switches. An outage ends waiting watches.
+// SetFaults replaces the switches. An outage and silence end waiting watches.
 func (m *Memory) SetFaults(faults Faults) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -96,6 +98,39 @@
 	return clone(object), nil
 }
 
+// Set writes an object whatever its version and whatever the faults, as the
+// platform's operators and servers do.
+func (m *Memory) Set(kind, name string, value []byte) Version {
+	return m.overwrite(Object{Kind: kind, Name: name, Value: value})
+}
+
+// Remove removes an object as Set writes one.
+func (m *Memory) Remove(kind, name string) {
+	m.overwrite(Object{Kind: kind, Name: name, Deleted: true})
+}
+
+func (m *Memory) overwrite(object Object) Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current := m.objects[objectKey{object.Kind, object.Name}].Version
+	if object.Deleted && current == 0 {
+		return 0
+	}
+	version, err := m.write(object, current)
+	if err != nil {
+		panic(err) // the version is the current one, as mu is held
+	}
+	return version
+}
+
+// Forget drops the history of changes, as the platform does at times.
+func (m *Memory) Forget() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.events, m.compacted = nil, m.revision
+	m.wake()
+}
+
 // Put implements Store. A slow store carries a write out even when its caller
 // has given up meanwhile.
 func (m *Memory) Put(ctx context.Context, kind, name string, value []byte, expect Version) (Version, error) {
@@ -103,6 +138,10 @@
 		return 0, errors.Newf("platform: value of %d bytes is over the limit of %d", len(value), MaxValueBytes)
 	}
 	slow := m.count()
+	if m.Faults().Silent {
+		<-ctx.Done()
+		return 0, errors.Mark(ctx.Err(), ErrOutcomeUnknown)
+	}
 	object := Object{Kind: kind, Name: name, Value: slices.Clone(value)}
 	if slow == 0 {
 		return m.put(object, expect)
@@ -199,7 +238,7 @@
 func (m *Memory) eventsAfter(kind string, after Version) ([]Object, Version, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.faults.Outage {
+	if m.faults.Outage || m.faults.Silent {
 		return nil, 0, nil, ErrUnavailable
 	}
 	if after < m.compacted {
@@ -227,6 +266,10 @@
 	if err := sleep.For(ctx, m.count()); err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
+	if m.Faults().Silent {
+		<-ctx.Done()
+		return errors.Mark(ctx.Err(), ErrUnavailable)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.faults.Outage {
--- a/store/store.go
+++ b/store/store.go
@@ -1,4 +1,4 @@
-// Package store reaches the platform's object API, the only place where
+// Package store reaches the platform's metadata store, the only place where
 // papayasail keeps or agrees on anything.
 package store
 
@@ -13,7 +13,7 @@
 // ordered too. Zero stands for "does not exist".
 type Version uint64
 
-// MaxValueBytes is the largest value that the object API holds.
+// MaxValueBytes is the largest value that the metadata store holds.
 const MaxValueBytes = 1 << 20
 
 // Object is one stored object.
@@ -25,7 +25,7 @@
 	Deleted bool // set in watch events only
 }
 
-// Store is the platform's object API.
+// Store is the platform's metadata store.
 type Store interface {
 	// Get returns an object or ErrNoObject.
 	Get(ctx context.Context, kind, name string) (Object, error)
--- a/store/storetest/conformance.go
+++ b/store/storetest/conformance.go
@@ -1,10 +1,13 @@
-// Package platformtest holds the conformance suite that every store.Store
-// has to pass.
+// Package storetest holds the conformance suite that every store.Store has to
+// pass. Values are JSON, as the platform's store holds nothing else.
 package storetest
 
 import (
+	"bytes"
 	"context"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,7 +85,7 @@
 	results := make(chan error, writers)
 	for range writers {
 		go func() {
-			_, err := s.Store.Put(ctx, kind, "a", []byte("x"), 0)
+			_, err := s.Store.Put(ctx, kind, "a", []byte(`"x"`), 0)
 			results <- err
 		}()
 	}
@@ -103,7 +106,7 @@
 	is, ctx := is.New(t), t.Context()
 	var last store.Version
 	for _, name := range []string{"c", "a", "b"} {
-		version, err := s.Store.Put(ctx, kind, name, []byte(name), 0)
+		version, err := s.Store.Put(ctx, kind, name, []byte(strconv.Quote(name)), 0)
 		is.NoErr(err)
 		last = version
 	}
@@ -250,8 +253,12 @@
 	_, err := s.Store.Put(ctx, kind, "a", make([]byte, store.MaxValueBytes+1), 0)
 	is.True(err != nil)
 	is.True(!errors.Is(err, store.ErrUnavailable)) // trying again is of no use
-	_, err = s.Store.Put(ctx, kind, "a", make([]byte, store.MaxValueBytes), 0)
+	largest := []byte(strconv.Quote(strings.Repeat("a", store.MaxValueBytes-len(`""`))))
+	_, err = s.Store.Put(ctx, kind, "a", largest, 0)
 	is.NoErr(err)
+	object, err := s.Store.Get(ctx, kind, "a")
+	is.NoErr(err)
+	is.True(bytes.Equal(object.Value, largest))
 }
 
 func names(objects []store.Object) []string {
