allocation: a service of a large fleet is cut into parts, an allocator each

Cause: one allocator decided for all hosts.

Change: above 128 hosts a service's servers are cut into parts by their ids, and hosts by their names; each part has an allocator among the watchers. A host asks its own part's, and the next one where that has no place; it reports to the parts where it has work; moves stay within the part of the server that leaves. Sites of today have one part, as before.

Ruled out: cutting by load, since hosts that estimate it differently would ask different allocators for one server; fewer reports a host where there are parts, since a host with work in all of them reports to all (a test of the bound caught it).

Tests: each server and host is in one part; a full part sends callers to the next one; a report on one part says nothing of another.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -80,7 +81,7 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	h := &hosts{members: members, conn: conn}
 	self := "a"
-	if Chosen(members, llm) == "a" {
+	if Chosen(members, Whole(llm)) == "a" {
 		self = "b"
 	}
 	local := NewAllocator(from, placement.DefaultLimits, first, zap.NewNop())
@@ -94,7 +95,7 @@
 	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
 	_, allocator, client := pair(t, at, from)
 	need := placement.Need{PromptTokens: 6000, OutputTokens: 400}
-	own := allocator.Place("other", "d", llm, Asked{Request: "r1", Need: need}, nil)
+	own := allocator.Place("other", "d", Whole(llm), Asked{Request: "r1", Need: need}, nil)
 	other := client.Place(context.Background(), llm, Asked{Request: "r2", Need: need}, nil)
 	is.True(own != other)
 	is.Equal(client.Place(context.Background(), llm, Asked{Request: "r3", Need: need}, []string{"e1", "e2"}), "") // both tried
@@ -108,10 +109,10 @@
 		is := is.New(t)
 		at := engines("a", "e1")
 		allocator := NewAllocator(at, placement.DefaultLimits, first, zap.NewNop())
-		at.SetOthers("h", llm, map[string]fleet.Load{"e1": {Requests: 9, HeldTokens: 32000}})
+		at.SetOthers("h", llm, map[string]fleet.Load{"e1": {Requests: 9, HeldTokens: 32000}}, Whole(llm).Holds)
 		need := placement.Need{PromptTokens: 3000, OutputTokens: 400}
 		ask := func(request string, fingerprint uint64) string {
-			return allocator.Place("h", "d", llm, Asked{Request: request, Fingerprint: fingerprint, Need: need}, nil)
+			return allocator.Place("h", "d", Whole(llm), Asked{Request: request, Fingerprint: fingerprint, Need: need}, nil)
 		}
 		is.Equal(ask("r1", 7), "")
 		time.Sleep(100 * time.Millisecond)
@@ -145,7 +146,7 @@
 	allocator.Revision = func() uint64 { return 17 }
 	work := from.Begin("e1", fleet.Work{ID: "r1", PromptTokens: 3000, OutputTokens: 400}, false)
 	at.Put(fleet.Server{ID: "e1", Service: llm, Leaving: true})
-	is.True(client.report(context.Background(), llm, from.OwnGenerations()[llm], nil))
+	is.True(client.report(context.Background(), Whole(llm), from.OwnGenerations()[llm], nil))
 	select {
 	case <-work.Gone():
 	default:
@@ -194,9 +195,9 @@
 func TestAllocatorWatchesTheStore(t *testing.T) {
 	is := is.New(t)
 	members := []peer.Member{{Host: "gone", State: peer.StateGone, FailureDomain: "d"}}
-	is.Equal(Chosen(members, llm), "")
+	is.Equal(Chosen(members, Whole(llm)), "")
 	members = append(members, peer.Member{Host: "x", State: peer.StateAlive, FailureDomain: "d"})
-	is.Equal(Chosen(members, llm), "x")
+	is.Equal(Chosen(members, Whole(llm)), "x")
 }
 
 func TestCutOffHostAsksItsOwnEnginesOnly(t *testing.T) {
@@ -207,11 +208,11 @@
 	table.Begin("e1", fleet.Work{ID: "r1"}, false)
 	members := []peer.Member{{Host: "a", State: peer.StateAlive, FailureDomain: "d"}}
 	sentinel := &Sentinel{Host: "b", Fleet: table, Client: NewClient("b", "d", &hosts{members: members}, nil, table, zap.NewNop())}
-	asked := sentinel.asked(llm)
+	asked := sentinel.asked(Whole(llm))
 	is.Equal(len(asked), 1)
 	is.Equal(asked[0].ID, "e1")
 	sentinel.Host = "a"
-	is.Equal(len(sentinel.asked(llm)), 2)
+	is.Equal(len(sentinel.asked(Whole(llm))), 2)
 }
 
 func TestEnginesAreAskedWhileTheStoreIsAway(t *testing.T) {
@@ -286,3 +287,71 @@
 		is.Equal(len(at.Candidates(llm, "d")), 0)
 	})
 }
+
+// crowd returns so many live hosts in one failure domain.
+func crowd(n int) []peer.Member {
+	var members []peer.Member
+	for i := range n {
+		members = append(members, peer.Member{Host: fmt.Sprintf("h%03d", i), State: peer.StateAlive, FailureDomain: fmt.Sprintf("d%d", i%3)})
+	}
+	return members
+}
+
+func TestLargeFleetsCutAServiceIntoParts(t *testing.T) {
+	// One allocator decides for 300 hosts and takes half of a core. Cut into
+	// parts, each server belongs to one of them, and so does each host.
+	is := is.New(t)
+	is.Equal(partsOf(crowd(91)), 1)
+	members := crowd(300)
+	count := partsOf(members)
+	is.Equal(count, 3)
+	servers, hosts := make([]int, count), make([]int, count)
+	for i := range 600 {
+		holders := 0
+		for index := range count {
+			if (Part{llm, index, count}).Holds(fmt.Sprintf("i-%d", i)) {
+				holders++
+				servers[index]++
+			}
+		}
+		is.Equal(holders, 1)
+	}
+	for _, m := range members {
+		hosts[partOf(m.Host, count)]++
+	}
+	for index := range count {
+		is.True(servers[index] > 150 && hosts[index] > 70) // of 200 and 100 on average
+		is.True(Chosen(members, Part{llm, index, count}) != "")
+	}
+}
+
+func TestFullPartSendsToTheNext(t *testing.T) {
+	// A host's own part of the engines is full, and the next one has room. Its
+	// callers must not be refused for the cut.
+	is := is.New(t)
+	at, from := engines("a", "e1", "e2", "e3", "e4"), engines("b", "e1", "e2", "e3", "e4")
+	hosts, allocator, client := pair(t, at, from)
+	hosts.members = crowd(200)
+	client.host = "h150" // no allocator
+	home := client.part(llm, client.host)
+	is.Equal(home.Count, 2)
+	need := placement.Need{PromptTokens: 3000, OutputTokens: 400}
+	id := client.Place(context.Background(), llm, Asked{Request: "r1", Need: need}, nil)
+	is.True(home.Holds(id))
+	full, roomy := map[string]fleet.Load{}, ""
+	for _, engine := range []string{"e1", "e2", "e3", "e4"} {
+		if home.Holds(engine) {
+			full[engine] = fleet.Load{Requests: 9, HeldTokens: 33900}
+		} else {
+			roomy = engine
+		}
+	}
+	is.True(roomy != "" && len(full) > 0)
+	at.SetOthers("h001", llm, full, home.Holds)
+	is.True(!home.Holds(client.Place(context.Background(), llm, Asked{Request: "r2", Need: need}, nil)))
+	is.Equal(allocator.Place("h150", "d", home, Asked{Request: "r3", Need: need}, nil), "")
+	// The report on one part says nothing of the other.
+	other := Part{llm, 1 - home.Index, 2}
+	at.SetOthers("h001", llm, nil, other.Holds)
+	is.Equal(allocator.Place("h150", "d", home, Asked{Request: "r4", Need: need}, nil), "")
+}
--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -15,19 +15,15 @@
 package allocation
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"github.com/papayasail/papayasail/domain"
 	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
-	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/placement"
 )
 
@@ -37,21 +33,7 @@
 	msgNoPlace = "no server has a place"
 )
 
-// Chosen returns the allocator of a service among the members, or "": one of
-// the hosts that watch the store, so that it hears first which servers leave.
-func Chosen(members []peer.Member, service string) string {
-	watchers := domain.Watchers(members, domain.DefaultWatchers)
-	if len(watchers) == 0 {
-		return ""
-	}
-	return slices.MaxFunc(watchers, func(a, b string) int {
-		return cmp.Or(cmp.Compare(score(a, service), score(b, service)), cmp.Compare(a, b))
-	})
-}
-
-func score(host, service string) uint64 { return xxhash.Sum64String(host + "\x00" + service) }
-
-// Allocator decides for the services whose allocator this host is. It may be
+// Allocator decides for the parts of services whose allocator this host is. It may be
 // used from any goroutine.
 type Allocator struct {
 	fleet  *fleet.Table
@@ -66,7 +48,7 @@
 	Revision func() uint64
 
 	mu     sync.Mutex // guards queues
-	queues map[string]*service
+	queues map[Part]*moves
 
 	refusals *refusals
 }
@@ -80,23 +62,23 @@
 	Need        placement.Need
 }
 
-// service holds the moves of one service.
-type service struct {
+// moves are those of one part of a service.
+type moves struct {
 	queue *evacuation.Queue
 	wake  chan struct{} // holds a token when the queue is to be looked at
 }
 
 // NewAllocator returns an allocator that places by the table; draw breaks ties.
 func NewAllocator(table *fleet.Table, limits placement.Limits, draw func(n int) int, logger *zap.Logger) *Allocator {
-	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[string]*service{}, refusals: newRefusals()}
+	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[Part]*moves{}, refusals: newRefusals()}
 }
 
 // Place chooses a server for a host's generation and books it, until the host
 // reports it itself. It returns "" if none has a place.
-func (a *Allocator) Place(host, domain, service string, asked Asked, except []string) string {
+func (a *Allocator) Place(host, domain string, part Part, asked Asked, except []string) string {
 	need, request := asked.Need, asked.Request
 	need.Returning = a.refusals.returning(asked.Fingerprint, request)
-	candidates := a.fleet.Candidates(service, domain, except...)
+	candidates := a.candidates(part, domain, except...)
 	i := placement.Pick(need, candidates, a.limits, a.draw)
 	if i < 0 {
 		a.refusals.note(asked.Fingerprint, request)
@@ -112,12 +94,21 @@
 	return candidates[i].ID
 }
 
+// candidates returns the servers of a part that may get work.
+func (a *Allocator) candidates(part Part, domain string, except ...string) []placement.Candidate {
+	all := a.fleet.Candidates(part.Service, domain, except...)
+	if part.Count <= 1 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(c placement.Candidate) bool { return !part.Holds(c.ID) })
+}
+
 // TakeTurn waits until a host's run may move. The turn has to be ended.
-func (a *Allocator) TakeTurn(ctx context.Context, host, name string, move evacuation.Move) (destination string, err error) {
-	s := a.service(name)
+func (a *Allocator) TakeTurn(ctx context.Context, host string, part Part, move evacuation.Move) (destination string, err error) {
+	m := a.moves(part)
 	entered := time.Now()
-	granted, cancel := s.queue.Enter(move)
-	s.look()
+	granted, cancel := m.queue.Enter(move)
+	m.look()
 	select {
 	case grant := <-granted:
 		a.logger.Info(msgGranted, zap.String("request", move.Run), zap.String("for", host), zap.String("from", move.Source),
@@ -131,49 +122,49 @@
 	cancel()
 	select {
 	case <-granted: // between the end of ctx and cancel
-		a.EndTurn(name, move.Source, move.Run)
+		a.EndTurn(part, move.Source, move.Run)
 	default:
 	}
 	return "", ctx.Err()
 }
 
 // EndTurn ends a run's turn.
-func (a *Allocator) EndTurn(name, source, run string) {
-	s := a.service(name)
-	s.queue.End(source, run)
-	s.look()
+func (a *Allocator) EndTurn(part Part, source, run string) {
+	m := a.moves(part)
+	m.queue.End(source, run)
+	m.look()
 }
 
-// service returns the moves of a service, and begins to serve them.
-func (a *Allocator) service(name string) *service {
+// moves returns the moves of a part, and begins to serve them.
+func (a *Allocator) moves(part Part) *moves {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.queues[name]
-	if s == nil {
-		s = &service{wake: make(chan struct{}, 1)}
-		s.queue = evacuation.NewQueue(func(source string) []placement.Candidate {
+	m := a.queues[part]
+	if m == nil {
+		m = &moves{wake: make(chan struct{}, 1)}
+		m.queue = evacuation.NewQueue(func(source string) []placement.Candidate {
 			server, _ := a.fleet.Get(source)
-			return a.fleet.Candidates(name, server.Domain)
+			return a.candidates(part, server.Domain)
 		}, time.Now)
-		a.queues[name] = s
-		go s.run()
+		a.queues[part] = m
+		go m.run()
 	}
-	return s
+	return m
 }
 
-func (s *service) look() {
+func (m *moves) look() {
 	select {
-	case s.wake <- struct{}{}:
+	case m.wake <- struct{}{}:
 	default:
 	}
 }
 
-// run steps the queue for as long as the process lives; services are few.
-func (s *service) run() {
-	for range s.wake {
-		for next := s.queue.Step(); next > 0; next = s.queue.Step() {
+// run steps the queue for as long as the process lives; parts are few.
+func (m *moves) run() {
+	for range m.wake {
+		for next := m.queue.Step(); next > 0; next = m.queue.Step() {
 			select {
-			case <-s.wake:
+			case <-m.wake:
 			case <-time.After(next):
 			}
 		}
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -105,52 +105,81 @@
 	return &Client{host: host, domain: domain, peers: peers, local: local, fleet: table, logger: logger, avoided: map[string]time.Time{}}
 }
 
+// parts returns how many parts services are cut into now.
+func (c *Client) parts() int { return partsOf(c.peers.Members()) }
+
+// part returns the part of a service to which a server or an entry host belongs.
+func (c *Client) part(service, id string) Part {
+	count := c.parts()
+	return Part{Service: service, Index: partOf(id, count), Count: count}
+}
+
 // Place chooses a server for a generation, or returns "" if none has a place.
+// Where this host's part of the service is full the next one is asked too.
 func (c *Client) Place(ctx context.Context, service string, asked Asked, except []string) string {
-	allocator := c.allocator(service)
+	part := c.part(service, c.host)
+	if id := c.placeIn(ctx, part, asked, except); id != "" || part.Count <= 1 {
+		return id
+	}
+	part.Index = (part.Index + 1) % part.Count
+	return c.placeIn(ctx, part, asked, except)
+}
+
+func (c *Client) placeIn(ctx context.Context, part Part, asked Asked, except []string) string {
+	allocator := c.allocator(part)
 	if allocator == c.host {
-		return c.local.Place(c.host, c.domain, service, asked, except)
+		return c.placeHere(part, asked, except)
 	}
 	// The allocator may reach a server that this host does not.
-	except = append(c.fleet.Avoided(service), except...)
+	except = append(c.fleet.Avoided(part.Service), except...)
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var response *allocationpb.PlaceResponse
 	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
 		response, err = client.Place(ctx, &allocationpb.PlaceRequest{
-			Host: c.host, FailureDomain: c.domain, Service: service, Request: asked.Request, Fingerprint: asked.Fingerprint, Except: except,
+			Host: c.host, FailureDomain: c.domain, Part: part.message(), Request: asked.Request, Fingerprint: asked.Fingerprint, Except: except,
 			PromptTokens: uint32(asked.Need.PromptTokens), OutputTokens: uint32(asked.Need.OutputTokens),
 		})
 		return err
 	})
 	if err != nil {
-		return c.local.Place(c.host, c.domain, service, asked, except)
+		return c.placeHere(part, asked, except)
 	}
 	return response.GetServer()
 }
 
+// placeHere places by this host's own view: of the part if it is its
+// allocator, else of all servers, as there is nobody to ask for a part.
+func (c *Client) placeHere(part Part, asked Asked, except []string) string {
+	if Chosen(c.peers.Members(), part) != c.host {
+		part = Whole(part.Service)
+	}
+	return c.local.Place(c.host, c.domain, part, asked, except)
+}
+
 // TakeTurn waits until a run may move off a leaving server, and returns where
 // to ("": nowhere) and what ends the turn.
 func (c *Client) TakeTurn(ctx context.Context, service string, move evacuation.Move) (destination string, end func(), err error) {
-	allocator := c.allocator(service)
+	part := c.part(service, move.Source)
+	allocator := c.allocator(part)
 	if allocator != c.host {
-		destination, err = c.takeTurnAt(ctx, allocator, service, move)
+		destination, err = c.takeTurnAt(ctx, allocator, part, move)
 		if err == nil {
-			return destination, func() { c.endTurnAt(allocator, service, move) }, nil
+			return destination, func() { c.endTurnAt(allocator, part, move) }, nil
 		}
 		if ctx.Err() != nil {
 			return "", nil, ctx.Err()
 		}
 	}
-	destination, err = c.local.TakeTurn(ctx, c.host, service, move)
-	return destination, func() { c.local.EndTurn(service, move.Source, move.Run) }, err
+	destination, err = c.local.TakeTurn(ctx, c.host, part, move)
+	return destination, func() { c.local.EndTurn(part, move.Source, move.Run) }, err
 }
 
-func (c *Client) takeTurnAt(ctx context.Context, allocator, service string, move evacuation.Move) (string, error) {
+func (c *Client) takeTurnAt(ctx context.Context, allocator string, part Part, move evacuation.Move) (string, error) {
 	var response *allocationpb.TakeTurnResponse
 	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
 		response, err = client.TakeTurn(ctx, &allocationpb.TakeTurnRequest{
-			Host: c.host, Service: service, Source: move.Source, Run: move.Run,
+			Host: c.host, Part: part.message(), Source: move.Source, Run: move.Run,
 			HeldTokens: uint32(move.Need.PromptTokens), RemainingTokens: uint32(move.Need.OutputTokens), Size: uint32(move.Size),
 		})
 		return err
@@ -158,20 +187,20 @@
 	return response.GetDestination(), err
 }
 
-func (c *Client) endTurnAt(allocator, service string, move evacuation.Move) {
+func (c *Client) endTurnAt(allocator string, part Part, move evacuation.Move) {
 	ctx, cancel := context.WithTimeout(context.Background(), placeTimeout)
 	defer cancel()
 	// Where this is lost the turn ends by itself, some hundred ms later.
 	_ = c.call(ctx, allocator, func(client allocationpb.AllocationClient) error {
-		_, err := client.EndTurn(ctx, &allocationpb.EndTurnRequest{Host: c.host, Service: service, Source: move.Source, Run: move.Run})
+		_, err := client.EndTurn(ctx, &allocationpb.EndTurnRequest{Host: c.host, Part: part.message(), Source: move.Source, Run: move.Run})
 		return err
 	})
 }
 
-// allocator returns who is asked for a service: this host itself where the
-// chosen one did not answer a moment ago.
-func (c *Client) allocator(service string) string {
-	chosen := Chosen(c.peers.Members(), service)
+// allocator returns who is asked for a part: this host itself where the chosen
+// one did not answer a moment ago.
+func (c *Client) allocator(part Part) string {
+	chosen := Chosen(c.peers.Members(), part)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if chosen == "" || time.Now().Before(c.avoided[chosen]) {
@@ -201,28 +230,54 @@
 
 // Run reports this host's load to the allocators until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	reported, at := map[string]map[string]fleet.Load{}, time.Time{}
+	reported, at := map[Part]bool{}, time.Time{} // parts whose allocator was told of work
 	changes := rate.NewLimiter(rate.Every(c.interval()), reportBurst)
 	for c.pause(ctx, changes) == nil {
 		refresh := time.Since(at) >= refreshInterval
 		if refresh {
 			at = time.Now()
 		}
+		count := c.parts()
 		for service, loads := range c.fleet.OwnGenerations() {
 			evidence := c.fleet.TakeEvidence(service)
-			if !refresh && len(loads) == 0 && len(reported[service]) == 0 && len(evidence) == 0 {
-				continue // with work here, the answer tells which servers leave
-			}
-			// Where a report is lost its evidence is too; what goes on failing
-			// makes new evidence.
-			if c.report(ctx, service, loads, evidence) {
-				reported[service] = loads
+			for index := range count {
+				part := Part{Service: service, Index: index, Count: count}
+				c.reportPart(ctx, part, held(part, loads), held(part, evidence), refresh, reported)
 			}
 		}
 	}
 	return ctx.Err()
 }
 
+// reportPart reports where there is something to tell, or to hear: with work
+// there, the answer says which servers leave; at a refresh this host's own part
+// tells it of the newest configuration.
+func (c *Client) reportPart(ctx context.Context, part Part, loads map[string]fleet.Load, evidence map[string]fleet.Evidence, refresh bool, reported map[Part]bool) {
+	home := part.Index == partOf(c.host, part.Count)
+	if len(loads) == 0 && len(evidence) == 0 && !reported[part] && !(refresh && home) {
+		return
+	}
+	// Where a report is lost its evidence is too; what goes on failing makes
+	// new evidence.
+	if c.report(ctx, part, loads, evidence) {
+		reported[part] = len(loads) > 0
+	}
+}
+
+// held returns what is said of the servers of a part.
+func held[V any](part Part, byServer map[string]V) map[string]V {
+	if part.Count <= 1 {
+		return byServer
+	}
+	inPart := map[string]V{}
+	for id, v := range byServer {
+		if part.Holds(id) {
+			inPart[id] = v
+		}
+	}
+	return inPart
+}
+
 // pause waits until the next report is due: at once when this host's work has
 // changed, else after the interval.
 //
@@ -258,14 +313,14 @@
 	return reportInterval * time.Duration(max(reportingHosts, hosts)) / reportingHosts
 }
 
-// report tells a service's allocator what this host runs there, and how its
+// report tells a part's allocator what this host runs there, and how its
 // requests ended.
-func (c *Client) report(ctx context.Context, service string, loads map[string]fleet.Load, evidence map[string]fleet.Evidence) bool {
-	allocator := c.allocator(service)
+func (c *Client) report(ctx context.Context, part Part, loads map[string]fleet.Load, evidence map[string]fleet.Evidence) bool {
+	allocator := c.allocator(part)
 	if allocator == c.host {
 		return true
 	}
-	request := &allocationpb.ReportRequest{Host: c.host, Service: service}
+	request := &allocationpb.ReportRequest{Host: c.host, Part: part.message()}
 	for _, id := range slices.Sorted(maps.Keys(loads)) {
 		load := loads[id]
 		request.Loads = append(request.Loads, &allocationpb.ServerLoad{
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,33 +45,36 @@
 	Logger  *zap.Logger
 }
 
-// Run watches the services for which this host decides, until ctx ends.
+// Run watches the parts of services for which this host decides, until ctx ends.
 func (s *Sentinel) Run(ctx context.Context) error {
 	away := false
 	for n := 0; sleep.For(ctx, checkInterval) == nil; n++ {
-		services := s.mine()
+		parts := s.mine()
 		before := away
-		away = len(services) > 0 && !s.check(ctx, n%verifyEvery == 0)
+		away = len(parts) > 0 && !s.check(ctx, n%verifyEvery == 0)
 		switch {
 		case away && !before:
-			s.Logger.Warn(msgAsking, zap.Strings("services", services))
+			s.Logger.Warn(msgAsking, zap.Any("parts", parts))
 		case before && !away:
 			s.Logger.Info(msgNotAsking)
 		}
 		if away {
-			s.ask(ctx, services)
+			s.ask(ctx, parts)
 		}
 	}
 	return ctx.Err()
 }
 
-// mine returns the services for which this host decides: as their allocator,
-// or as the allocator does not answer it.
-func (s *Sentinel) mine() []string {
-	var mine []string
+// mine returns the parts for which this host decides: as their allocator, or
+// as the allocator does not answer it.
+func (s *Sentinel) mine() []Part {
+	var mine []Part
+	count := s.Client.parts()
 	for _, service := range s.Fleet.EngineServices() {
-		if s.Client.allocator(service) == s.Host {
-			mine = append(mine, service)
+		for index := range count {
+			if part := (Part{Service: service, Index: index, Count: count}); s.Client.allocator(part) == s.Host {
+				mine = append(mine, part)
+			}
 		}
 	}
 	return mine
@@ -85,23 +89,24 @@
 	return s.Check(ctx) == nil
 }
 
-// asked returns the servers of a service that are asked: all by its allocator;
-// by a host that decides for itself those on which it has work, or on a day
-// with many hosts cut off each would ask all.
-func (s *Sentinel) asked(service string) []fleet.Server {
-	if Chosen(s.Client.peers.Members(), service) == s.Host {
-		return s.Fleet.Usable(service)
+// asked returns the servers of a part that are asked: all by its allocator; by
+// a host that decides for itself those on which it has work, or on a day with
+// many hosts cut off each would ask all.
+func (s *Sentinel) asked(part Part) []fleet.Server {
+	servers := s.Fleet.UsableWithWork(part.Service)
+	if Chosen(s.Client.peers.Members(), part) == s.Host {
+		servers = s.Fleet.Usable(part.Service)
 	}
-	return s.Fleet.UsableWithWork(service)
+	return slices.DeleteFunc(servers, func(server fleet.Server) bool { return !part.Holds(server.ID) })
 }
 
-// ask asks the servers of the services at once.
-func (s *Sentinel) ask(ctx context.Context, services []string) {
+// ask asks the servers of the parts at once.
+func (s *Sentinel) ask(ctx context.Context, parts []Part) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, service := range services {
-		for _, server := range s.asked(service) {
+	for _, part := range parts {
+		for _, server := range s.asked(part) {
 			group.Go(func() {
 				if departs, err := s.Departs(ctx, server); err == nil && departs {
 					s.Fleet.MarkLeaving(server.ID, fleet.SourceAnswer)
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -29,7 +29,7 @@
 		Need: placement.Need{PromptTokens: int(r.GetPromptTokens()), OutputTokens: int(r.GetOutputTokens())},
 	}
 	return &allocationpb.PlaceResponse{
-		Server: s.allocator.Place(r.GetHost(), r.GetFailureDomain(), r.GetService(), asked, r.GetExcept()),
+		Server: s.allocator.Place(r.GetHost(), r.GetFailureDomain(), partFrom(r.GetPart()), asked, r.GetExcept()),
 	}, nil
 }
 
@@ -45,8 +45,9 @@
 	for _, e := range r.GetEvidence() {
 		s.allocator.fleet.Witness(r.GetHost(), e.GetServer(), fleet.Evidence{Failed: int(e.GetFailed()), Answered: int(e.GetAnswered())})
 	}
-	s.allocator.fleet.SetOthers(r.GetHost(), r.GetService(), loads)
-	response := &allocationpb.ReportResponse{Leaving: s.allocator.fleet.Leaving(r.GetService())}
+	part := partFrom(r.GetPart())
+	s.allocator.fleet.SetOthers(r.GetHost(), part.Service, loads, part.Holds)
+	response := &allocationpb.ReportResponse{Leaving: s.allocator.fleet.Leaving(part.Service)}
 	if s.allocator.Undisturbed != nil {
 		response.UndisturbedMs = uint32(min(s.allocator.Undisturbed(), time.Hour).Milliseconds())
 	}
@@ -58,7 +59,7 @@
 
 // TakeTurn implements allocationpb.AllocationServer.
 func (s *server) TakeTurn(ctx context.Context, r *allocationpb.TakeTurnRequest) (*allocationpb.TakeTurnResponse, error) {
-	destination, err := s.allocator.TakeTurn(ctx, r.GetHost(), r.GetService(), evacuation.Move{
+	destination, err := s.allocator.TakeTurn(ctx, r.GetHost(), partFrom(r.GetPart()), evacuation.Move{
 		Source: r.GetSource(), Run: r.GetRun(), Size: int(r.GetSize()),
 		Need: placement.Need{PromptTokens: int(r.GetHeldTokens()), OutputTokens: int(r.GetRemainingTokens())},
 	})
@@ -67,6 +68,14 @@
 
 // EndTurn implements allocationpb.AllocationServer.
 func (s *server) EndTurn(_ context.Context, r *allocationpb.EndTurnRequest) (*allocationpb.EndTurnResponse, error) {
-	s.allocator.EndTurn(r.GetService(), r.GetSource(), r.GetRun())
+	s.allocator.EndTurn(partFrom(r.GetPart()), r.GetSource(), r.GetRun())
 	return &allocationpb.EndTurnResponse{}, nil
 }
+
+func partFrom(p *allocationpb.Part) Part {
+	return Part{Service: p.GetService(), Index: int(p.GetIndex()), Count: int(p.GetCount())}
+}
+
+func (p Part) message() *allocationpb.Part {
+	return &allocationpb.Part{Service: p.Service, Index: uint32(p.Index), Count: uint32(p.Count)}
+}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -166,7 +166,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newWorld()
 		for _, id := range []string{"e1", "e2"} {
-			w.fleet.SetOthers("h2", "llm", map[string]fleet.Load{"e1": {Requests: 9, HeldTokens: 33000}, "e2": {Requests: 9, HeldTokens: 33000}})
+			w.fleet.SetOthers("h2", "llm", map[string]fleet.Load{"e1": {Requests: 9, HeldTokens: 33000}, "e2": {Requests: 9, HeldTokens: 33000}}, everywhere)
 			_ = id
 		}
 		began := time.Now()
@@ -184,8 +184,8 @@
 		is, w := is.New(t), newWorld()
 		w.send = func(context.Context, Call) (*Reply, error) { return newGeneration(1, 3, gap).reply(), nil }
 		full := map[string]fleet.Load{"e1": {Requests: 9, HeldTokens: 33000}, "e2": {Requests: 9, HeldTokens: 33000}}
-		w.fleet.SetOthers("h2", "llm", full)
-		time.AfterFunc(20*time.Millisecond, func() { w.fleet.SetOthers("h2", "llm", nil) })
+		w.fleet.SetOthers("h2", "llm", full, everywhere)
+		time.AfterFunc(20*time.Millisecond, func() { w.fleet.SetOthers("h2", "llm", nil, everywhere) })
 		is.True(w.serve("/letter/1").Complete)
 	})
 }
@@ -244,3 +244,6 @@
 	}
 	return n
 }
+
+// everywhere says that a host reports of all servers.
+func everywhere(string) bool { return true }
