fleet: one way to look up a server

Cause: Get and Known were the same but for what they say of the server besides. Change: Get alone; a server that is not known has no ID. No behaviour changes; tests of fleet and gatewayhost pass.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -170,7 +170,8 @@
 	}
 }
 
-// Get returns a server and whether it takes new work.
+// Get returns a server and whether it takes new work. One that is not known
+// has no ID.
 func (t *Table) Get(id string) (server Server, usable bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -181,17 +182,6 @@
 	return e.server, !e.leaving
 }
 
-// Known returns a server, leaving or not.
-func (t *Table) Known(id string) (Server, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.servers[id]
-	if e == nil {
-		return Server{}, false
-	}
-	return e.server, true
-}
-
 // Leaving returns the IDs of the servers of a service that are leaving or left
 // a moment ago, in order.
 func (t *Table) Leaving(name string) []string {
