fleet: what other hosts have on a server is added up when it changes

Cause: each placement added up the loads of all hosts on all servers: 195 us a decision among 600 engines with the loads of 390 hosts, 259 us where the service was cut into four parts, as all servers were looked at and then left out (go test ./allocation -bench 'Place|TakeReport', machine busy with other runs). At 12,000 generations a second that is more than two cores.

Change: the sum is kept until a host says something else or is forgotten, and servers of other parts are passed over at once.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -16,7 +16,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -96,11 +95,7 @@
 
 // candidates returns the servers of a part that may get work.
 func (a *Allocator) candidates(part Part, domain string, except ...string) []placement.Candidate {
-	all := a.fleet.Candidates(part.Service, domain, except...)
-	if part.Count <= 1 {
-		return all
-	}
-	return slices.DeleteFunc(all, func(c placement.Candidate) bool { return !part.Holds(c.ID) })
+	return a.fleet.CandidatesAmong(part.Service, domain, part.Holds, except...)
 }
 
 // TakeTurn waits until a host's run may move. The turn has to be ended.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -56,6 +56,7 @@
 	witnesses      map[string]time.Time // entry hosts whose requests failed there, and when; an answer clears it
 	work           map[*Work]struct{}
 	others         map[string]Load // by entry host
+	sum            loadSum         // of others
 	gone           chan struct{}   // closed when leaving
 	leavingBecause LeavingSource
 }
@@ -244,12 +245,17 @@
 // Candidates returns the servers of a service that may get work from a failure
 // domain, but for those in except.
 func (t *Table) Candidates(name, domain string, except ...string) []placement.Candidate {
+	return t.CandidatesAmong(name, domain, func(string) bool { return true }, except...)
+}
+
+// CandidatesAmong returns those of the candidates whose IDs are wanted.
+func (t *Table) CandidatesAmong(name, domain string, wanted func(id string) bool, except ...string) []placement.Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, now := t.service(name), time.Now()
 	candidates := make([]placement.Candidate, 0, len(s.members))
 	for _, e := range s.members {
-		if e.leaving || now.Before(e.unreachable) || slices.Contains(except, e.server.ID) {
+		if e.leaving || now.Before(e.unreachable) || !wanted(e.server.ID) || slices.Contains(except, e.server.ID) {
 			continue
 		}
 		candidates = append(candidates, e.candidate(s, domain, now))
@@ -263,11 +269,7 @@
 		Doubtful: e.health.doubtful, Slow: now.Before(e.slowUntil),
 	}
 	load := e.ownLoad()
-	for _, other := range e.others {
-		if now.Sub(other.At) < loadLifetime {
-			load.add(other)
-		}
-	}
+	load.add(e.othersLoad(now))
 	c.Running, c.HeldTokens, c.UsedTokens = load.Requests, load.HeldTokens, load.UsedTokens
 	c.UnreadTokens, c.BriefUnreadTokens = load.UnreadTokens, load.BriefUnreadTokens
 	return c
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -55,6 +55,34 @@
 	l.BriefUnreadTokens += other.BriefUnreadTokens
 }
 
+// loadSum is the sum of what other hosts have on a server, kept until one of
+// them says something else or is forgotten. Added up for each decision it took
+// 195 us to place a generation among 600 engines with the loads of 390 hosts.
+type loadSum struct {
+	load  Load
+	until time.Time // zero: add up again
+}
+
+// othersLoad is called with the table's mu held.
+func (e *entry) othersLoad(now time.Time) Load {
+	if now.Before(e.sum.until) {
+		return e.sum.load
+	}
+	e.sum = loadSum{until: now.Add(loadLifetime)}
+	for host, other := range e.others {
+		ends := other.At.Add(loadLifetime)
+		if !now.Before(ends) {
+			delete(e.others, host)
+			continue
+		}
+		e.sum.load.add(other)
+		if ends.Before(e.sum.until) {
+			e.sum.until = ends
+		}
+	}
+	return e.sum.load
+}
+
 // Begin books a request on a server. It returns nil if the server takes no
 // new work; resumed says that the request is a run that moves there, which a
 // leaving server may still be given back.
@@ -154,6 +182,10 @@
 			continue
 		}
 		load, has := loads[e.server.ID]
+		if _, had := e.others[host]; !has && !had {
+			continue
+		}
+		e.sum.until = time.Time{}
 		if !has {
 			delete(e.others, host)
 			continue
@@ -179,4 +211,5 @@
 	known.add(load)
 	known.At = time.Now()
 	e.others[host] = known
+	e.sum.until = time.Time{}
 }
