--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -335,7 +335,7 @@
 	client.host = "h150" // no allocator
 	home := client.part(llm, client.host)
 	is.Equal(home.Count, 2)
-	need := placement.Need{PromptTokens: 3000, OutputTokens: 400}
+	need := placement.Need{PromptTokens: 1000, OutputTokens: 400}
 	id := client.Place(context.Background(), llm, Asked{Request: "r1", Need: need}, nil)
 	is.True(home.Holds(id))
 	full, roomy := map[string]fleet.Load{}, ""
