store: calls are counted on the users' platform too

Cause: only the store behind a budget counted its calls, and on the users' platform, where each call has a price, papayasail_platform_calls_total stood at zero. Change: counting is a store of its own before the client, with checks as an operation; the budget stands before it.

Test: calls through a budget are counted once, and a check is counted; it fails before, as nothing counted checks.

--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -60,12 +60,6 @@
 	ReadServer                                func(id string, data []byte) (fleet.Server, error)
 }
 
-// Store is the store with a call that only shows whether it answers.
-type Store interface {
-	store.Store
-	Check(ctx context.Context) error
-}
-
 // Backend speaks with backend servers.
 type Backend interface {
 	gateway.Backend
@@ -88,7 +82,7 @@
 	CallersAddress string // where callers are sent
 	Seeds          []string
 	Network        link.Network
-	Store          Store
+	Store          store.Checker
 	Objects        Objects
 	Backend        Backend
 	// Repeats bounds requests that are sent once more.
--- /dev/null
+++ b/store/counted.go
@@ -0,0 +1,117 @@
+package store
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+var calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+	Namespace: "papayasail",
+	Subsystem: "platform",
+	Name:      "calls_total",
+	Help:      "Calls to the platform's store by operation and result; a waiting watch counts as one. Result over_budget was not sent.",
+}, []string{"op", "result"})
+
+func init() { prometheus.MustRegister(calls) }
+
+// Operations and results, the labels of the counter of calls.
+const (
+	opGet   = "get"
+	opPut   = "put"
+	opList  = "list"
+	opWatch = "watch"
+	opCheck = "check"
+
+	resultOK          = "ok"
+	resultNoObject    = "no_object"
+	resultBadVersion  = "bad_version"
+	resultUnavailable = "unavailable"
+	resultUnknown     = "unknown"
+	resultCompacted   = "compacted"
+	resultOverBudget  = "over_budget"
+	resultCancelled   = "cancelled"
+	resultOther       = "error"
+)
+
+// Checker is a store with a call that only shows whether it answers.
+type Checker interface {
+	Store
+	Check(ctx context.Context) error
+}
+
+// Counted counts the calls to a store.
+type Counted struct{ store Store }
+
+// NewCounted counts the calls to store.
+func NewCounted(store Store) *Counted { return &Counted{store: store} }
+
+// Get implements Store.
+func (c *Counted) Get(ctx context.Context, kind, name string) (Object, error) {
+	object, err := c.store.Get(ctx, kind, name)
+	count(opGet, err)
+	return object, err
+}
+
+// Put implements Store.
+func (c *Counted) Put(ctx context.Context, kind, name string, value []byte, expect Version) (Version, error) {
+	version, err := c.store.Put(ctx, kind, name, value, expect)
+	count(opPut, err)
+	return version, err
+}
+
+// List implements Store.
+func (c *Counted) List(ctx context.Context, kind string) ([]Object, Version, error) {
+	objects, revision, err := c.store.List(ctx, kind)
+	count(opList, err)
+	return objects, revision, err
+}
+
+// Watch implements Store.
+func (c *Counted) Watch(ctx context.Context, kind string, after Version) ([]Object, Version, error) {
+	objects, revision, err := c.store.Watch(ctx, kind, after)
+	count(opWatch, err)
+	return objects, revision, err
+}
+
+// CountedChecker counts the calls to a store that can be checked.
+type CountedChecker struct {
+	*Counted
+	checker Checker
+}
+
+// NewCountedChecker counts the calls to store.
+func NewCountedChecker(store Checker) *CountedChecker {
+	return &CountedChecker{Counted: NewCounted(store), checker: store}
+}
+
+// Check implements Checker.
+func (c *CountedChecker) Check(ctx context.Context) error {
+	err := c.checker.Check(ctx)
+	count(opCheck, err)
+	return err
+}
+
+func count(op string, err error) { calls.WithLabelValues(op, result(err)).Inc() }
+
+func result(err error) string {
+	var bad *VersionError
+	switch {
+	case err == nil:
+		return resultOK
+	case errors.Is(err, ErrNoObject):
+		return resultNoObject
+	case errors.As(err, &bad):
+		return resultBadVersion
+	case errors.Is(err, ErrOutcomeUnknown):
+		return resultUnknown
+	case errors.Is(err, ErrCompacted):
+		return resultCompacted
+	case errors.Is(err, context.Canceled):
+		return resultCancelled
+	case errors.Is(err, ErrUnavailable):
+		return resultUnavailable
+	}
+	return resultOther
+}
--- /dev/null
+++ b/store/counted_test.go
@@ -0,0 +1,35 @@
+package store
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	dto "github.com/prometheus/client_model/go"
+)
+
+func TestCallsAreCountedOnce(t *testing.T) {
+	// Calls to the store have a price, and on the users' platform the counter
+	// stood at zero: only the store behind a budget counted.
+	is, ctx := is.New(t), context.Background()
+	read := func(op, result string) float64 {
+		var metric dto.Metric
+		is.NoErr(calls.WithLabelValues(op, result).Write(&metric))
+		return metric.GetCounter().GetValue()
+	}
+	ok, none, checks := read(opList, resultOK), read(opGet, resultNoObject), read(opCheck, resultOK)
+	limited := NewLimited(NewMemory(), Budget{})
+	_, _, err := limited.List(ctx, "k")
+	is.NoErr(err)
+	_, err = limited.Get(ctx, "k", "n")
+	is.True(err != nil)
+	is.NoErr(NewCountedChecker(sound{NewMemory()}).Check(ctx))
+	is.Equal(read(opList, resultOK), ok+1)
+	is.Equal(read(opGet, resultNoObject), none+1)
+	is.Equal(read(opCheck, resultOK), checks+1)
+}
+
+// sound is a store that answers each check.
+type sound struct{ *Memory }
+
+func (sound) Check(context.Context) error { return nil }
--- a/store/limited.go
+++ b/store/limited.go
@@ -4,37 +4,9 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 )
 
-var calls = prometheus.NewCounterVec(prometheus.CounterOpts{
-	Namespace: "papayasail",
-	Subsystem: "platform",
-	Name:      "calls_total",
-	Help:      "Calls to the platform's store by operation and result; a waiting watch counts as one. Result over_budget was not sent.",
-}, []string{"op", "result"})
-
-func init() { prometheus.MustRegister(calls) }
-
-// Operations and results, the labels of the counter of calls.
-const (
-	opGet   = "get"
-	opPut   = "put"
-	opList  = "list"
-	opWatch = "watch"
-
-	resultOK          = "ok"
-	resultNoObject    = "no_object"
-	resultBadVersion  = "bad_version"
-	resultUnavailable = "unavailable"
-	resultUnknown     = "unknown"
-	resultCompacted   = "compacted"
-	resultOverBudget  = "over_budget"
-	resultCancelled   = "cancelled"
-	resultOther       = "error"
-)
-
 // Budget bounds the calls of one host.
 type Budget struct {
 	// Rate is in calls per second. Hosts times Rate has to stay under what the
@@ -62,7 +34,7 @@
 	if budget.Burst <= 0 {
 		budget.Burst = defaultBurst
 	}
-	return &Limited{store: store, limiter: rate.NewLimiter(rate.Limit(budget.Rate), budget.Burst)}
+	return &Limited{store: NewCounted(store), limiter: rate.NewLimiter(rate.Limit(budget.Rate), budget.Burst)}
 }
 
 // Get implements Store.
@@ -70,9 +42,7 @@
 	if err := l.take(ctx, opGet); err != nil {
 		return Object{}, err
 	}
-	object, err := l.store.Get(ctx, kind, name)
-	count(opGet, err)
-	return object, err
+	return l.store.Get(ctx, kind, name)
 }
 
 // Put implements Store.
@@ -80,9 +50,7 @@
 	if err := l.take(ctx, opPut); err != nil {
 		return 0, err
 	}
-	version, err := l.store.Put(ctx, kind, name, value, expect)
-	count(opPut, err)
-	return version, err
+	return l.store.Put(ctx, kind, name, value, expect)
 }
 
 // List implements Store.
@@ -90,9 +58,7 @@
 	if err := l.take(ctx, opList); err != nil {
 		return nil, 0, err
 	}
-	objects, revision, err := l.store.List(ctx, kind)
-	count(opList, err)
-	return objects, revision, err
+	return l.store.List(ctx, kind)
 }
 
 // Watch implements Store.
@@ -100,9 +66,7 @@
 	if err := l.take(ctx, opWatch); err != nil {
 		return nil, 0, err
 	}
-	objects, revision, err := l.store.Watch(ctx, kind, after)
-	count(opWatch, err)
-	return objects, revision, err
+	return l.store.Watch(ctx, kind, after)
 }
 
 // take waits for the budget. When ctx ends before the budget allows the call,
@@ -114,26 +78,3 @@
 	}
 	return nil
 }
-
-func count(op string, err error) { calls.WithLabelValues(op, result(err)).Inc() }
-
-func result(err error) string {
-	var bad *VersionError
-	switch {
-	case err == nil:
-		return resultOK
-	case errors.Is(err, ErrNoObject):
-		return resultNoObject
-	case errors.As(err, &bad):
-		return resultBadVersion
-	case errors.Is(err, ErrOutcomeUnknown):
-		return resultUnknown
-	case errors.Is(err, ErrCompacted):
-		return resultCompacted
-	case errors.Is(err, context.Canceled):
-		return resultCancelled
-	case errors.Is(err, ErrUnavailable):
-		return resultUnavailable
-	}
-	return resultOther
-}
