--- a/fleet/work.go
+++ b/fleet/work.go
@@ -14,7 +14,7 @@
 	PromptTokens int
 	OutputTokens int        // expected
 	produced     int        // tokens; guarded by Table.mu
-	measured     paceWindow // guarded by Table.mu
+	window       paceWindow // guarded by Table.mu
 }
 
 // Load is what one entry host has on a server; its fields are those of
@@ -109,7 +109,7 @@
 		w.table.ownChanged(w.entry)
 	}
 	w.produced = max(w.produced, tokens)
-	w.entry.pace.observe(w.measured.next(w.produced, time.Now()))
+	w.entry.pace.observe(w.window.next(w.produced, time.Now()))
 }
 
 // End takes the request off its server. It may be called again.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -139,7 +139,7 @@
 		if !candidate.hasPlace(need, limits) {
 			continue
 		}
-		r := rank{candidate.Doubtful, candidate.cost(need) + candidate.paceCost(need, fastest)}
+		r := rank{candidate.Doubtful, candidate.cost(need) + candidate.slowness(need, fastest)}
 		if best < 0 || r.before(bestRank) {
 			best, bestRank = index, r
 		}
@@ -210,13 +210,13 @@
 	return fastest
 }
 
-// paceCost is what the engine's speed adds to its cost. An engine whose pace
+// slowness is what the engine's speed adds to its cost. An engine whose pace
 // is not known counts as fast, so that it is tried.
 //
 // The load it answers: some engines of a service are slower than the others,
 // and a generation of 20 s is lost with its host or its engine the sooner the
 // longer it runs.
-func (c *Candidate) paceCost(need Need, fastest time.Duration) float64 {
+func (c *Candidate) slowness(need Need, fastest time.Duration) float64 {
 	if c.MemoryTokens == 0 || c.Pace <= 0 || fastest <= 0 {
 		return 0
 	}
