fleet: sums of other hosts' loads against an oracle

Random reports, bookings and waits, compared after each step with the plain list of what was heard. No code changes.

--- /dev/null
+++ b/fleet/load_fuzz_test.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/papayasail/papayasail/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) {
+	rapidtest.Main(m, rapidtest.Flags{"seed": "1", "checks": "300"})
+}
+
+// loadStep is one thing that is heard of other hosts' work.
+type loadStep struct {
+	kind    string // "report", "book" or "wait"
+	host    string
+	servers []int // reported, of four; of the part that the report is on
+	part    int
+	load    Load
+	wait    time.Duration
+}
+
+func genLoadSteps() *rapid.Generator[[]loadStep] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) loadStep {
+		return loadStep{
+			kind:    rapid.SampledFrom([]string{"report", "book", "wait"}).Draw(t, "kind"),
+			host:    rapid.SampledFrom([]string{"h1", "h2", "h3", "me"}).Draw(t, "host"),
+			servers: rapid.SliceOfDistinct(rapid.IntRange(0, 3), rapid.ID[int]).Draw(t, "servers"),
+			part:    rapid.IntRange(0, 1).Draw(t, "part"),
+			load:    Load{Requests: 1, HeldTokens: rapid.IntRange(1, 5000).Draw(t, "held")},
+			wait:    time.Duration(rapid.IntRange(1, 1500).Draw(t, "wait")) * time.Millisecond,
+		}
+	}), 1, 40)
+}
+
+// heard is the oracle: the plain list of what each host has on each server.
+type heard map[[2]string]Load
+
+func (h heard) add(host, server string, load Load, now time.Time) {
+	known := h[[2]string{host, server}]
+	if now.Sub(known.At) >= loadLifetime {
+		known = Load{}
+	}
+	known.Requests += load.Requests
+	known.HeldTokens += load.HeldTokens
+	known.At = now
+	h[[2]string{host, server}] = known
+}
+
+func (h heard) held(server string, now time.Time) (tokens int) {
+	for key, load := range h {
+		if key[1] == server && now.Sub(load.At) < loadLifetime {
+			tokens += load.HeldTokens
+		}
+	}
+	return tokens
+}
+
+func serverName(i int) string { return fmt.Sprintf("e%d", i) }
+
+// partOfServer cuts the servers into even and odd ones.
+func partOfServer(server string) int { return int(server[1]-'0') % 2 }
+
+func TestSumsOfOtherHostsLoads(t *testing.T) {
+	// Sums of what other hosts have on a server are kept between decisions. One
+	// that is kept too long makes an engine look full, or empty, until its
+	// hosts say something else.
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := genLoadSteps().Draw(rt, "steps")
+		broken := ""
+		synctest.Test(t, func(*testing.T) {
+			table, oracle := newTable(), heard{}
+			for i := range 4 {
+				table.Put(Server{ID: serverName(i), Service: "llm", Address: "x", Slots: 24})
+			}
+			for n, step := range steps {
+				play(table, oracle, step)
+				for _, c := range table.Candidates("llm", "d1") {
+					if want := oracle.held(c.ID, time.Now()); c.HeldTokens != want && broken == "" {
+						broken = fmt.Sprintf("step %d (%+v): %s holds %d tokens, %d were heard of", n, step, c.ID, c.HeldTokens, want)
+					}
+				}
+			}
+		})
+		if broken != "" {
+			rt.Fatal(broken) // outside the bubble, so that rapid can shorten the steps
+		}
+	})
+}
+
+func play(table *Table, oracle heard, step loadStep) {
+	now := time.Now()
+	switch step.kind {
+	case "wait":
+		time.Sleep(step.wait)
+	case "book":
+		if len(step.servers) == 0 || step.host == "me" {
+			return // a host books its own work when it begins
+		}
+		server := serverName(step.servers[0])
+		table.BookFor(step.host, server, step.load)
+		oracle.add(step.host, server, step.load, now)
+	case "report":
+		inPart := func(server string) bool { return partOfServer(server) == step.part }
+		loads := map[string]Load{}
+		for _, i := range step.servers {
+			if server := serverName(i); inPart(server) {
+				loads[server] = step.load
+			}
+		}
+		table.SetOthers(step.host, "llm", loads, func(server string) bool { return server[0] == 'e' && inPart(server) })
+		for i := range 4 {
+			if server := serverName(i); inPart(server) {
+				delete(oracle, [2]string{step.host, server})
+				if load, has := loads[server]; has {
+					oracle.add(step.host, server, load, now)
+				}
+			}
+		}
+	}
+}
