allocation: a refusal for want of a place says what is lacking

Change: the first thing that each engine lacks is counted and logged. Decisions are the same: the checks keep their order. Test: an engine of each kind.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -81,8 +81,10 @@
 	i := placement.Pick(need, candidates, a.limits, a.draw)
 	if i < 0 {
 		a.refusals.note(asked.Fingerprint, request)
+		lacking := placement.ShortageOf(need, candidates, a.limits)
 		a.logger.Info(msgNoPlace, zap.String("request", request), zap.String("for", host), zap.Int("candidates", len(candidates)),
-			zap.Int("prompt_tokens", need.PromptTokens), zap.Int("output_tokens", need.OutputTokens))
+			zap.Int("prompt_tokens", need.PromptTokens), zap.Int("output_tokens", need.OutputTokens), zap.Bool("returning", need.Returning),
+			zap.Int("lack_reading", lacking.Reading), zap.Int("lack_slots", lacking.Slots), zap.Int("lack_memory", lacking.Memory))
 		return ""
 	}
 	chosen := &candidates[i]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -160,18 +160,59 @@
 	return cmp.Less(r.cost, other.cost)
 }
 
+// lack is what a server lacks for a request.
+type lack int
+
+const (
+	lacksNothing lack = iota
+	lacksReading      // too many prompts before it
+	lacksSlots
+	lacksMemory
+)
+
+// Shortage counts servers without a place by what they lack first.
+type Shortage struct{ Reading, Slots, Memory int }
+
+// ShortageOf says why none of the candidates has a place.
+func ShortageOf(need Need, candidates []Candidate, limits Limits) (shortage Shortage) {
+	for i := range candidates {
+		switch candidates[i].lacks(need, limits) {
+		case lacksReading:
+			shortage.Reading++
+		case lacksSlots:
+			shortage.Slots++
+		case lacksMemory:
+			shortage.Memory++
+		}
+	}
+	return shortage
+}
+
 func (c *Candidate) hasPlace(need Need, limits Limits) bool {
+	return c.lacks(need, limits) == lacksNothing
+}
+
+// lacks returns what the server lacks first for the request.
+func (c *Candidate) lacks(need Need, limits Limits) lack {
 	if c.Running == 0 {
-		return true // an idle server takes one whatever the limits say
+		return lacksNothing // an idle server takes one whatever the limits say
 	}
 	if c.MemoryTokens == 0 {
-		return float64(c.Running) < float64(c.Slots)*(1+limits.QueueShare)
+		if float64(c.Running) < float64(c.Slots)*(1+limits.QueueShare) {
+			return lacksNothing
+		}
+		return lacksSlots
 	}
 	unread := c.unreadBefore(need)
-	if limits.UnreadTokens > 0 && unread > 0 && unread+need.PromptTokens > limits.UnreadTokens {
-		return false
+	switch {
+	case limits.UnreadTokens > 0 && unread > 0 && unread+need.PromptTokens > limits.UnreadTokens:
+		return lacksReading
+	case c.Running >= c.Slots:
+		return lacksSlots
+	case !c.hasMemory(need, limits):
+		return lacksMemory
 	}
-	return c.Running < c.Slots && c.hasMemory(need, limits)
+	return lacksNothing
 }
 
 // hasMemory reports whether the engine's memory has room for the request.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -156,3 +156,15 @@
 		Pick(Need{PromptTokens: 3000, OutputTokens: 300}, candidates, DefaultLimits, noDraw)
 	}
 }
+
+func TestShortageSaysWhatIsLacking(t *testing.T) {
+	// A caller complains of a refusal. The line that explains it named how many
+	// engines there were, and not whether they were full or had too much to read.
+	is := is.New(t)
+	reading, full, slots := engine("r", 4, 12000, 5500), engine("m", 8, 33500, 0), engine("s", 24, 12000, 0)
+	need := Need{PromptTokens: 2500, OutputTokens: 300}
+	all := []Candidate{reading, full, slots, full}
+	is.Equal(Pick(need, all, DefaultLimits, noDraw), -1)
+	is.Equal(ShortageOf(need, all, DefaultLimits), Shortage{Reading: 1, Slots: 1, Memory: 2})
+	is.Equal(ShortageOf(need, []Candidate{engine("free", 1, 3000, 0)}, DefaultLimits), Shortage{})
+}
