A server that starts again under its id; entries by another writer

Nothing read 'born': a stream of the earlier life waited until the caller's time was over, its load, doubts and leaving state stood against the later life (one that had left was never used again), connections to the earlier life were used for the later one, and a copy's name of the earlier life could be that of another run's copy. An entry that could not be read left the one before it in force.

Change: an entry of the fleet's table is one life. Another 'born' ends it: work there ends at once (what may have run says so), nothing is asked of the later life for the earlier one's runs, copies ordered there are not used, loads, evidence and leaving marks of other hosts name the life that they are of. Connections are kept by life. An entry with a field that is missing, null or of another type, with an unknown state or an address that is none, takes its server out of use until a readable one comes; what runs there goes on.

Ruled out: comparing which 'born' is newer. The time of day may step; the store's revisions order the entries already. Not decoded: 'born' in the answers to copies; a copy is checked against the lives when it is used.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -156,14 +156,14 @@
 	is.Equal(revision, uint64(17))
 	is.True(age < time.Second)
 	is.True(client.Undisturbed() >= 4*time.Second)
-	is.Equal(at.Leaving(llm), []string{"e1"})
+	is.Equal(at.Leaving(llm), []fleet.Life{{ID: "e1"}})
 }
 
 func TestTurnsOverTheWire(t *testing.T) {
 	is := is.New(t)
 	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
 	_, _, client := pair(t, at, from)
-	at.MarkLeaving("e1", fleet.SourceList)
+	at.MarkLeaving(fleet.Life{ID: "e1"}, fleet.SourceList)
 	move := func(run string) evacuation.Move {
 		return evacuation.Move{Source: "e1", Run: run, Size: 9000, Need: placement.Need{PromptTokens: 3000, OutputTokens: 500}}
 	}
@@ -251,7 +251,7 @@
 		go func() { _ = sentinel.Run(ctx) }()
 		time.Sleep(checkInterval + time.Millisecond)
 		synctest.Wait()
-		is.Equal(table.Leaving(llm), []string{"e2"})
+		is.Equal(table.Leaving(llm), []fleet.Life{{ID: "e2"}})
 		away.Store(false)
 		before := asked.Load()
 		time.Sleep(time.Second)
--- a/allocation/report.go
+++ b/allocation/report.go
@@ -128,11 +128,12 @@
 		request.Loads = append(request.Loads, &allocationpb.ServerLoad{
 			Server: id, Requests: uint32(load.Requests), HeldTokens: uint32(load.HeldTokens), UsedTokens: uint32(load.UsedTokens),
 			UnreadTokens: uint32(load.UnreadTokens), BriefUnreadTokens: uint32(load.BriefUnreadTokens), PaceUs: uint32(load.Pace.Microseconds()),
+			Born: load.Born,
 		})
 	}
 	for _, id := range slices.Sorted(maps.Keys(evidence)) {
 		request.Evidence = append(request.Evidence, &allocationpb.ServerEvidence{
-			Server: id, Failed: uint32(evidence[id].Failed), Answered: uint32(evidence[id].Answered),
+			Server: id, Failed: uint32(evidence[id].Failed), Answered: uint32(evidence[id].Answered), Born: evidence[id].Born,
 		})
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
@@ -152,8 +153,8 @@
 	if ms := response.GetUndisturbedMs(); ms > 0 {
 		c.toldDisturbed(time.Duration(ms) * time.Millisecond)
 	}
-	for _, id := range response.GetLeaving() {
-		c.fleet.MarkLeaving(id, fleet.SourcePeer)
+	for _, life := range response.GetLeaving() {
+		c.fleet.MarkLeaving(fleet.Life{ID: life.GetServer(), Born: life.GetBorn()}, fleet.SourcePeer)
 	}
 	return err == nil
 }
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -109,7 +109,7 @@
 		for _, server := range s.asked(part) {
 			group.Go(func() {
 				if departs, err := s.Departs(ctx, server); err == nil && departs {
-					s.Fleet.MarkLeaving(server.ID, fleet.SourceAnswer)
+					s.Fleet.MarkLeaving(server.Life(), fleet.SourceAnswer)
 				}
 			})
 		}
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -40,15 +40,18 @@
 		loads[l.GetServer()] = fleet.Load{
 			Requests: int(l.GetRequests()), HeldTokens: int(l.GetHeldTokens()), UsedTokens: int(l.GetUsedTokens()),
 			UnreadTokens: int(l.GetUnreadTokens()), BriefUnreadTokens: int(l.GetBriefUnreadTokens()),
-			Pace: time.Duration(l.GetPaceUs()) * time.Microsecond,
+			Pace: time.Duration(l.GetPaceUs()) * time.Microsecond, Born: l.GetBorn(),
 		}
 	}
 	for _, e := range r.GetEvidence() {
-		s.allocator.fleet.Witness(r.GetHost(), e.GetServer(), fleet.Evidence{Failed: int(e.GetFailed()), Answered: int(e.GetAnswered())})
+		s.allocator.fleet.Witness(r.GetHost(), e.GetServer(), fleet.Evidence{Failed: int(e.GetFailed()), Answered: int(e.GetAnswered()), Born: e.GetBorn()})
 	}
 	part := partFrom(r.GetPart())
 	s.allocator.fleet.SetOthers(r.GetHost(), part.Service, loads, part.Holds)
-	response := &allocationpb.ReportResponse{Leaving: s.allocator.fleet.Leaving(part.Service)}
+	response := &allocationpb.ReportResponse{}
+	for _, life := range s.allocator.fleet.Leaving(part.Service) {
+		response.Leaving = append(response.Leaving, &allocationpb.ServerLife{Server: life.ID, Born: life.Born})
+	}
 	if s.allocator.Undisturbed != nil {
 		response.UndisturbedMs = uint32(min(s.allocator.Undisturbed(), time.Hour).Milliseconds())
 	}
--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,12 +18,15 @@
 	// an answer to anybody since. One may be cut off from it itself.
 	witnessesNeeded = 2
 	// avoidedFor is how long such a server gets no work. A crashed one comes
-	// back under another ID, so that a longer time costs it nothing.
+	// back as another life, so that a longer time costs it nothing.
 	avoidedFor = 3 * time.Second
 )
 
 // Evidence is how requests of one entry host to a server ended in some time.
-type Evidence struct{ Failed, Answered int }
+type Evidence struct {
+	Failed, Answered int
+	Born             int64 // of the server's life; zero: not said
+}
 
 // noteOwn takes in the outcome of a request of this host. Called with mu held.
 func (t *Table) noteOwn(e *entry, failed bool) {
@@ -42,10 +46,12 @@
 	defer t.mu.Unlock()
 	taken := map[string]Evidence{}
 	for _, e := range t.service(service).members {
-		if e.evidence != (Evidence{}) {
-			taken[e.server.ID] = e.evidence
-			e.evidence = Evidence{}
+		if e.evidence == (Evidence{}) {
+			continue
 		}
+		e.evidence.Born = e.server.Born
+		taken[e.server.ID] = e.evidence
+		e.evidence = Evidence{}
 	}
 	return taken
 }
@@ -54,7 +60,7 @@
 func (t *Table) Witness(host, server string, evidence Evidence) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.servers[server]
+	e := t.entryOf(Life{server, evidence.Born})
 	if e == nil {
 		return
 	}
@@ -92,16 +98,7 @@
 	}
 	e.unreachable = now.Add(avoidedFor)
 	t.logger.Warn(msgAvoided, zap.String("server", e.server.ID), zap.String("address", e.server.Address),
-		zap.Strings("witnesses", witnessesOf(e)), zap.Duration("for", avoidedFor))
-}
-
-func witnessesOf(e *entry) []string {
-	hosts := make([]string, 0, len(e.witnesses))
-	for host := range e.witnesses {
-		hosts = append(hosts, host)
-	}
-	slices.Sort(hosts)
-	return hosts
+		zap.Strings("witnesses", slices.Sorted(maps.Keys(e.witnesses))), zap.Duration("for", avoidedFor))
 }
 
 // Avoided returns the IDs of the servers of a service that get no work of this
--- /dev/null
+++ b/fleet/life_test.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func everywhere(string) bool { return true }
+
+func life(born int64) Server {
+	return Server{ID: "a", Born: born, Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24}
+}
+
+func TestServerThatStartsAgainUnderItsID(t *testing.T) {
+	// An engine crashes with a letter and is back under its id before its entry
+	// has lapsed. The host went on waiting for the letter, and took the engine
+	// for full, slow and doubtful, as its earlier life had been.
+	is := is.New(t)
+	table := newTable()
+	table.Put(life(100))
+	lost := table.Begin("a", Work{ID: "1", PromptTokens: 3000, OutputTokens: 400}, false)
+	for range 10 {
+		lost.Outcome(true)
+	}
+	table.SetOthers("h2", "llm", map[string]Load{"a": {Requests: 9, HeldTokens: 30000, Born: 100}}, everywhere)
+	table.MarkLeaving(Life{"a", 100}, SourceAnswer)
+	table.Put(life(100))
+	is.NoErr(lost.Life().Err()) // the same life, seen again
+	table.Put(life(200))
+	is.True(lost.Life().Err() != nil)
+	select {
+	case <-lost.Gone():
+	default:
+		t.Fatal("the work on it was not told")
+	}
+	is.True(table.Superseded(Life{"a", 100}))
+	c := table.Candidates("llm", "d1")
+	is.Equal(len(c), 2)
+	for i := range c {
+		is.Equal(c[i].Running, 0)
+		is.Equal(c[i].HeldTokens, 0)
+		is.True(!c[i].Doubtful)
+	}
+	lost.End() // of the earlier life: the later one stays in the table
+	is.Equal(len(table.Candidates("llm", "d1")), 2)
+}
+
+func TestWordsOfAnEarlierLifeAreNotOfTheLater(t *testing.T) {
+	// Hosts hear of a restart at different moments. What one of them still says
+	// of the life before made the others refuse work to the new one, or count
+	// its failures.
+	is := is.New(t)
+	table := newTable()
+	table.Put(life(200))
+	table.SetOthers("h2", "llm", map[string]Load{"a": {Requests: 9, HeldTokens: 30000, Born: 100}}, everywhere)
+	table.Witness("h2", "a", Evidence{Failed: 1, Born: 100})
+	table.Witness("h3", "a", Evidence{Failed: 1, Born: 100})
+	table.MarkLeaving(Life{"a", 100}, SourcePeer)
+	c := table.Candidates("llm", "d1")
+	is.Equal(len(c), 2)
+	is.Equal(c[0].HeldTokens+c[1].HeldTokens, 0)
+	table.SetOthers("h2", "llm", map[string]Load{"a": {Requests: 1, HeldTokens: 3000}}, everywhere) // does not say which
+	table.MarkLeaving(Life{"a", 200}, SourcePeer)
+	is.Equal(len(table.Candidates("llm", "d1")), 1)
+	is.Equal(table.Leaving("llm"), []Life{{"a", 200}})
+}
+
+func TestUnreadableEntryNamesNoServer(t *testing.T) {
+	// Somebody else overwrites an engine's entry. Nothing more is sent by it;
+	// the letter that runs there goes on, and a readable entry brings it back.
+	is := is.New(t)
+	table := newTable()
+	work := table.Begin("a", Work{ID: "1"}, false)
+	table.Disregard("a")
+	table.Disregard("unknown")
+	is.Equal(len(table.Candidates("llm", "d1")), 1)
+	is.True(table.Begin("a", Work{ID: "2"}, false) == nil)
+	is.Equal(len(table.Usable("llm")), 1)
+	select {
+	case <-work.Gone():
+		t.Fatal("the run was moved off an engine that lives")
+	default:
+	}
+	table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24})
+	is.Equal(len(table.Candidates("llm", "d1")), 2)
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +17,8 @@
 	msgAdded    = "backend server added"
 	msgDoubtful = "backend server is doubtful"
 	msgTrusted  = "backend server is trusted again"
+	msgReborn   = "backend server has started again under its id"
+	msgUnnamed  = "backend server is not named by its entry any more"
 
 	// unreachableFor is how long a server gets no work after it refused or
 	// did not take a connection; a restarted process needs about a second.
@@ -38,17 +42,21 @@
 type service struct {
 	memoryTokens int
 	members      []*entry
-	departed     map[string]time.Time // servers that were forgotten, and when
+	departed     map[Life]time.Time // those that were forgotten, and when
 }
 
 // departedKept is how long a forgotten server is told to hosts that ask which
 // servers leave; those that are cut off from the store learn it so.
 const departedKept = 10 * time.Second
 
+// entry is one life of a server.
 type entry struct {
 	server         Server
+	life           context.Context // ends with the life, once another one is known
+	endLife        context.CancelFunc
 	leaving        bool
 	removed        bool
+	unnamed        bool // its entry cannot be read
 	slowUntil      time.Time
 	unreachable    time.Time // until then it gets no work
 	health         health
@@ -82,7 +90,7 @@
 func (t *Table) service(name string) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{departed: map[string]time.Time{}}
+		s = &service{departed: map[Life]time.Time{}}
 		t.services[name] = s
 	}
 	return s
@@ -95,16 +103,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[server.ID]
+	if e != nil && !e.server.Life().Is(server.Life()) {
+		t.replace(e, server)
+		e = nil
+	}
 	if e == nil {
-		e = &entry{health: newHealth(), work: map[*Work]struct{}{}, others: map[string]Load{}, witnesses: map[string]time.Time{}, gone: make(chan struct{})}
-		t.servers[server.ID] = e
-		s := t.service(server.Service)
-		s.members = append(s.members, e)
-		t.logger.Info(msgAdded, zap.String("server", server.ID), zap.String("address", server.Address), zap.String("service", server.Service))
+		e = t.add(server)
+	}
+	if server.Born == 0 {
+		server.Born = e.server.Born
 	}
-	e.server = server
+	e.server, e.unnamed = server, false
 	e.slowUntil = time.Now().Add(server.SlowFor)
-	delete(t.service(server.Service).departed, server.ID)
+	delete(t.service(server.Service).departed, server.Life())
 	if !server.Leaving && e.mayReturn() {
 		e.removed, e.leaving, e.gone = false, false, make(chan struct{})
 	}
@@ -114,6 +125,52 @@
 	t.wake()
 }
 
+// add is called with mu held.
+func (t *Table) add(server Server) *entry {
+	e := &entry{
+		server: server, health: newHealth(), work: map[*Work]struct{}{}, others: map[string]Load{}, witnesses: map[string]time.Time{},
+		gone: make(chan struct{}),
+	}
+	e.life, e.endLife = context.WithCancel(context.Background())
+	t.servers[server.ID] = e
+	s := t.service(server.Service)
+	s.members = append(s.members, e)
+	t.logger.Info(msgAdded, zap.String("server", server.ID), zap.Int64("born", server.Born),
+		zap.String("address", server.Address), zap.String("service", server.Service))
+	return e
+}
+
+// replace ends what is known of a life whose server has started again. Called
+// with mu held.
+//
+// Failure: a server crashes and is back under its id before its entry has
+// lapsed. What ran there is lost, but its connections may be silent: callers
+// waited until their time was over, the loads of the earlier life kept others
+// away, and a copy that was ordered there could be taken for another run's.
+// All that is believed belongs to one entry, and this ends with it.
+func (t *Table) replace(e *entry, server Server) {
+	t.logger.Info(msgReborn, zap.String("server", server.ID), zap.Int64("born", server.Born), zap.Int64("born_before", e.server.Born),
+		zap.Int("own_work", len(e.work)))
+	e.endLife() // first: who is told that the server leaves must not ask the later life for a run
+	e.removed = true
+	t.leave(e, SourceReborn)
+	t.drop(e)
+}
+
+// Disregard notes that a server's entry cannot be read: whoever wrote it, it
+// names no server to use. What runs there goes on, until a readable entry says
+// otherwise.
+func (t *Table) Disregard(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[id]
+	if e == nil || e.unnamed {
+		return
+	}
+	e.unnamed = true
+	t.logger.Warn(msgUnnamed, zap.String("server", id), zap.String("address", e.server.Address), zap.Int("own_work", len(e.work)))
+}
+
 // mayReturn reports whether the server counts as leaving only because its
 // entry was gone, here or at another host.
 func (e *entry) mayReturn() bool {
@@ -131,15 +188,24 @@
 	}
 }
 
-// MarkLeaving notes that a server takes no new work.
-func (t *Table) MarkLeaving(id string, because LeavingSource) {
+// MarkLeaving notes that a life of a server takes no new work.
+func (t *Table) MarkLeaving(life Life, because LeavingSource) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.servers[id]; e != nil {
+	if e := t.entryOf(life); e != nil {
 		t.leave(e, because)
 	}
 }
 
+// entryOf returns the entry of a life, or nil. Called with mu held.
+func (t *Table) entryOf(life Life) *entry {
+	e := t.servers[life.ID]
+	if e == nil || !e.server.Life().Is(life) {
+		return nil
+	}
+	return e
+}
+
 // leave is called with mu held.
 func (t *Table) leave(e *entry, because LeavingSource) {
 	if e.leaving {
@@ -154,22 +220,26 @@
 // forget drops a removed server on which nothing of ours runs. Called with mu
 // held.
 func (t *Table) forget(e *entry) {
-	if !e.removed || len(e.work) > 0 {
+	if !e.removed || len(e.work) > 0 || t.servers[e.server.ID] != e {
 		return
 	}
+	t.drop(e)
+}
+
+// drop takes an entry out of the table. Called with mu held.
+func (t *Table) drop(e *entry) {
 	delete(t.servers, e.server.ID)
 	s := t.service(e.server.Service)
 	s.members = slices.DeleteFunc(s.members, func(m *entry) bool { return m == e })
-	s.departed[e.server.ID] = time.Now()
+	s.departed[e.server.Life()] = time.Now()
 }
 
-// MarkUnreachable notes that a server took no connection.
-func (t *Table) MarkUnreachable(id string) {
+// Superseded reports whether a later life of the server is known.
+func (t *Table) Superseded(life Life) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.servers[id]; e != nil {
-		e.unreachable = time.Now().Add(unreachableFor)
-	}
+	e := t.servers[life.ID]
+	return e != nil && !e.server.Life().Is(life)
 }
 
 // Get returns a server and whether it takes new work. One that is not known
@@ -181,33 +251,37 @@
 	if e == nil {
 		return Server{}, false
 	}
-	return e.server, !e.leaving
+	return e.server, e.takesWork()
 }
 
-// Leaving returns the IDs of the servers of a service that are leaving or left
-// a moment ago, in order.
-func (t *Table) Leaving(name string) []string {
+// takesWork reports whether the server may get new work, as far as its entry
+// and its own word go.
+func (e *entry) takesWork() bool { return !e.leaving && !e.unnamed }
+
+// Leaving returns the lives of servers of a service that are leaving or left a
+// moment ago, in order.
+func (t *Table) Leaving(name string) []Life {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var ids []string
+	var lives []Life
 	s := t.service(name)
 	for _, e := range s.members {
 		if e.leaving {
-			ids = append(ids, e.server.ID)
+			lives = append(lives, e.server.Life())
 		}
 	}
-	for id, at := range s.departed {
+	for life, at := range s.departed {
 		if time.Since(at) > departedKept {
-			delete(s.departed, id)
+			delete(s.departed, life)
 			continue
 		}
-		ids = append(ids, id)
+		lives = append(lives, life)
 	}
-	slices.Sort(ids)
-	return ids
+	slices.SortFunc(lives, func(a, b Life) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born)) })
+	return lives
 }
 
-// Usable returns the servers of a service that are not leaving.
+// Usable returns the servers of a service that take new work.
 func (t *Table) Usable(name string) []Server {
 	return t.usable(name, func(*entry) bool { return true })
 }
@@ -222,7 +296,7 @@
 	defer t.mu.Unlock()
 	var usable []Server
 	for _, e := range t.service(name).members {
-		if !e.leaving && wanted(e) {
+		if e.takesWork() && wanted(e) {
 			usable = append(usable, e.server)
 		}
 	}
@@ -256,7 +330,7 @@
 	s, now := t.service(name), time.Now()
 	candidates := make([]placement.Candidate, 0, len(s.members))
 	for _, e := range s.members {
-		if e.leaving || now.Before(e.unreachable) || !wanted(e.server.ID) || slices.Contains(except, e.server.ID) {
+		if !e.takesWork() || now.Before(e.unreachable) || !wanted(e.server.ID) || slices.Contains(except, e.server.ID) {
 			continue
 		}
 		candidates = append(candidates, e.candidate(s, domain, now))
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -44,12 +44,12 @@
 	table.Remove("a")
 	table.Remove("b")
 	is.Equal(len(table.Candidates("llm", "d1")), 0)
-	is.Equal(table.Leaving("llm"), []string{"a", "b"})
+	is.Equal(table.Leaving("llm"), []Life{{ID: "a"}, {ID: "b"}})
 	table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1"})
 	table.Put(Server{ID: "b", Service: "llm", Address: "10.0.0.2:1"})
 	is.Equal(len(table.Candidates("llm", "d1")), 2)
-	is.Equal(len(table.Leaving("llm")), 0) // or other hosts would be told so
-	table.MarkLeaving("a", SourcePeer)     // by a host that is behind
+	is.Equal(len(table.Leaving("llm")), 0)       // or other hosts would be told so
+	table.MarkLeaving(Life{ID: "a"}, SourcePeer) // by a host that is behind
 	table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1"})
 	is.Equal(len(table.Candidates("llm", "d1")), 2)
 	work.End()
@@ -59,7 +59,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := newTable()
-		table.MarkUnreachable("a")
+		work := table.Begin("a", Work{ID: "1"}, false)
+		work.Unreachable()
+		work.End()
 		is.Equal(len(table.Candidates("llm", "d1")), 1)
 		time.Sleep(unreachableFor + time.Millisecond)
 		is.Equal(len(table.Candidates("llm", "d1")), 2)
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"time"
 
 	"github.com/papayasail/papayasail/placement"
@@ -26,6 +27,7 @@
 	UnreadTokens      int
 	BriefUnreadTokens int
 	Pace              time.Duration // of the server, as the host has seen it; zero: not known
+	Born              int64         // of the server's life that it is on; zero: not said
 	At                time.Time     // when it was heard
 }
 
@@ -92,7 +94,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[server]
-	if e == nil || e.leaving && !resumed {
+	if e == nil || !e.takesWork() && !resumed {
 		return nil
 	}
 	booked := &work
@@ -133,7 +135,22 @@
 }
 
 // Server returns the server that the work is on.
-func (w *Work) Server() Server { return w.entry.server }
+func (w *Work) Server() Server {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	return w.entry.server
+}
+
+// Life ends with the life of the server that the work is on: what ran there is
+// lost then.
+func (w *Work) Life() context.Context { return w.entry.life }
+
+// Unreachable notes that the work's server took no connection.
+func (w *Work) Unreachable() {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.entry.unreachable = time.Now().Add(unreachableFor)
+}
 
 // Outcome takes in how a request went, for the health of its server.
 func (w *Work) Outcome(failed bool) {
@@ -146,7 +163,7 @@
 // ownLoad is called with the table's mu held.
 func (e *entry) ownLoad() Load {
 	var load Load
-	load.Pace = e.pace.least
+	load.Pace, load.Born = e.pace.least, e.server.Born
 	for w := range e.work {
 		load.add(LoadOf(placement.Need{PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens}, w.produced, w.produced > 0))
 	}
@@ -186,6 +203,7 @@
 			continue
 		}
 		load, has := loads[e.server.ID]
+		has = has && e.server.Life().Is(Life{e.server.ID, load.Born}) // of an earlier life it says nothing
 		if _, had := e.others[host]; !has && !had {
 			continue
 		}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -80,7 +80,7 @@
 func (t *task) send(ctx context.Context, work *fleet.Work) try {
 	tryCtx, cancel := t.tryContext(ctx)
 	defer cancel()
-	reply, err := t.gateway.options.Backend.Send(tryCtx, t.callTo(work.Server()))
+	reply, err := t.sendTo(tryCtx, work, t.callTo(work.Server()))
 	if err != nil {
 		return t.brokenTry(ctx, work, err)
 	}
@@ -118,9 +118,9 @@
 	server := work.Server()
 	switch {
 	case reply.WrongServer:
-		t.gateway.options.Fleet.MarkLeaving(server.ID, fleet.SourceReplaced)
+		t.gateway.options.Fleet.MarkLeaving(server.Life(), fleet.SourceReplaced)
 	case reply.Leaving && reply.NotRun:
-		t.gateway.options.Fleet.MarkLeaving(server.ID, fleet.SourceAnswer)
+		t.gateway.options.Fleet.MarkLeaving(server.Life(), fleet.SourceAnswer)
 	}
 	return !reply.NotRun && !reply.WrongServer
 }
@@ -139,7 +139,7 @@
 	var failure *backend.CallError
 	if errors.As(err, &failure) && failure.Evidence == backend.NothingSent {
 		if ctx.Err() == nil {
-			t.gateway.options.Fleet.MarkUnreachable(work.Server().ID)
+			work.Unreachable()
 			work.Outcome(true)
 		}
 		return try{outcome: t.unreached(ctx), again: true}
--- a/gateway/evacuate.go
+++ b/gateway/evacuate.go
@@ -35,7 +35,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if run.over() {
+		if run.over() || run.lost() {
 			return
 		}
 		g.evacuate(ctx, run)
@@ -59,7 +59,7 @@
 		return
 	}
 	defer end()
-	if run.over() {
+	if run.over() || run.lost() {
 		return
 	}
 	booked := g.options.Fleet.Begin(destination, fleet.Work{ID: id, PromptTokens: move.Need.PromptTokens, OutputTokens: move.Need.OutputTokens}, false)
@@ -84,7 +84,7 @@
 		g.moved(run, source, "copy_failed", err)
 		return
 	}
-	if _, usable := g.options.Fleet.Get(target.ID); !usable {
+	if current, usable := g.options.Fleet.Get(target.ID); !usable || !current.Life().Is(target.Life()) {
 		booked.End()
 		g.discard(source, first.Handle)
 		g.moved(run, source, "destination_left", nil)
@@ -111,7 +111,7 @@
 	} else {
 		booked.End()
 	}
-	if !last.Done {
+	if !last.Done && !run.lost() {
 		// The source has stopped the run and keeps its memory: it may go on there.
 		if back := g.options.Fleet.Begin(source.ID, fleet.Work{ID: id, PromptTokens: run.tokens()}, true); back != nil {
 			to.works = append(to.works, back)
--- /dev/null
+++ b/gateway/life_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fleet"
+)
+
+// restart makes the server that got the first call start again under its id.
+func (w *world) restart(born int64) {
+	w.mu.Lock()
+	server := w.calls[0].Server
+	w.mu.Unlock()
+	server.Born = born
+	w.fleet.Put(server)
+}
+
+// giveBirth lets the servers say when they were born.
+func (w *world) giveBirth(born int64) {
+	for _, service := range []string{"llm", "plain"} {
+		for _, server := range w.fleet.Usable(service) {
+			server.Born = born
+			w.fleet.Put(server)
+		}
+	}
+}
+
+func TestRunThatWasLostWithALifeEndsAtOnce(t *testing.T) {
+	// An engine crashes behind a cut and starts again under its id. The stream
+	// stays silent; the caller waited for 39 s for a letter that was lost, and
+	// the host asked the new life to move a run that it does not have.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.giveBirth(100)
+		w.send = func(ctx context.Context, call Call) (*Reply, error) {
+			g := newGeneration(1, 1<<20, gap)
+			context.AfterFunc(ctx, func() { g.reader.CloseWithError(ctx.Err()) })
+			return g.reply(), nil
+		}
+		w.copy = func(_, _ fleet.Server, _ bool) (Copied, error) {
+			t.Error("the later life was asked for a run of the earlier one")
+			return Copied{}, nil
+		}
+		time.AfterFunc(time.Second, func() { w.restart(200) })
+		began := time.Now()
+		o := w.gateway.Serve(context.Background(), w.request("/letter/1"), &recorder{})
+		is.True(!o.Complete)
+		is.True(!o.NotRun)
+		is.Equal(o.Reason, ReasonMoveFailed)
+		is.True(time.Since(began) < 1100*time.Millisecond)
+		is.Equal(len(w.calls), 1)
+		time.Sleep(gap) // the engine notices that nobody reads
+	})
+}
+
+func TestWriteSentToAnEarlierLifeIsNotRepeated(t *testing.T) {
+	// A plain server takes a write, crashes and starts again under its id. The
+	// write may have run; sent to the later life it could run twice. A read
+	// goes on to the other server at once.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.giveBirth(100)
+		silent := func(ctx context.Context, call Call) (*Reply, error) {
+			if len(w.calls) > 1 {
+				return answer(http.StatusOK, "b"), nil
+			}
+			<-ctx.Done()
+			return nil, broken(backend.Silent)
+		}
+		w.send = silent
+		time.AfterFunc(100*time.Millisecond, func() { w.restart(200) })
+		began := time.Now()
+		o := w.serve("/write/1")
+		is.Equal(o.Status, http.StatusBadGateway)
+		is.True(!o.NotRun)
+		is.Equal(len(w.calls), 1)
+		is.Equal(time.Since(began), 100*time.Millisecond)
+
+		w.calls = nil
+		w.giveBirth(300)
+		time.AfterFunc(100*time.Millisecond, func() { w.restart(400) })
+		began = time.Now()
+		o = w.serve("/read/1")
+		is.Equal(o.Status, http.StatusOK)
+		is.Equal(time.Since(began), 100*time.Millisecond)
+		is.True(w.calls[0].Server.ID != w.calls[1].Server.ID)
+	})
+}
+
+func TestCopyOfAnEarlierLifeIsNotUsed(t *testing.T) {
+	// The engine that a letter moves to starts again between the copy and the
+	// resumption. It counts its copies from one again: by the name of this one
+	// the caller could get the tokens of another letter.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.giveBirth(100)
+		first := newGeneration(1, 100, gap)
+		w.send = func(_ context.Context, call Call) (*Reply, error) {
+			if call.Resume != nil {
+				t.Error("resumed from a copy of the earlier life")
+			}
+			return first.reply(), nil
+		}
+		w.copy = func(_, destination fleet.Server, last bool) (Copied, error) {
+			if last {
+				destination.Born = 200
+				w.fleet.Put(destination)
+				close(first.broke)
+			}
+			return Copied{Handle: "1", Done: true}, nil
+		}
+		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Life(), fleet.SourceList) })
+		o := w.gateway.Serve(context.Background(), w.request("/letter/1"), &recorder{})
+		is.True(!o.Complete)
+		is.Equal(o.Reason, ReasonMoveFailed)
+	})
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -136,6 +136,14 @@
 	}
 }
 
+// lost reports whether the run's server has started again: nothing of the run
+// is there any more.
+func (r *run) lost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.work.Life().Err() != nil
+}
+
 // started reports whether the caller has events of the run.
 func (r *run) started() bool {
 	r.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,7 +32,7 @@
 			t.gateway.options.Budget.Request(t.service.Name)
 		}
 		t.tried = append(t.tried, work.Server().ID)
-		reply, err := t.gateway.options.Backend.Send(ctx, t.callTo(work.Server()))
+		reply, err := t.sendTo(ctx, work, t.callTo(work.Server()))
 		if err != nil {
 			result := t.brokenTry(ctx, work, err)
 			work.End()
@@ -171,7 +171,7 @@
 	call := t.callTo(work.Server())
 	call.Resume = &Resume{Source: to.source, Handle: to.handle, LastEventID: run.lastEventID}
 	began := time.Now()
-	reply, err := t.gateway.options.Backend.Send(ctx, call)
+	reply, err := t.resumeAt(ctx, work, call)
 	fields := []zap.Field{
 		zap.String("request", t.request.ID), zap.String("from", to.source.ID), zap.String("to", work.Server().ID),
 		zap.String("last_event", run.lastEventID), zap.Duration("took", time.Since(began)),
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -43,7 +43,7 @@
 			}
 			return Copied{Handle: "h", Done: true}, nil
 		}
-		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.ID, fleet.SourceList) })
+		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Life(), fleet.SourceList) })
 		caller := &recorder{}
 		o := w.gateway.Serve(context.Background(), w.request("/letter/1"), caller)
 		is.True(o.Complete)
@@ -73,7 +73,7 @@
 			time.Sleep(200 * time.Millisecond)
 			return Copied{Handle: "h", Done: true}, nil
 		}
-		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.ID, fleet.SourceList) })
+		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Life(), fleet.SourceList) })
 		o := w.gateway.Serve(ctx, w.request("/letter/1"), &recorder{})
 		is.Equal(o.Reason, ReasonCallerGone)
 		time.Sleep(5 * time.Second)
@@ -103,7 +103,7 @@
 			close(first.broke)
 			return Copied{Handle: "kept"}, nil
 		}
-		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.ID, fleet.SourceList) })
+		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Life(), fleet.SourceList) })
 		caller := &recorder{}
 		o := w.gateway.Serve(context.Background(), w.request("/letter/1"), caller)
 		is.True(o.Complete)
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -41,6 +41,7 @@
 func (h *Host) applyServer(object store.Object) error {
 	server, err := h.options.Objects.ReadServer(object.Name, object.Value)
 	if err != nil {
+		h.fleet.Disregard(object.Name)
 		return err
 	}
 	h.fleet.Put(server)
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -63,6 +63,9 @@
 			return gateway.NewConfiguration(uint64(data[0]), nil, nil, nil, gateway.ClientLimits{}), nil
 		},
 		ReadServer: func(id string, data []byte) (fleet.Server, error) {
+			if len(data) == 0 {
+				return fleet.Server{}, errUnreadable
+			}
 			return fleet.Server{ID: id, Service: "s", Address: "10.9.9.9:1", Slots: 1, Leaving: string(data) == "leaving"}, nil
 		},
 	}
@@ -138,6 +141,21 @@
 	})
 }
 
+func TestUnreadableEntryGoesOutOfUse(t *testing.T) {
+	// Another writer overwrites a server's entry with bytes that nobody can
+	// read. The host went on sending requests by what the entry said before.
+	is := is.New(t)
+	h, _ := alone(stays)
+	h.table.Adopt(entry(5, false))
+	spoiled := entry(6, false)
+	spoiled[0].Value = nil
+	_, findings := h.table.Adopt(spoiled)
+	is.Equal(len(findings), 1)
+	is.Equal(len(h.fleet.Usable("s")), 0)
+	h.table.Adopt(entry(7, false))
+	is.Equal(len(h.fleet.Usable("s")), 1)
+}
+
 func TestEntryThatStaysAwayIsARemoval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/link/pool.go
+++ b/link/pool.go
@@ -11,11 +11,19 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Endpoint is what a connection leads to.
+type Endpoint struct {
+	Address string // IP:port
+	// Life tells processes apart that follow each other at the address; zero:
+	// not known.
+	Life int64
+}
+
 // Conn is a connection for exchanges one after another.
 type Conn struct {
 	net.Conn
 	Reader  *bufio.Reader
-	address string
+	to      Endpoint
 	written int64
 	until   time.Time     // it is not used after it
 	watched chan struct{} // closed when the watch of the idle connection has ended
@@ -42,22 +50,21 @@
 type Pool struct {
 	network Network
 	timeout time.Duration // of opening a connection
-	most    int           // idle ones kept for an address
+	most    int           // idle ones kept for an endpoint
 
 	mu   sync.Mutex // guards idle
-	idle map[string][]*Conn
+	idle map[Endpoint][]*Conn
 }
 
 // NewPool returns an empty pool.
 func NewPool(network Network, timeout time.Duration, most int) *Pool {
-	return &Pool{network: network, timeout: timeout, most: most, idle: map[string][]*Conn{}}
+	return &Pool{network: network, timeout: timeout, most: most, idle: map[Endpoint][]*Conn{}}
 }
 
-// Take returns an idle connection to address that was usable a moment ago, or
-// nil.
-func (p *Pool) Take(address string) *Conn {
+// Take returns an idle connection that was usable a moment ago, or nil.
+func (p *Pool) Take(to Endpoint) *Conn {
 	for {
-		conn := p.pop(address)
+		conn := p.pop(to)
 		if conn == nil {
 			return nil
 		}
@@ -68,18 +75,18 @@
 	}
 }
 
-func (p *Pool) pop(address string) *Conn {
+func (p *Pool) pop(to Endpoint) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[address]
+	conns := p.idle[to]
 	if len(conns) == 0 {
 		return nil
 	}
 	last := conns[len(conns)-1]
 	if len(conns) == 1 {
-		delete(p.idle, address)
+		delete(p.idle, to)
 	} else {
-		p.idle[address] = conns[:len(conns)-1]
+		p.idle[to] = conns[:len(conns)-1]
 	}
 	return last
 }
@@ -99,14 +106,14 @@
 }
 
 // Dial opens a connection.
-func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
+func (p *Pool) Dial(ctx context.Context, to Endpoint) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
-	conn, err := p.network.Dial(ctx, address)
+	conn, err := p.network.Dial(ctx, to.Address)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, Reader: bufio.NewReader(conn), address: address}, nil
+	return &Conn{Conn: conn, Reader: bufio.NewReader(conn), to: to}, nil
 }
 
 // Put keeps a connection for up to idleFor, if there is room.
@@ -118,12 +125,12 @@
 	conn.until = time.Now().Add(idleFor)
 	conn.watched, conn.silent = make(chan struct{}), false
 	p.mu.Lock()
-	if len(p.idle[conn.address]) >= p.most {
+	if len(p.idle[conn.to]) >= p.most {
 		p.mu.Unlock()
 		conn.Close()
 		return
 	}
-	p.idle[conn.address] = append(p.idle[conn.address], conn)
+	p.idle[conn.to] = append(p.idle[conn.to], conn)
 	p.mu.Unlock()
 	go p.watch(conn, idleFor)
 }
@@ -145,10 +152,10 @@
 func (p *Pool) remove(conn *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[conn.address]
+	conns := p.idle[conn.to]
 	for i, c := range conns {
 		if c == conn {
-			p.idle[conn.address] = append(conns[:i:i], conns[i+1:]...)
+			p.idle[conn.to] = append(conns[:i:i], conns[i+1:]...)
 			conn.Close()
 			return
 		}
