entryhost: tests wait until recorded generations have ended

Change: the site of the tests gives such runs their bounded time, in virtual time, after it has closed everything. No check is changed.

Ruled out: ending the run with the host. The process ends anyway; in the tests it would hide a run that does not end.

--- a/entryhost/site_test.go
+++ b/entryhost/site_test.go
@@ -160,8 +160,15 @@
 	for i := len(s.stops) - 1; i >= 0; i-- {
 		s.stops[i]()
 	}
+	time.Sleep(recordedRunsEnd)
 }
 
+// recordedRunsEnd is, in virtual time, how long a generation that runs for its
+// record goes on after its host was closed: where the network went before it
+// had read the end, it tries to reconnect until it gives up. A test that
+// returned before failed with a goroutine left, when the machine was busy.
+const recordedRunsEnd = time.Minute
+
 func (s *site) caller(seeds ...string) *caller.Client {
 	client, err := caller.New(caller.Config{Seeds: seeds, Token: testToken, FailureDomain: "ankara", Network: s.fabric.Host(callerIP)})
 	s.is.NoErr(err)
