--- a/cli/app.go
+++ b/cli/app.go
@@ -129,6 +129,7 @@
 	a.callerCommands(parser, commands)
 	a.trialCommands(parser, commands)
 	a.addSoak(parser, commands)
+	a.addExplain(parser, commands)
 	return parser, stop
 }
 
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +20,17 @@
 	t.lastEvent = now
 }
 
+// late reports whether a whole answer missed the goals of its route.
+func (t *task) late(o Outcome) bool {
+	switch {
+	case !o.Complete || t.route == nil:
+		return false
+	case o.Streamed:
+		return t.firstEvent > t.route.Goal || t.route.GapGoal > 0 && t.longestPause > t.route.GapGoal
+	}
+	return time.Since(t.request.Arrived) > t.route.Goal
+}
+
 // log writes the one line that explains the request.
 func (t *task) log(o Outcome) {
 	t.gateway.options.Metrics.observe(t, o)
@@ -30,6 +42,12 @@
 		zap.Duration("took", time.Since(t.request.Arrived)),
 		zap.Duration("left", time.Until(t.request.Deadline)),
 	}
+	if t.late(o) {
+		fields = append(fields, zap.Bool("late", true))
+	}
+	if t.fingerprint != 0 {
+		fields = append(fields, zap.String("fingerprint", strconv.FormatUint(t.fingerprint, 16)))
+	}
 	if o.RetryAfter > 0 {
 		fields = append(fields, zap.Duration("retry_after", o.RetryAfter))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,13 @@
 	return by != nil && moment.After(*by)
 }
 
+// ended reports whether this host has cut off what it had, at the end of its
+// stop.
+func (g *Gateway) ended() bool {
+	by := g.stopBy.Load()
+	return by != nil && !time.Now().Before(*by)
+}
+
 // stopped is the answer to a request that this host cannot finish any more.
 func (g *Gateway) stopped() Outcome {
 	if g.options.Others() {
@@ -108,6 +115,7 @@
 	organisation  string
 	priority      int
 	service       *Service
+	fingerprint   uint64    // of a generation, the same when its caller sends it again
 	until         time.Time // the earlier of the route's timeout and the caller's deadline
 	sends         int       // to servers that may have run it
 	server        fleet.Server
@@ -144,6 +152,7 @@
 	ctx, cancel := context.WithDeadline(ctx, t.until)
 	defer cancel()
 	if t.route.Kind == Generation {
+		t.fingerprint = t.request.fingerprint(t.organisation)
 		t.gateway.generations.Add(1)
 		defer t.gateway.generations.Add(-1)
 		return t.generate(ctx, sink)
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -122,3 +122,23 @@
 		is.Equal(o.Reason, ReasonMoveFailed)
 	})
 }
+
+func TestStopThatEndsBeforeARunSaysSo(t *testing.T) {
+	// A host is stopped, and its letter needs longer than the grace. The line
+	// that explains it blamed the caller, who had waited all the time.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		first := newGeneration(1, 1000, gap)
+		w.send = func(context.Context, Call) (*Reply, error) { return first.reply(), nil }
+		ctx, cutOff := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, func() { w.gateway.Stop(time.Now().Add(7 * time.Second)) })
+		time.AfterFunc(8*time.Second, func() {
+			cutOff()
+			first.reader.CloseWithError(context.Canceled)
+		})
+		o := w.gateway.Serve(ctx, w.request("/letter/1"), &recorder{})
+		is.Equal(o.Reason, ReasonHostStopped)
+		is.True(!o.NotRun)
+		time.Sleep(gap) // the engine notices that nobody reads
+	})
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -58,7 +58,7 @@
 // choose returns the server for the request, or "".
 func (t *task) choose(ctx context.Context, need placement.Need, candidates []placement.Candidate) string {
 	if t.service.Engine != nil && t.route.Kind == Generation {
-		asked := allocation.Asked{Request: t.request.ID, Fingerprint: t.request.fingerprint(t.organisation), Need: need}
+		asked := allocation.Asked{Request: t.request.ID, Fingerprint: t.fingerprint, Need: need}
 		return t.gateway.options.Allocator.Place(ctx, t.service.Name, asked, t.tried)
 	}
 	if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -81,6 +81,7 @@
 	ReasonMalformed       Reason = "malformed"              // cannot be forwarded
 	ReasonTooLarge        Reason = "too_large"              // over the configured limit
 	ReasonStopping        Reason = "stopping"               // this host is being stopped
+	ReasonHostStopped     Reason = "host_stopped"           // this host's stop ended before the request did
 	ReasonNoServer        Reason = "no_backend_server"      // none is known
 	ReasonFull            Reason = "full"                   // no server has a place in time
 	ReasonServerFull      Reason = "refused_by_server"      // the server said that it did not run
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -127,10 +127,14 @@
 	}
 }
 
-func (t *task) callerGone() Outcome {
-	o := abandoned()
-	o.Streamed = true
-	return o
+func (t *task) callerGone() Outcome { return Outcome{Streamed: true, Reason: t.goneReason()} }
+
+// goneReason says why nobody waits any more.
+func (t *task) goneReason() Reason {
+	if t.gateway.ended() {
+		return ReasonHostStopped
+	}
+	return ReasonCallerGone
 }
 
 // follow takes up a run that has moved. It waits for the result of a move
@@ -197,7 +201,7 @@
 	o := Outcome{Streamed: true, Reason: ReasonBroken}
 	switch {
 	case ctx.Err() == context.Canceled:
-		o.Reason = ReasonCallerGone
+		o.Reason = t.goneReason()
 	case ctx.Err() == context.DeadlineExceeded:
 		o.Reason = ReasonTimeout
 	case run.moving() || run.leaving():
