platform: servers are asked for their health too, whether they leave

Cause: while the store is away an engine's notice reaches nobody but by asking it.

Change: the path of health of the service is asked beside the report. A server leaves if its report says so, or if it is not healthy and closes its connection and is the one that was meant. Health alone does not count, as it may be wrong, and a full server refuses the question as it does any other.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -59,6 +59,8 @@
 // Service is a set of backend servers.
 type Service struct {
 	Name string
+	// HealthPath is where its servers say whether they take requests; "": nowhere.
+	HealthPath string
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -121,5 +121,14 @@
 func (h *Host) askDeparts(server fleet.Server) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), departsTimeout)
 	defer cancel()
-	return h.options.Backend.Departs(ctx, server)
+	return h.departs(ctx, server)
+}
+
+// departs asks a server whether it is leaving.
+func (h *Host) departs(ctx context.Context, server fleet.Server) (bool, error) {
+	path := ""
+	if c := h.gateway.Configuration(); c != nil && c.Services[server.Service] != nil {
+		path = c.Services[server.Service].HealthPath
+	}
+	return h.options.Backend.Departs(ctx, server, path)
 }
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -63,9 +63,9 @@
 // Backend speaks with backend servers.
 type Backend interface {
 	gateway.Backend
-	// Departs asks a server whether it is leaving; the answer may be some
-	// hundred ms old.
-	Departs(ctx context.Context, server fleet.Server) (bool, error)
+	// Departs asks a server whether it is leaving. HealthPath is where its
+	// service's servers tell their health; "": nowhere.
+	Departs(ctx context.Context, server fleet.Server, healthPath string) (bool, error)
 }
 
 // Server is an HTTP server of the host, at an IP:port.
@@ -131,7 +131,7 @@
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
 	h.allocation.Told = h.catchUp
 	h.sentinel = &allocation.Sentinel{
-		Host: o.Name, Client: h.allocation, Fleet: h.fleet, Check: o.Store.Check, Verify: h.verify, Departs: o.Backend.Departs, Logger: o.Logger,
+		Host: o.Name, Client: h.allocation, Fleet: h.fleet, Check: o.Store.Check, Verify: h.verify, Departs: h.departs, Logger: o.Logger,
 	}
 	h.gateway = gateway.New(gateway.Options{
 		Domain: o.Domain, Fleet: h.fleet, Backend: o.Backend, Allocator: h.allocation, Logger: o.Logger, Limits: placement.DefaultLimits,
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -47,7 +47,7 @@
 	departs func(id string) (bool, error)
 }
 
-func (s servers) Departs(_ context.Context, server fleet.Server) (bool, error) {
+func (s servers) Departs(_ context.Context, server fleet.Server, _ string) (bool, error) {
 	return s.departs(server.ID)
 }
 
