entryhost: the program hands the store in

Change: Options.Store is required; papayasaild and the demo make it (platform.NewStore). No behaviour changes.

Ruled out: moving the stand-ins of the platform out of platform/: they speak the users' words, which stay in one folder; a test greps for them elsewhere.

Tests: entryhost, demo, examples, cli pass as before.

--- a/cmd/papayasaild/main.go
+++ b/cmd/papayasaild/main.go
@@ -12,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/entryhost"
+	"github.com/papayasail/papayasail/link"
+	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/settings"
 )
 
@@ -44,7 +46,10 @@
 		return err
 	}
 	defer func() { _ = logger.Sync() }() // stderr cannot always be synced
-	host, err := entryhost.New(entryhost.Options{Settings: loaded, Policy: policy, Logger: logger})
+	host, err := entryhost.New(entryhost.Options{
+		Settings: loaded, Policy: policy, Logger: logger,
+		Store: platform.NewStore(link.TCP{}, loaded.Platform, float64(loaded.Limits.PlatformCalls)),
+	})
 	if err != nil {
 		return err
 	}
--- a/demo/site.go
+++ b/demo/site.go
@@ -17,6 +17,7 @@
 	"github.com/papayasail/papayasail/fake/plain"
 	"github.com/papayasail/papayasail/gen/operator"
 	"github.com/papayasail/papayasail/internal/operatorclient"
+	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/platform/standin"
 	"github.com/papayasail/papayasail/settings"
 	"github.com/papayasail/papayasail/store"
@@ -246,7 +247,10 @@
 
 func (s *Site) startHost(ctx context.Context, host *EntryHost) error {
 	var err error
-	host.host, err = entryhost.New(entryhost.Options{Settings: host.settings, Network: s.network})
+	host.host, err = entryhost.New(entryhost.Options{
+		Settings: host.settings, Network: s.network,
+		Store: platform.NewStore(s.network, host.settings.Platform, float64(host.settings.Limits.PlatformCalls)),
+	})
 	if err != nil {
 		return errors.Wrapf(err, "demo: %s", host.Name)
 	}
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/link"
-	"github.com/papayasail/papayasail/platform"
 	"github.com/papayasail/papayasail/routing"
 	"github.com/papayasail/papayasail/settings"
 	"github.com/papayasail/papayasail/store"
@@ -23,7 +22,7 @@
 type Options struct {
 	Settings *settings.Settings
 	Network  link.Network // default: TCP
-	Store    store.Store  // default: the platform's store at Settings.Platform
+	Store    store.Store  // required
 	Policy   string       // routing policy, default DefaultPolicy
 	Logger   *zap.Logger  // default: none
 	Registry *prometheus.Registry
@@ -49,10 +48,6 @@
 	if o.Network == nil {
 		o.Network = link.TCP{}
 	}
-	if o.Store == nil {
-		budget := store.Budget{Rate: float64(o.Settings.Limits.PlatformCalls)}
-		o.Store = store.NewLimited(platform.NewObjectStore(o.Network, o.Settings.Platform), budget)
-	}
 	if o.Policy == "" {
 		o.Policy = DefaultPolicy
 	}
