Generations give way before their engine overflows

Cause: estimates of length are off by a factor of three, so that some engines fill up beside others with room.

Change: the allocator finds engines whose memory, by what all hosts have there, will not hold what runs there for half a second more, and says so in its answers to reports (a look each 50 ms and part). A host moves the generation that will hold most to an engine that stays below 85% with it, by the turns and copies that leaving engines have; runs of engines that really leave go first, and where no engine has room nobody waits for one.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -49,7 +49,8 @@
 	mu     sync.Mutex // guards queues
 	queues map[Part]*moves
 
-	refusals *refusals
+	refusals  *refusals
+	overflows overflows
 }
 
 // Asked is a generation for which a place is asked.
@@ -69,7 +70,8 @@
 
 // NewAllocator returns an allocator that places by the table; draw breaks ties.
 func NewAllocator(table *fleet.Table, limits placement.Limits, draw func(n int) int, logger *zap.Logger) *Allocator {
-	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[Part]*moves{}, refusals: newRefusals()}
+	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[Part]*moves{}, refusals: newRefusals(),
+		overflows: overflows{byPart: map[Part]overflowing{}}}
 }
 
 // Place chooses a server for a host's generation and books it, until the host
@@ -95,6 +97,9 @@
 	return candidates[i].ID
 }
 
+// Overflowing returns the engines of a part that are about to overflow.
+func (a *Allocator) Overflowing(part Part) []fleet.Life { return a.overflows.of(part, a.fleet) }
+
 // candidates returns the servers of a part that may get work.
 func (a *Allocator) candidates(part Part, domain string, except ...string) []placement.Candidate {
 	return a.fleet.CandidatesAmong(part.Service, domain, part.Holds, except...)
--- a/evacuation/queue_test.go
+++ b/evacuation/queue_test.go
@@ -167,3 +167,42 @@
 		}
 	})
 }
+
+// filling is an engine with so many tokens in memory now.
+func filling(id string, used int) placement.Candidate {
+	return placement.Candidate{ID: id, Slots: 24, MemoryTokens: 22000, Running: 5, HeldTokens: used, UsedTokens: used, SameDomain: true}
+}
+
+func TestReliefOnlyWhileItIsNeededAndTaken(t *testing.T) {
+	// An engine is about to overflow, and two hosts each offer one of their
+	// letters. Once the first has gone the second stays: each move stops a
+	// stream for a moment. Where no engine has room nobody waits for one, and
+	// letters of an engine that really leaves go before.
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	engines := []placement.Candidate{filling("full", 21900), filling("roomy", 9000)}
+	q := NewQueue(func(string) []placement.Candidate { return engines }, func() time.Time { return now })
+	relief := func(run string) Move {
+		m := move("full", run, 4000, 800)
+		m.Relief = true
+		return m
+	}
+	first, _ := q.Enter(relief("1"))
+	second, _ := q.Enter(relief("2"))
+	leaving, _ := q.Enter(move("gone", "3", 4000, 800))
+	now = now.Add(gather)
+	q.Step()
+	is.Equal(granted(leaving), "roomy")
+	is.Equal(granted(first), "")
+	q.End("gone", "3")
+	q.Step()
+	is.Equal(granted(first), "roomy")
+	engines[0].UsedTokens, engines[1].UsedTokens = 17900, 13000
+	q.End("full", "1")
+	q.Step()
+	is.Equal(<-second, Grant{}) // told to stay, at once
+	engines[0].UsedTokens, engines[1].UsedTokens = 21900, 19000
+	third, _ := q.Enter(relief("4"))
+	q.Step()
+	is.Equal(<-third, Grant{})
+}
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -16,6 +16,7 @@
 	OutputTokens int        // expected
 	produced     int        // tokens; guarded by Table.mu
 	window       paceWindow // guarded by Table.mu
+	relief       chan struct{}
 }
 
 // Load is what one entry host has on a server; its fields are those of
@@ -98,7 +99,7 @@
 		return nil
 	}
 	booked := &work
-	booked.table, booked.entry = t, e
+	booked.table, booked.entry, booked.relief = t, e, make(chan struct{}, 1)
 	e.work[booked] = struct{}{}
 	return booked
 }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -272,3 +272,47 @@
 
 // everywhere says that a host reports of all servers.
 func everywhere(string) bool { return true }
+
+func TestStreamGivesWayBeforeItsEngineOverflows(t *testing.T) {
+	// An engine is about to overflow, and stays. One letter goes on at another
+	// engine without a pause; where no engine has room it stays where it is, and
+	// the caller sees nothing of the question.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		first := newGeneration(1, 100, gap)
+		w.send = func(_ context.Context, call Call) (*Reply, error) {
+			if call.Resume == nil {
+				return first.reply(), nil
+			}
+			return newGeneration(atoi(call.Resume.LastEventID)+1, 100, gap).reply(), nil
+		}
+		w.copy = func(_, _ fleet.Server, last bool) (Copied, error) {
+			time.Sleep(190 * time.Millisecond)
+			if last {
+				close(first.broke)
+			}
+			return Copied{Handle: "h", Done: true}, nil
+		}
+		everywhere := func(string) bool { return true }
+		overflows := func() { w.fleet.SetOverflowing("llm", []fleet.Life{w.calls[0].Server.Life()}, everywhere) }
+		w.nowhere = true
+		time.AfterFunc(300*time.Millisecond, overflows)
+		time.AfterFunc(900*time.Millisecond, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.nowhere = false
+		})
+		time.AfterFunc(time.Second, overflows)
+		caller := &recorder{}
+		request := w.request("/letter/1")
+		request.Prompt.HintedOutput = 1000
+		o := w.gateway.Serve(context.Background(), request, caller)
+		is.True(o.Complete)
+		is.Equal(caller.body.String(), wholeStream(100))
+		is.Equal(len(w.calls), 2)
+		is.True(w.calls[0].Server.ID != w.calls[1].Server.ID)
+		is.Equal(w.reliefs, 2)
+		synctest.Wait()
+		is.Equal(w.turns, 0)
+	})
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -9,7 +9,8 @@
 
 // Candidate is a backend server that may run the request.
 type Candidate struct {
-	ID string
+	ID   string
+	Born int64 // of the server's life; zero: not said
 	// SameDomain says that the server is in this host's failure domain.
 	SameDomain bool
 	// Slots is how many requests the server runs at once.
