--- a/Makefile
+++ b/Makefile
@@ -20,4 +20,6 @@
 fuzz-text:
 	go test ./relay -run '^$$' -fuzz FuzzParseEventID -fuzztime $(FUZZ_TIME)
 	go test ./record -run '^$$' -fuzz FuzzParseKey -fuzztime $(FUZZ_TIME)
+	go test ./platform -run '^$$' -fuzz FuzzDecodeServer -fuzztime $(FUZZ_TIME)
+	go test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime $(FUZZ_TIME)
 	go test ./contract -run '^$$' -fuzz FuzzParseDocument -fuzztime $(FUZZ_TIME)
