--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -145,7 +145,7 @@
 	allocator.Undisturbed = func() time.Duration { return 4 * time.Second }
 	allocator.Revision = func() uint64 { return 17 }
 	work := from.Begin("e1", fleet.Work{ID: "r1", PromptTokens: 3000, OutputTokens: 400}, false)
-	at.Put(fleet.Server{ID: "e1", Service: llm, Leaving: true})
+	at.Put(fleet.Server{ID: "e1", Service: llm, Address: "e1", Leaving: true})
 	is.True(client.report(context.Background(), Whole(llm), from.OwnGenerations()[llm], nil))
 	select {
 	case <-work.Gone():
--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -114,7 +114,7 @@
 	select {
 	case grant := <-granted:
 		a.logger.Info(msgGranted, zap.String("request", move.Run), zap.String("for", host), zap.String("from", move.Source),
-			zap.String("to", grant.Destination), zap.Duration("waited", time.Since(entered)), zap.Int("tokens", move.Need.PromptTokens))
+			zap.String("to", grant.Destination), zap.Duration("waited", time.Since(entered)), zap.Int("tokens", move.Need.PromptTokens), zap.Bool("relief", move.Relief))
 		if grant.Destination != "" {
 			a.fleet.BookFor(host, grant.Destination, fleet.LoadOf(move.Need, 0, true))
 		}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -186,7 +186,7 @@
 	switch {
 	case denied(r):
 		return ""
-	case r.Reason == string(reasonFull):
+	case r.Reason == reasonFull:
 		return l.shortage(r.Request)
 	case r.Reason != "":
 		return Cause(r.Reason)
--- a/explain/record.go
+++ b/explain/record.go
@@ -28,23 +28,18 @@
 	Message string    `json:"msg"`
 	Request string    `json:"request"`
 	// Of the line that ends a request.
-	Status       int     `json:"status"`
-	Reason       string  `json:"reason"`
-	NotRun       bool    `json:"not_run"`
-	Route        string  `json:"route"`
-	Streamed     bool    `json:"streamed"`
-	Complete     bool    `json:"complete"`
-	Late         bool    `json:"late"`
-	Fingerprint  string  `json:"fingerprint"`
-	PromptTokens int     `json:"prompt_tokens"`
-	Took         float64 `json:"took"` // ms
+	Status       int    `json:"status"`
+	Reason       string `json:"reason"`
+	NotRun       bool   `json:"not_run"`
+	Route        string `json:"route"`
+	Late         bool   `json:"late"`
+	Fingerprint  string `json:"fingerprint"`
+	PromptTokens int    `json:"prompt_tokens"`
 	// Of the allocator's lines.
 	For         string `json:"for"` // the host that has the request
 	LackReading int    `json:"lack_reading"`
 	LackSlots   int    `json:"lack_slots"`
 	LackMemory  int    `json:"lack_memory"`
-	// Of the line at a start.
-	Name string `json:"host"`
 }
 
 var errNoRecord = errors.New("explain: no structured line")
--- a/fleet/life_test.go
+++ b/fleet/life_test.go
@@ -85,3 +85,28 @@
 	table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24})
 	is.Equal(len(table.Candidates("llm", "d1")), 2)
 }
+
+func TestEntryThatMovesAServerNamesNone(t *testing.T) {
+	// Another writer puts an engine under another service, or at another
+	// address. Calls of that service would run on the engine. In one life
+	// neither changes; what is written for a later life may.
+	is := is.New(t)
+	table := newTable()
+	table.Put(life(100))
+	for _, change := range []func(*Server){
+		func(s *Server) { s.Service = "plain" },
+		func(s *Server) { s.Address = "10.0.0.9:1" },
+	} {
+		moved := life(100)
+		change(&moved)
+		table.Put(moved)
+		is.Equal(len(table.Candidates("plain", "d1")), 0)
+		is.Equal(len(table.Candidates("llm", "d1")), 1)
+		table.Put(life(100))
+		is.Equal(len(table.Candidates("llm", "d1")), 2)
+	}
+	later := life(200)
+	later.Address = "10.0.0.9:1"
+	table.Put(later)
+	is.Equal(len(table.Candidates("llm", "d1")), 2)
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -47,5 +47,5 @@
 	SourceReplaced LeavingSource = "replaced"    // another server has its address
 	SourceAnswer   LeavingSource = "its_answers" // it says so itself
 	SourcePeer     LeavingSource = "peer"        // another entry host says so
-	SourceReborn   LeavingSource = "started_again"
+	SourceReborn   LeavingSource = "reborn"      // a later life of it is known
 )
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -100,6 +100,10 @@
 // Put takes in what the host list says of a server. A server that was known
 // to be leaving stays so: in one life it never comes back, but for one whose
 // entry had only lapsed.
+//
+// Failure: another writer puts a server under another service or address. Its
+// requests would run at a service that no configuration allows them. In one
+// life neither changes, so that such an entry is one of no server.
 func (t *Table) Put(server Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,6 +115,10 @@
 	if e == nil {
 		e = t.add(server)
 	}
+	if e.server.Service != server.Service || e.server.Address != server.Address {
+		t.disregard(e)
+		return
+	}
 	if server.Born == 0 {
 		server.Born = e.server.Born
 	}
@@ -164,12 +172,18 @@
 func (t *Table) Disregard(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.servers[id]
-	if e == nil || e.unnamed {
+	if e := t.servers[id]; e != nil {
+		t.disregard(e)
+	}
+}
+
+// disregard is called with mu held.
+func (t *Table) disregard(e *entry) {
+	if e.unnamed {
 		return
 	}
 	e.unnamed = true
-	t.logger.Warn(msgUnnamed, zap.String("server", id), zap.String("address", e.server.Address), zap.Int("own_work", len(e.work)))
+	t.logger.Warn(msgUnnamed, zap.String("server", e.server.ID), zap.String("address", e.server.Address), zap.Int("own_work", len(e.work)))
 }
 
 // mayReturn reports whether the server counts as leaving only because its
