Reverted: generations that give way before their engine overflows

Ruled out: keeping it for its fewer stops: a copy holds memory at both ends and each move may fail, so that callers who are refused or lose a generation pay for those whose stream stands still.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -355,30 +355,3 @@
 	at.SetOthers("h001", llm, nil, other.Holds)
 	is.Equal(allocator.Place("h150", "d", home, Asked{Request: "r4", Need: need}, nil), "")
 }
-
-func TestHostsHearWhichEnginesOverflow(t *testing.T) {
-	// An engine fills up with the letters of two hosts, beside an empty one. No
-	// host sees it by itself; the allocator tells them with its answers, and the
-	// letter that moves gets its place from it.
-	is := is.New(t)
-	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
-	_, allocator, client := pair(t, at, from)
-	work := from.Begin("e1", fleet.Work{ID: "r1", PromptTokens: 6000, OutputTokens: 2000}, false)
-	work.Produced(400)
-	at.SetOthers("other", llm, map[string]fleet.Load{"e1": {Requests: 7, HeldTokens: 30000, UsedTokens: 28000}}, Whole(llm).Holds)
-	is.True(client.report(context.Background(), Whole(llm), from.OwnGenerations()[llm], nil))
-	select {
-	case <-work.Relief():
-	default:
-		t.Fatal("the host was not told")
-	}
-	destination, end, err := client.TakeTurn(context.Background(), llm, evacuation.Move{
-		Source: "e1", Run: "r1", Size: 9000, Relief: true, Need: placement.Need{PromptTokens: 6400, OutputTokens: 1600},
-	})
-	is.NoErr(err)
-	is.Equal(destination, "e2")
-	end()
-	at.SetOthers("other", llm, nil, Whole(llm).Holds)
-	time.Sleep(overflowAge)
-	is.Equal(len(allocator.Overflowing(Whole(llm))), 0)
-}
--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -49,8 +49,7 @@
 	mu     sync.Mutex // guards queues
 	queues map[Part]*moves
 
-	refusals  *refusals
-	overflows overflows
+	refusals *refusals
 }
 
 // Asked is a generation for which a place is asked.
@@ -70,8 +69,7 @@
 
 // NewAllocator returns an allocator that places by the table; draw breaks ties.
 func NewAllocator(table *fleet.Table, limits placement.Limits, draw func(n int) int, logger *zap.Logger) *Allocator {
-	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[Part]*moves{}, refusals: newRefusals(),
-		overflows: overflows{byPart: map[Part]overflowing{}}}
+	return &Allocator{fleet: table, limits: limits, draw: draw, logger: logger, queues: map[Part]*moves{}, refusals: newRefusals()}
 }
 
 // Place chooses a server for a host's generation and books it, until the host
@@ -97,9 +95,6 @@
 	return candidates[i].ID
 }
 
-// Overflowing returns the engines of a part that are about to overflow.
-func (a *Allocator) Overflowing(part Part) []fleet.Life { return a.overflows.of(part, a.fleet) }
-
 // candidates returns the servers of a part that may get work.
 func (a *Allocator) candidates(part Part, domain string, except ...string) []placement.Candidate {
 	return a.fleet.CandidatesAmong(part.Service, domain, part.Holds, except...)
@@ -114,7 +109,7 @@
 	select {
 	case grant := <-granted:
 		a.logger.Info(msgGranted, zap.String("request", move.Run), zap.String("for", host), zap.String("from", move.Source),
-			zap.String("to", grant.Destination), zap.Duration("waited", time.Since(entered)), zap.Int("tokens", move.Need.PromptTokens), zap.Bool("relief", move.Relief))
+			zap.String("to", grant.Destination), zap.Duration("waited", time.Since(entered)), zap.Int("tokens", move.Need.PromptTokens))
 		if grant.Destination != "" {
 			a.fleet.BookFor(host, grant.Destination, fleet.LoadOf(move.Need, 0, true))
 		}
--- a/allocation/bench_test.go
+++ b/allocation/bench_test.go
@@ -53,15 +53,3 @@
 		table.SetOthers("h1", llm, loads, Whole(llm).Holds)
 	}
 }
-
-// BenchmarkOverflowing is what each answer to a report costs besides.
-func BenchmarkOverflowing(b *testing.B) {
-	for _, count := range []int{1, 4} {
-		b.Run(fmt.Sprintf("parts=%d", count), func(b *testing.B) {
-			table, part := targetTable(6), Part{llm, 0, count}
-			for b.Loop() {
-				table.Overflowing(llm, part.Holds)
-			}
-		})
-	}
-}
--- a/allocation/report.go
+++ b/allocation/report.go
@@ -120,7 +120,6 @@
 func (c *Client) report(ctx context.Context, part Part, loads map[string]fleet.Load, evidence map[string]fleet.Evidence) bool {
 	allocator := c.allocator(part)
 	if allocator == c.host {
-		c.fleet.SetOverflowing(part.Service, c.local.Overflowing(part), part.Holds)
 		return true
 	}
 	request := &allocationpb.ReportRequest{Host: c.host, Part: part.message()}
@@ -154,11 +153,8 @@
 	if ms := response.GetUndisturbedMs(); ms > 0 {
 		c.toldDisturbed(time.Duration(ms) * time.Millisecond)
 	}
-	for _, life := range livesFrom(response.GetLeaving()) {
-		c.fleet.MarkLeaving(life, fleet.SourcePeer)
-	}
-	if err == nil {
-		c.fleet.SetOverflowing(part.Service, livesFrom(response.GetOverflowing()), part.Holds)
+	for _, life := range response.GetLeaving() {
+		c.fleet.MarkLeaving(fleet.Life{ID: life.GetServer(), Born: life.GetBorn()}, fleet.SourcePeer)
 	}
 	return err == nil
 }
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -48,8 +48,9 @@
 	}
 	part := partFrom(r.GetPart())
 	s.allocator.fleet.SetOthers(r.GetHost(), part.Service, loads, part.Holds)
-	response := &allocationpb.ReportResponse{
-		Leaving: livesMessage(s.allocator.fleet.Leaving(part.Service)), Overflowing: livesMessage(s.allocator.Overflowing(part)),
+	response := &allocationpb.ReportResponse{}
+	for _, life := range s.allocator.fleet.Leaving(part.Service) {
+		response.Leaving = append(response.Leaving, &allocationpb.ServerLife{Server: life.ID, Born: life.Born})
 	}
 	if s.allocator.Undisturbed != nil {
 		response.UndisturbedMs = uint32(min(s.allocator.Undisturbed(), time.Hour).Milliseconds())
@@ -63,7 +64,7 @@
 // TakeTurn implements allocationpb.AllocationServer.
 func (s *server) TakeTurn(ctx context.Context, r *allocationpb.TakeTurnRequest) (*allocationpb.TakeTurnResponse, error) {
 	destination, err := s.allocator.TakeTurn(ctx, r.GetHost(), partFrom(r.GetPart()), evacuation.Move{
-		Source: r.GetSource(), Run: r.GetRun(), Size: int(r.GetSize()), Relief: r.GetRelief(),
+		Source: r.GetSource(), Run: r.GetRun(), Size: int(r.GetSize()),
 		Need: placement.Need{PromptTokens: int(r.GetHeldTokens()), OutputTokens: int(r.GetRemainingTokens())},
 	})
 	return &allocationpb.TakeTurnResponse{Destination: destination}, err
@@ -75,22 +76,6 @@
 	return &allocationpb.EndTurnResponse{}, nil
 }
 
-func livesMessage(lives []fleet.Life) []*allocationpb.ServerLife {
-	message := make([]*allocationpb.ServerLife, 0, len(lives))
-	for _, life := range lives {
-		message = append(message, &allocationpb.ServerLife{Server: life.ID, Born: life.Born})
-	}
-	return message
-}
-
-func livesFrom(message []*allocationpb.ServerLife) []fleet.Life {
-	lives := make([]fleet.Life, 0, len(message))
-	for _, life := range message {
-		lives = append(lives, fleet.Life{ID: life.GetServer(), Born: life.GetBorn()})
-	}
-	return lives
-}
-
 func partFrom(p *allocationpb.Part) Part {
 	return Part{Service: p.GetService(), Index: int(p.GetIndex()), Count: int(p.GetCount())}
 }
--- a/evacuation/queue.go
+++ b/evacuation/queue.go
@@ -41,8 +41,6 @@
 	Size int
 	// Need is the memory to be copied, and what it is expected to make yet.
 	Need placement.Need
-	// Relief says that the source stays, and is about to overflow.
-	Relief bool
 }
 
 // endsSoon is how many tokens a run makes in about a second; one that has
@@ -131,7 +129,7 @@
 	now := q.now()
 	q.expire(now)
 	slices.SortStableFunc(q.waiting, func(a, b *waitingMove) int {
-		return cmp.Or(compareBool(a.move.Relief, b.move.Relief), cmp.Compare(b.move.density(), a.move.density()), cmp.Compare(a.move.Run, b.move.Run))
+		return cmp.Or(cmp.Compare(b.move.density(), a.move.density()), cmp.Compare(a.move.Run, b.move.Run))
 	})
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *waitingMove) bool { return q.grant(w, now) })
 	if len(q.waiting) == 0 {
@@ -164,13 +162,6 @@
 		w.granted <- Grant{}
 		return true
 	}
-	if w.move.Relief {
-		all = relieving(source, w.move.Need, all)
-		if len(all) == 0 {
-			w.granted <- Grant{} // it is not needed any more, or nobody has room
-			return true
-		}
-	}
 	destination := q.destination(w.move.Need, all)
 	if destination == "" {
 		return false
@@ -180,27 +171,6 @@
 	return true
 }
 
-// compareBool puts false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
-// relieving returns the servers that can take a run off its source; none where
-// the source does not overflow any more.
-func relieving(source string, need placement.Need, all []placement.Candidate) []placement.Candidate {
-	i := slices.IndexFunc(all, func(c placement.Candidate) bool { return c.ID == source })
-	if i < 0 || !all[i].Overflows() {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(all), func(c placement.Candidate) bool { return c.ID == source || !c.Relieves(need) })
-}
-
 // destination returns the best server that receives no copy now. Servers of
 // the source's own failure domain go first, as copies to others take twice as
 // long: a run waits for one of them rather than go further.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -56,8 +56,7 @@
 	endLife        context.CancelFunc
 	leaving        bool
 	removed        bool
-	unnamed        bool      // its entry cannot be read
-	relieved       time.Time // when a generation here was last told to give way
+	unnamed        bool // its entry cannot be read
 	slowUntil      time.Time
 	unreachable    time.Time // until then it gets no work
 	health         health
@@ -355,7 +354,7 @@
 
 func (e *entry) candidate(s *service, domain string, now time.Time) placement.Candidate {
 	c := placement.Candidate{
-		ID: e.server.ID, Born: e.server.Born, SameDomain: e.server.Domain == domain, Slots: e.server.Slots, MemoryTokens: s.memoryTokens,
+		ID: e.server.ID, SameDomain: e.server.Domain == domain, Slots: e.server.Slots, MemoryTokens: s.memoryTokens,
 		Doubtful: e.health.doubtful, Slow: now.Before(e.slowUntil), Pace: e.pace.least,
 	}
 	load := e.ownLoad()
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -16,7 +16,6 @@
 	OutputTokens int        // expected
 	produced     int        // tokens; guarded by Table.mu
 	window       paceWindow // guarded by Table.mu
-	relief       chan struct{}
 }
 
 // Load is what one entry host has on a server; its fields are those of
@@ -99,7 +98,7 @@
 		return nil
 	}
 	booked := &work
-	booked.table, booked.entry, booked.relief = t, e, make(chan struct{}, 1)
+	booked.table, booked.entry = t, e
 	e.work[booked] = struct{}{}
 	return booked
 }
--- a/gateway/evacuate.go
+++ b/gateway/evacuate.go
@@ -27,17 +27,10 @@
 	moveRetry = 50 * time.Millisecond
 )
 
-// guard moves a run whenever its server is leaving or about to overflow, until
-// the run is over.
+// guard moves a run whenever its server is leaving, until the run is over.
 func (g *Gateway) guard(ctx context.Context, run *run) {
 	for {
 		select {
-		case <-run.relief():
-			if run.over() || run.leaving() {
-				continue
-			}
-			g.evacuate(ctx, run, true)
-			continue
 		case <-run.gone():
 		case <-ctx.Done():
 			return
@@ -45,29 +38,28 @@
 		if run.over() || run.lost() {
 			return
 		}
-		g.evacuate(ctx, run, false)
+		g.evacuate(ctx, run)
 		if sleep.For(ctx, moveRetry) != nil || run.over() {
 			return
 		}
 	}
 }
 
-// evacuate waits for the run's turn and tries once to move it. With relief its
-// server stays and is about to overflow.
-func (g *Gateway) evacuate(ctx context.Context, run *run, relief bool) {
+// evacuate waits for the run's turn and tries once to move it.
+func (g *Gateway) evacuate(ctx context.Context, run *run) {
 	if !run.started() {
 		return
 	}
 	source, id := run.server(), run.task.request.ID
 	waiting, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
-	move := evacuation.Move{Source: source.ID, Run: id, Size: run.size(), Relief: relief, Need: placement.Need{PromptTokens: run.tokens(), OutputTokens: run.expectedMore()}}
+	move := evacuation.Move{Source: source.ID, Run: id, Size: run.size(), Need: placement.Need{PromptTokens: run.tokens(), OutputTokens: run.expectedMore()}}
 	destination, end, err := g.options.Allocator.TakeTurn(waiting, run.task.service.Name, move)
 	if err != nil {
 		return
 	}
 	defer end()
-	if run.over() || run.lost() || relief && destination == "" {
+	if run.over() || run.lost() {
 		return
 	}
 	booked := g.options.Fleet.Begin(destination, fleet.Work{ID: id, PromptTokens: move.Need.PromptTokens, OutputTokens: move.Need.OutputTokens}, false)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -126,14 +126,6 @@
 	return r.work.Gone()
 }
 
-// relief holds a token when the run's engine is about to overflow and the run
-// is to move.
-func (r *run) relief() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.work.Relief()
-}
-
 // leaving reports whether the run's server is known to be leaving.
 func (r *run) leaving() bool {
 	select {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -32,10 +32,6 @@
 	send  func(ctx context.Context, call Call) (*Reply, error)
 	copy  func(source, destination fleet.Server, last bool) (Copied, error)
 	turns int // turns not ended
-	// nowhere says that no engine can take a run; reliefs counts the questions
-	// for a turn of runs whose engine stays.
-	nowhere bool
-	reliefs int
 }
 
 func newWorld() *world {
@@ -101,14 +97,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.turns++
-	destination := ""
-	if move.Relief {
-		w.reliefs++
-	}
-	if !w.nowhere {
-		destination = w.Place(ctx, service, allocation.Asked{Need: move.Need}, []string{move.Source})
-	}
-	return destination, func() {
+	return w.Place(ctx, service, allocation.Asked{Need: move.Need}, nil), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.turns--
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -9,8 +9,7 @@
 
 // Candidate is a backend server that may run the request.
 type Candidate struct {
-	ID   string
-	Born int64 // of the server's life; zero: not said
+	ID string
 	// SameDomain says that the server is in this host's failure domain.
 	SameDomain bool
 	// Slots is how many requests the server runs at once.
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -31,7 +31,6 @@
 type replayLoad struct {
 	letters, briefs float64 // a step
 	paceKnown       bool
-	relief          bool // engines about to overflow give a letter away
 }
 
 var (
@@ -162,9 +161,6 @@
 		waiting = append(waiting, later[now]...)
 		delete(later, now)
 		waiting = slices.DeleteFunc(waiting, func(r *replayed) bool { return place(engines, r, load, limits, now, later, &result) })
-		if load.relief && now%reliefSteps == 0 {
-			relieve(engines)
-		}
 		for _, e := range engines {
 			for _, r := range e.step(now) {
 				r.ended = now
@@ -175,38 +171,6 @@
 	return result
 }
 
-// reliefSteps is how long a report, a turn and a copy take.
-const reliefSteps = 50
-
-// relieve moves the letter that is expected to grow most off each engine that
-// is about to overflow, where another one has room.
-func relieve(engines []*replayEngine) {
-	for _, e := range engines {
-		source := e.candidate(false)
-		if !source.Overflows() {
-			continue
-		}
-		var chosen *replayed
-		remaining := func(r *replayed) int { return r.need.OutputTokens - int(r.made) }
-		for _, r := range e.running {
-			if r.made > 0 && remaining(r) >= 240 && (chosen == nil || remaining(r) > remaining(chosen)) {
-				chosen = r
-			}
-		}
-		if chosen == nil {
-			continue
-		}
-		moved := Need{PromptTokens: chosen.need.PromptTokens + int(chosen.made), OutputTokens: remaining(chosen)}
-		for _, other := range engines {
-			if c := other.candidate(false); other != e && c.Relieves(moved) {
-				e.running = slices.DeleteFunc(e.running, func(r *replayed) bool { return r == chosen })
-				other.running = append(other.running, chosen)
-				break
-			}
-		}
-	}
-}
-
 // place reports whether the request waits no longer.
 func place(engines []*replayEngine, r *replayed, load replayLoad, limits Limits, now int, later map[int][]*replayed, result *replayResult) bool {
 	candidates := make([]Candidate, len(engines))
@@ -305,18 +269,3 @@
 	is.True(known.onTime*100 >= blind.onTime*99)
 	is.True(known.briefsOnTime*100 >= known.briefs*99) // verdicts on slow engines are in time
 }
-
-func TestEnginesGiveWayBeforeTheyOverflow(t *testing.T) {
-	// Under overload engines fill up one by one, as estimates of length are off,
-	// and each stops its newest letter in the middle of its stream. With letters
-	// that give way to engines with room fewer stop, and more are on time.
-	is := is.New(t)
-	relieved := overload
-	relieved.relief = true
-	without, with := replayAll(overload, DefaultLimits), replayAll(relieved, DefaultLimits)
-	t.Logf("each engine by itself:   %+v", without)
-	t.Logf("letters give way: %+v", with)
-	is.True(with.preempts*10 < without.preempts*8) // a fifth fewer
-	is.True(with.onTime >= without.onTime)
-	is.True(with.briefsOnTime*1000 > without.briefsOnTime*995)
-}
