--- a/fleet/server.go
+++ b/fleet/server.go
@@ -5,21 +5,6 @@
 
 import "time"
 
-// Life is one life of a backend server. A server that starts again has another
-// ID, or the same one with another time of birth; either way it holds nothing
-// of what ran there before.
-type Life struct {
-	ID string
-	// Born is the server's own word on its start, in Unix ms; zero: not said.
-	Born int64
-}
-
-// Is reports whether two words may be of the same life. One that does not say
-// when it was born tells the ID only.
-func (l Life) Is(other Life) bool {
-	return l.ID == other.ID && (l.Born == other.Born || l.Born == 0 || other.Born == 0)
-}
-
 // Server is what is known of one life of a backend server.
 type Server struct {
 	ID      string
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/papayasail/papayasail/placement"
 )
 
 const (
@@ -148,43 +146,6 @@
 	return e
 }
 
-// replace ends what is known of a life whose server has started again. Called
-// with mu held.
-//
-// Failure: a server crashes and is back under its id before its entry has
-// lapsed. What ran there is lost, but its connections may be silent: callers
-// waited until their time was over, the loads of the earlier life kept others
-// away, and a copy that was ordered there could be taken for another run's.
-// All that is believed belongs to one entry, and this ends with it.
-func (t *Table) replace(e *entry, server Server) {
-	t.logger.Info(msgReborn, zap.String("server", server.ID), zap.Int64("born", server.Born), zap.Int64("born_before", e.server.Born),
-		zap.Int("own_work", len(e.work)))
-	e.endLife() // first: who is told that the server leaves must not ask the later life for a run
-	e.removed = true
-	t.leave(e, SourceReborn)
-	t.drop(e)
-}
-
-// Disregard notes that a server's entry cannot be read: whoever wrote it, it
-// names no server to use. What runs there goes on, until a readable entry says
-// otherwise.
-func (t *Table) Disregard(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.servers[id]; e != nil {
-		t.disregard(e)
-	}
-}
-
-// disregard is called with mu held.
-func (t *Table) disregard(e *entry) {
-	if e.unnamed {
-		return
-	}
-	e.unnamed = true
-	t.logger.Warn(msgUnnamed, zap.String("server", e.server.ID), zap.String("address", e.server.Address), zap.Int("own_work", len(e.work)))
-}
-
 // mayReturn reports whether the server counts as leaving only because its
 // entry was gone, here or at another host.
 func (e *entry) mayReturn() bool {
@@ -211,15 +172,6 @@
 	}
 }
 
-// entryOf returns the entry of a life, or nil. Called with mu held.
-func (t *Table) entryOf(life Life) *entry {
-	e := t.servers[life.ID]
-	if e == nil || !e.server.Life().Is(life) {
-		return nil
-	}
-	return e
-}
-
 // leave is called with mu held.
 func (t *Table) leave(e *entry, because LeavingSource) {
 	if e.leaving {
@@ -248,14 +200,6 @@
 	s.departed[e.server.Life()] = time.Now()
 }
 
-// Superseded reports whether a later life of the server is known.
-func (t *Table) Superseded(life Life) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.servers[life.ID]
-	return e != nil && !e.server.Life().Is(life)
-}
-
 // Get returns a server and whether it takes new work. One that is not known
 // has no ID.
 func (t *Table) Get(id string) (server Server, usable bool) {
@@ -331,39 +275,6 @@
 	return names
 }
 
-// Candidates returns the servers of a service that may get work from a failure
-// domain, but for those in except.
-func (t *Table) Candidates(name, domain string, except ...string) []placement.Candidate {
-	return t.CandidatesAmong(name, domain, func(string) bool { return true }, except...)
-}
-
-// CandidatesAmong returns those of the candidates whose IDs are wanted.
-func (t *Table) CandidatesAmong(name, domain string, wanted func(id string) bool, except ...string) []placement.Candidate {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, now := t.service(name), time.Now()
-	candidates := make([]placement.Candidate, 0, len(s.members))
-	for _, e := range s.members {
-		if !e.takesWork() || now.Before(e.unreachable) || !wanted(e.server.ID) || slices.Contains(except, e.server.ID) {
-			continue
-		}
-		candidates = append(candidates, e.candidate(s, domain, now))
-	}
-	return candidates
-}
-
-func (e *entry) candidate(s *service, domain string, now time.Time) placement.Candidate {
-	c := placement.Candidate{
-		ID: e.server.ID, SameDomain: e.server.Domain == domain, Slots: e.server.Slots, MemoryTokens: s.memoryTokens,
-		Doubtful: e.health.doubtful, Slow: now.Before(e.slowUntil), Pace: e.pace.least,
-	}
-	load := e.ownLoad()
-	load.add(e.othersLoad(now))
-	c.Running, c.HeldTokens, c.UsedTokens = load.Requests, load.HeldTokens, load.UsedTokens
-	c.UnreadTokens, c.BriefUnreadTokens = load.UnreadTokens, load.BriefUnreadTokens
-	return c
-}
-
 // Changed returns a channel that is closed when a place may have come free.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
