allocation: who decides is worked out once a change of the members

Change: the view of the members (watchers, allocators of parts) is kept until the membership's generation changes; versions of the configuration do not change it; hosts are ranked by keys computed once. No lock is held while the members are asked, as they ask for the configuration's version.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -45,6 +45,9 @@
 
 func (h *hosts) Members() []peer.Member { return h.members }
 
+// Generation is that of a fleet whose size alone changes.
+func (h *hosts) Generation() uint64 { return uint64(len(h.members)) }
+
 func (h *hosts) Call(_ string, f func(grpc.ClientConnInterface) error) error {
 	h.mu.Lock()
 	down := h.down
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +31,8 @@
 // Peers reaches other entry hosts; *peer.Node is one.
 type Peers interface {
 	Members() []peer.Member
+	// Generation rises with every change of Members but its versions.
+	Generation() uint64
 	Call(host string, f func(grpc.ClientConnInterface) error) error
 }
 
@@ -46,6 +48,8 @@
 	// configuration; nil: with none. It must not block.
 	Told func(allocator string, revision uint64)
 
+	view atomic.Pointer[view]
+
 	mu        sync.Mutex              // guards all below
 	avoided   map[string]rest         // by host: those that did not answer
 	leaving   map[string]knownLeaving // by allocator
@@ -91,11 +95,6 @@
 	return &Client{host: host, domain: domain, peers: peers, local: local, fleet: table, logger: logger, avoided: map[string]rest{}, leaving: map[string]knownLeaving{}}
 }
 
-// cut returns how a service is cut into parts now.
-func (c *Client) cut(service string) cut {
-	return cutOf(service, c.fleet.Domains(service), c.peers.Members())
-}
-
 // Place chooses a server for a generation, or returns "" if none has a place.
 // Where this host's part of the service is full, or another one far emptier,
 // that one is asked.
@@ -134,7 +133,7 @@
 // placeHere places by this host's own view: of the part if others may take it
 // for its allocator, else of all servers, as there is nobody to ask for a part.
 func (c *Client) placeHere(part Part, asked Asked, except []string) Placed {
-	if !slices.Contains(ranked(c.peers.Members(), part), c.host) {
+	if !c.decidesFor(part) {
 		part = Whole(part.Service)
 	}
 	return c.local.Place(c.host, c.domain, part, asked, except)
@@ -197,7 +196,7 @@
 // live. Hosts that place by themselves do so blindly; with the next allocator
 // all of them go on sharing one view.
 func (c *Client) allocator(part Part) string {
-	hosts := ranked(c.peers.Members(), part)
+	hosts := c.look().allocators(part)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, host := range hosts {
--- a/allocation/exchange.go
+++ b/allocation/exchange.go
@@ -28,7 +28,7 @@
 	request := &allocationpb.OfferRequest{Host: c.host}
 	others := map[string]bool{}
 	for _, part := range parts {
-		allocator := Chosen(c.peers.Members(), part)
+		allocator := c.chosen(part)
 		if allocator != c.host {
 			others[allocator] = true
 			continue
--- a/allocation/exchange_test.go
+++ b/allocation/exchange_test.go
@@ -23,15 +23,7 @@
 	// each of them asked, five times what one asks.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		at, from := fleet.NewTable("a", zap.NewNop()), fleet.NewTable("b", zap.NewNop())
-		for _, table := range []*fleet.Table{at, from} {
-			table.SetMemory(llm, 34000)
-			for _, server := range serversOf(6) {
-				table.Put(server)
-			}
-		}
-		hosts, allocator, client := pair(t, at, from)
-		hosts.members = crowd(200)
+		hosts, allocator, client, _ := largePair(t)
 		mine := Part{Service: llm, Domain: "d2", Count: 1}
 		client.host = Chosen(hosts.members, mine)
 		client.local.Revision = func() uint64 { return 17 }
--- a/allocation/part.go
+++ b/allocation/part.go
@@ -104,7 +104,7 @@
 
 // Chosen returns the allocator of a part among the members, or "".
 func Chosen(members []peer.Member, part Part) string {
-	if hosts := ranked(members, part); len(hosts) > 0 {
+	if hosts := ranked(members, domain.Watchers(members), part); len(hosts) > 0 {
 		return hosts[0]
 	}
 	return ""
@@ -115,8 +115,8 @@
 //
 // Those that watch the store go first, as they hear first which servers leave.
 // A domain without live hosts has one of the watchers of the others.
-func ranked(members []peer.Member, part Part) []string {
-	watchers := domain.Watchers(members)
+func ranked(members []peer.Member, watchers []string, part Part) []string {
+	watchers = slices.Clone(watchers)
 	slices.SortFunc(watchers, func(a, b string) int {
 		return cmp.Or(cmp.Compare(score(b, part), score(a, part)), cmp.Compare(b, a))
 	})
--- a/allocation/part_test.go
+++ b/allocation/part_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/domain"
 	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/peer"
@@ -59,7 +60,7 @@
 		allocators := map[string]bool{}
 		for _, part := range parts {
 			allocators[Chosen(members, part)] = true
-			for _, host := range ranked(members, part) {
+			for _, host := range ranked(members, domain.Watchers(members), part) {
 				for _, m := range members {
 					is.True(m.Host != host || m.FailureDomain == part.Domain)
 				}
@@ -100,6 +101,15 @@
 // largeFleet is a client on a host that is no allocator, and the allocator of
 // all parts, with six engines in three domains.
 func largeFleet(t *testing.T) (*Allocator, *Client, *fleet.Table) {
+	t.Helper()
+	_, allocator, client, at := largePair(t)
+	client.host, client.domain = "none", "d1"
+	return allocator, client, at
+}
+
+// largePair connects a client with the allocator of all parts of a fleet of 200
+// hosts; both know six engines in three domains.
+func largePair(t *testing.T) (*hosts, *Allocator, *Client, *fleet.Table) {
 	t.Helper()
 	at, from := fleet.NewTable("a", zap.NewNop()), fleet.NewTable("b", zap.NewNop())
 	for _, table := range []*fleet.Table{at, from} {
@@ -110,8 +120,7 @@
 	}
 	hosts, allocator, client := pair(t, at, from)
 	hosts.members = crowd(200)
-	client.host, client.domain = "none", "d1"
-	return allocator, client, at
+	return hosts, allocator, client, at
 }
 
 func (p Part) mustHold(t *testing.T, table *fleet.Table, id string) {
@@ -202,7 +211,7 @@
 		is := is.New(t)
 		hosts := &hosts{members: crowd(9)}
 		client := NewClient("none", "d1", hosts, nil, engines("none"), zap.NewNop())
-		order := ranked(hosts.members, Whole(llm))
+		order := ranked(hosts.members, domain.Watchers(hosts.members), Whole(llm))
 		is.Equal(len(order), allocatorsTried)
 		hosts.cut(true)
 		fail := func(host string) { _ = client.call(context.Background(), host, nil) }
--- a/allocation/report.go
+++ b/allocation/report.go
@@ -142,7 +142,7 @@
 
 // interval returns the time between two reports of this host.
 func (c *Client) interval() time.Duration {
-	hosts := len(c.peers.Members())
+	hosts := c.hosts()
 	return reportInterval * time.Duration(max(reportingHosts, hosts)) / reportingHosts
 }
 
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -100,7 +100,7 @@
 // many hosts cut off each would ask all.
 func (s *Sentinel) asked(part Part) []fleet.Server {
 	servers := s.Fleet.UsableWithWork(part.Service)
-	if Chosen(s.Client.peers.Members(), part) == s.Host {
+	if s.Client.chosen(part) == s.Host {
 		servers = s.Fleet.Usable(part.Service)
 	}
 	return slices.DeleteFunc(servers, func(server fleet.Server) bool { return !part.Holds(server) })
--- a/domain/watchers.go
+++ b/domain/watchers.go
@@ -102,14 +102,32 @@
 	for _, m := range hosts {
 		strongest = max(strongest, m.Capacity)
 	}
-	weak := func(m peer.Member) int {
-		if float64(m.Capacity) < strongShare*float64(strongest) {
+	order := make([]dutyRank, len(hosts))
+	for i, m := range hosts {
+		order[i] = dutyRank{m, float64(m.Capacity) < strongShare*float64(strongest), score(m.Host, watcherSeed)}
+	}
+	slices.SortFunc(order, dutyRank.compare)
+	for i, r := range order {
+		hosts[i] = r.Member
+	}
+}
+
+// dutyRank is a host with what orders it.
+type dutyRank struct {
+	peer.Member
+	weak  bool
+	score uint64
+}
+
+func (r dutyRank) compare(other dutyRank) int {
+	if order := cmp.Compare(r.State, other.State); order != 0 {
+		return order
+	}
+	if r.weak != other.weak {
+		if r.weak {
 			return 1
 		}
-		return 0
+		return -1
 	}
-	slices.SortFunc(hosts, func(a, b peer.Member) int {
-		return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(weak(a), weak(b)),
-			cmp.Compare(score(b.Host, watcherSeed), score(a.Host, watcherSeed)), cmp.Compare(a.Host, b.Host))
-	})
+	return cmp.Or(cmp.Compare(other.score, r.score), cmp.Compare(r.Host, other.Host))
 }
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -121,6 +121,8 @@
 	relayed       moment.Moment // the same, asked by another host
 	pulling       atomic.Bool   // from an allocator that has a newer configuration
 	booting       atomic.Bool   // has not met its peers yet
+	lives         atomic.Uint64 // how often the host has joined anew
+	watching      atomic.Pointer[watching]
 }
 
 // New puts a host together; Run starts it.
@@ -163,7 +165,22 @@
 // watches reports whether this host follows the store; the others learn from
 // their peers.
 func (h *Host) watches() bool {
-	return !h.booting.Load() && domain.Watches(h.Members(), h.options.Name)
+	if h.booting.Load() {
+		return false
+	}
+	generation := h.Generation()
+	if known := h.watching.Load(); known != nil && known.generation == generation {
+		return known.is
+	}
+	next := &watching{generation, domain.Watches(h.Members(), h.options.Name)}
+	h.watching.Store(next)
+	return next.is
+}
+
+// watching says whether a host follows the store, for a generation of members.
+type watching struct {
+	generation uint64
+	is         bool
 }
 
 // Run serves until ctx ends, then stops gracefully: callers' requests at one
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -26,6 +26,8 @@
 	suspicionTimeout = 4 * time.Second
 	// addressesTTL is how long callers keep an answer.
 	addressesTTL = time.Second
+	// livesShift leaves room for the changes that one life of a host sees.
+	livesShift = 40
 )
 
 // newNode makes this host's part in the membership; incarnation 0 is made
@@ -61,12 +63,19 @@
 		}
 		h.logger.Warn(msgRenamed, zap.Uint64("known", superseded.Known))
 		h.node.Store(h.newNode(superseded.Known+1, prometheus.NewRegistry()))
+		h.lives.Add(1)
 	}
 }
 
 // Members returns all known entry hosts.
 func (h *Host) Members() []peer.Member { return h.node.Load().Members() }
 
+// Generation rises with every change of Members but its versions, and when
+// this host joins anew.
+func (h *Host) Generation() uint64 {
+	return h.lives.Load()<<livesShift + h.node.Load().Generation()
+}
+
 // Call calls a service of another entry host.
 func (h *Host) Call(host string, f func(grpc.ClientConnInterface) error) error {
 	return h.node.Load().Call(host, f)
--- a/peer/node.go
+++ b/peer/node.go
@@ -182,6 +182,14 @@
 	return members
 }
 
+// Generation rises with every change that Members shows, but for versions of
+// the configuration, which change with each exchange. What is worked out from
+// the members holds for as long as it stays.
+func (n *Node) Generation() uint64 {
+	generation, _, _ := n.table.state()
+	return generation
+}
+
 // Joined is closed after the first exchange of the whole membership with a peer.
 func (n *Node) Joined() <-chan struct{} { return n.joined }
 
--- a/peer/table.go
+++ b/peer/table.go
@@ -45,7 +45,7 @@
 	entries    map[string]*entry // without self
 	selfPassOn int
 	superseded uint64 // higher incarnation of our own name, zero for none
-	generation uint64 // rises with every change that Members shows
+	generation uint64 // rises with every change of a member but its configuration version
 	digest     uint64 // of the hosts that are not gone
 }
 
@@ -209,7 +209,6 @@
 	e.heardAt = now
 	if version > e.ConfigurationVersion {
 		e.ConfigurationVersion = version
-		t.generation++
 		changed = true
 	}
 	if e.unconfirmed {
