--- /dev/null
+++ b/domain/watchduty_test.go
@@ -0,0 +1,75 @@
+package domain
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/peer"
+)
+
+// oneHost is a fleet of one host.
+type oneHost struct {
+	generation atomic.Uint64
+	away       atomic.Bool
+}
+
+func (f *oneHost) Members() []peer.Member {
+	return []peer.Member{member("a", "d", peer.StateAlive)}
+}
+
+func (f *oneHost) Generation() uint64 { return f.generation.Load() }
+
+func (f *oneHost) SetStoreAway(away bool) { f.away.Store(away) }
+
+func TestStoreThatIsSlowForAMomentChangesNoWatcher(t *testing.T) {
+	// The store misses one check of a host that watches it. Were the fleet told
+	// at once, all watchers would change with each slow second; told never, a
+	// host that is turned away would watch for its domain for good.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &oneHost{}
+		var fails atomic.Bool
+		returned := 0
+		duty := &WatchDuty{
+			Host: "a", Fleet: fleet, Interval: time.Second, Timeout: 100 * time.Millisecond, Returned: func() { returned++ },
+			Check: func(ctx context.Context) error {
+				if fails.Load() {
+					<-ctx.Done() // silence
+					return errors.New("away")
+				}
+				return nil
+			},
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = duty.Run(ctx) }()
+		fails.Store(true)
+		time.Sleep(1500 * time.Millisecond)
+		is.True(!fleet.away.Load())
+		time.Sleep(time.Second)
+		is.True(fleet.away.Load())
+		fails.Store(false)
+		time.Sleep(1500 * time.Millisecond)
+		is.True(!fleet.away.Load())
+		is.Equal(returned, 1)
+		stop()
+		synctest.Wait()
+	})
+}
+
+func TestHostThatMayNotWatchYet(t *testing.T) {
+	// A host that starts sees nobody but itself and would watch the store until
+	// it has met the others.
+	is := is.New(t)
+	fleet := &oneHost{}
+	active := false
+	duty := &WatchDuty{Host: "a", Fleet: fleet, Active: func() bool { return active }}
+	is.True(!duty.Watches())
+	active = true
+	is.True(duty.Watches())
+}
--- a/entryhost/duty.go
+++ b/entryhost/duty.go
@@ -26,7 +26,7 @@
 const orderTimeout = 30 * time.Second
 
 // contends reports whether this host tries for the lease of orders.
-func (h *Host) contends() bool { return !h.leaving.Load() && h.watches() }
+func (h *Host) contends() bool { return !h.leaving.Load() && h.watch.Watches() }
 
 // refresh brings the documents up to date with the store.
 func (h *Host) refresh(ctx context.Context) error {
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -43,6 +43,7 @@
 	logger    *zap.Logger
 	table     *configuration.Table
 	watcher   *replica.Follower
+	watch     *domain.WatchDuty
 	hostList  *hostList
 	duty      *order.Duty
 	acceptor  *configuration.Acceptor
@@ -92,7 +93,8 @@
 	h.node = h.newNode(homes)
 	homes.peers = h.node
 	h.relay.SetHomes(homes)
-	h.hostList = newHostList(o.Store, h.pool, h.watches)
+	h.watch = h.newWatchDuty()
+	h.hostList = newHostList(o.Store, h.pool, h.watch.Watches)
 	h.duty = h.newDuty()
 	h.watcher = &replica.Follower{Store: o.Store, Kind: configuration.Kind, Table: h.table.Table, Logger: o.Logger, Active: h.followsStore}
 	h.server = &http.Server{Handler: h.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
@@ -198,11 +200,6 @@
 // whole fleet.
 func (h *Host) share() float64 { return 1 / float64(max(h.live.Load(), 1)) }
 
-// watches reports whether this host watches the platform's store.
-func (h *Host) watches() bool {
-	return domain.Watches(h.node.Members(), h.settings.Host)
-}
-
 // pollsPerSecond is the rate of load questions, by the number of live hosts.
 func (h *Host) pollsPerSecond() float64 {
 	if h.options.PollsPerSecond > 0 {
@@ -213,7 +210,7 @@
 
 // followsStore reports whether this host watches the documents in the store:
 // one of the few that watch, or the one that gives orders.
-func (h *Host) followsStore() bool { return h.watches() || h.duty.Holding() }
+func (h *Host) followsStore() bool { return h.watch.Watches() || h.duty.Holding() }
 
 // connect wires changes of one part to the parts that follow it.
 func (h *Host) connect() {
@@ -287,6 +284,7 @@
 	group.Go(func() error { return h.serve(listener) })
 	group.Go(func() error { return h.runNode(ctx) })
 	group.Go(func() error { return ended(h.watcher.Run(ctx)) })
+	group.Go(func() error { return ended(h.watch.Run(ctx)) })
 	group.Go(func() error { h.poller.Run(ctx); return nil })
 	group.Go(func() error { h.hostList.run(ctx); return nil })
 	group.Go(func() error { return ended(h.duty.Run(ctx)) })
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -86,7 +86,7 @@
 // removeDoubted asks the server itself, on the few hosts that watch the store;
 // the others hear from the allocator if it leaves.
 func (h *Host) removeDoubted(id string) {
-	if server, _ := h.fleet.Get(id); server.ID != "" && h.watches() {
+	if server, _ := h.fleet.Get(id); server.ID != "" && h.watch.Watches() {
 		h.removeUnlessStaying(server)
 		return
 	}
--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/store"
 )
 
@@ -26,9 +25,6 @@
 	// at a tenth of a call's price; guardTimeout bounds one.
 	guardInterval = 500 * time.Millisecond
 	guardTimeout  = 250 * time.Millisecond
-	// awayAfter is how many checks in a row fail before others are told: a
-	// store that is slow for a moment must not change all watchers.
-	awayAfter = 2
 	// pullTimeout bounds one catching up with an allocator.
 	pullTimeout = time.Second
 )
@@ -93,40 +89,14 @@
 	return nil
 }
 
-// guardWatches checks the store while this host watches it, until ctx ends.
-//
-// Failure: the store takes calls and never answers them. A watch that began
-// meanwhile waits for its whole time after the store is back; a host knew
-// nothing of two replaced servers for 15 s, and 8 in 10 requests failed. After
-// a check that failed everything is therefore listed anew.
-//
-// Failure: the store turns this host away and serves others. It is told to the
-// fleet after awayAfter checks in a row, so that another host watches in its
-// place, and this one goes on checking until the store answers.
-func (h *Host) guardWatches(ctx context.Context) error {
-	failed := 0
-	for sleep.For(ctx, guardInterval) == nil {
-		before := failed
-		if (before > 0 || h.watches()) && !h.answers(ctx) {
-			failed++
-		} else {
-			failed = 0
-		}
-		h.node.Load().SetStoreAway(failed >= awayAfter)
-		if before > 0 && failed == 0 {
-			h.logger.Info(msgReread)
-			h.configuration.Relist()
-			h.servers.Relist()
-		}
-	}
-	return ctx.Err()
-}
+// checkStore makes the cheapest call that shows whether the store answers.
+func (h *Host) checkStore(ctx context.Context) error { return h.options.Store.Check(ctx) }
 
-// answers reports whether the store answers a cheap call.
-func (h *Host) answers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, guardTimeout)
-	defer cancel()
-	return h.options.Store.Check(ctx) == nil
+// relist has everything read anew that the store has.
+func (h *Host) relist() {
+	h.logger.Info(msgReread)
+	h.configuration.Relist()
+	h.servers.Relist()
 }
 
 // catchUp fetches what an allocator has newer than this host.
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -122,13 +122,17 @@
 	pulling       atomic.Bool   // from an allocator that has a newer configuration
 	booting       atomic.Bool   // has not met its peers yet
 	lives         atomic.Uint64 // how often the host has joined anew
-	watching      atomic.Pointer[watching]
+	watch         *domain.WatchDuty
 }
 
 // New puts a host together; Run starts it.
 func New(o Options) *Host {
 	h := &Host{options: o, logger: o.Logger}
 	h.table = replica.New(h.apply)
+	h.watch = &domain.WatchDuty{
+		Host: o.Name, Fleet: h, Check: h.checkStore, Returned: h.relist, Active: func() bool { return !h.booting.Load() },
+		Interval: guardInterval, Timeout: guardTimeout,
+	}
 	h.configuration = h.follower(o.Objects.Configuration, configurationSpacing)
 	h.servers = h.follower(o.Objects.Servers, serversSpacing)
 	h.configuration.OnCompacted, h.servers.OnCompacted = h.servers.Relist, h.configuration.Relist
@@ -155,34 +159,13 @@
 func (h *Host) follower(kind string, spacing time.Duration) *replica.Follower {
 	return &replica.Follower{
 		Store: h.options.Store, Kind: kind, Table: h.table, Logger: h.logger.With(zap.String("kind", kind)),
-		Active: h.watches, Spacing: spacing, Backoff: store.Backoff{Initial: storeBackoff, Max: storeBackoffMax},
+		Active: h.watch.Watches, Spacing: spacing, Backoff: store.Backoff{Initial: storeBackoff, Max: storeBackoffMax},
 	}
 }
 
 // Gateway returns the gateway, for what decodes callers' requests.
 func (h *Host) Gateway() *gateway.Gateway { return h.gateway }
 
-// watches reports whether this host follows the store; the others learn from
-// their peers.
-func (h *Host) watches() bool {
-	if h.booting.Load() {
-		return false
-	}
-	generation := h.Generation()
-	if known := h.watching.Load(); known != nil && known.generation == generation {
-		return known.is
-	}
-	next := &watching{generation, domain.Watches(h.Members(), h.options.Name)}
-	h.watching.Store(next)
-	return next.is
-}
-
-// watching says whether a host follows the store, for a generation of members.
-type watching struct {
-	generation uint64
-	is         bool
-}
-
 // Run serves until ctx ends, then stops gracefully: callers' requests at one
 // server, side questions at the others.
 func (h *Host) Run(ctx context.Context, callers Server, others ...Server) error {
@@ -191,7 +174,7 @@
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
 	h.booting.Store(true)
-	for _, run := range []func(context.Context) error{h.boot, h.configuration.Run, h.servers.Run, h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run, h.guardWatches} {
+	for _, run := range []func(context.Context) error{h.boot, h.configuration.Run, h.servers.Run, h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run, h.watch.Run} {
 		group.Go(func() error { return ignoreEnd(run(inner)) })
 	}
 	server := h.serve(inner, group, callers)
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -230,7 +230,7 @@
 		h.options.Store, h.servers.Store, h.configuration.Store = silent, silent, silent
 		ctx, stop := context.WithCancel(t.Context())
 		go func() { _ = h.servers.Run(ctx) }()
-		go func() { _ = h.guardWatches(ctx) }()
+		go func() { _ = h.watch.Run(ctx) }()
 		time.Sleep(time.Second)
 		silent.silent.Store(true)
 		_, err := memory.Put(ctx, kindOfServers, "i-1", []byte("ready"), 0) // ends the watch, and another begins
--- a/gatewayhost/large_test.go
+++ b/gatewayhost/large_test.go
@@ -63,7 +63,7 @@
 		h.options.Store, h.servers.Store, h.configuration.Store = priced, priced, priced
 		h.booting.Store(true)
 		f.hosts, f.stores = append(f.hosts, h), append(f.stores, priced)
-		for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.guardWatches} {
+		for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.watch.Run} {
 			go func() { _ = run(ctx) }()
 		}
 	}
@@ -72,7 +72,7 @@
 
 func (f *largeFleet) watching() (watching []int) {
 	for i, h := range f.hosts {
-		if h.watches() {
+		if h.watch.Watches() {
 			watching = append(watching, i)
 		}
 	}
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -76,6 +76,9 @@
 	return h.lives.Load()<<livesShift + h.node.Load().Generation()
 }
 
+// SetStoreAway tells the fleet whether the store turns this host away.
+func (h *Host) SetStoreAway(away bool) { h.node.Load().SetStoreAway(away) }
+
 // Call calls a service of another entry host.
 func (h *Host) Call(host string, f func(grpc.ClientConnInterface) error) error {
 	return h.node.Load().Call(host, f)
