Log messages stand once; a host without a store is refused

Cause: explain repeated the texts of the messages that it reads, and no test compared them with the loggers'; entryhost.Options.Store was required and not checked.

Change: the loggers' constants are exported and explain uses them; New refuses options without a store.

Ruled out: a test that compares the texts (one copy needs none).

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -29,8 +29,10 @@
 
 const (
 	msgGranted = "turn to move granted"
-	msgPlaced  = "generation placed"
-	msgNoPlace = "no server has a place"
+	// MsgPlaced and MsgNoPlace are the log messages by which a day's losses are
+	// told apart.
+	MsgPlaced  = "generation placed"
+	MsgNoPlace = "no server has a place"
 	msgOnward  = "generation goes to another part of the service"
 )
 
@@ -107,13 +109,13 @@
 	if i < 0 {
 		a.refusals.note(asked.Fingerprint, request)
 		lacking := placement.ShortageOf(need, candidates, a.limits)
-		a.logger.Info(msgNoPlace, zap.String("request", request), zap.String("for", host), zap.Int("candidates", len(candidates)),
+		a.logger.Info(MsgNoPlace, zap.String("request", request), zap.String("for", host), zap.Int("candidates", len(candidates)),
 			zap.Int("prompt_tokens", need.PromptTokens), zap.Int("output_tokens", need.OutputTokens), zap.Bool("returning", need.Returning),
 			zap.Int("lack_reading", lacking.Reading), zap.Int("lack_slots", lacking.Slots), zap.Int("lack_memory", lacking.Memory))
 		return Placed{}
 	}
 	chosen := &candidates[i]
-	a.logger.Info(msgPlaced, zap.String("request", request), zap.String("for", host), zap.String("to", chosen.ID),
+	a.logger.Info(MsgPlaced, zap.String("request", request), zap.String("for", host), zap.String("to", chosen.ID),
 		zap.Int("running", chosen.Running), zap.Int("held_tokens", chosen.HeldTokens), zap.Int("unread_tokens", chosen.UnreadTokens),
 		zap.Bool("returning", need.Returning), zap.Int("candidates", len(candidates)))
 	a.fleet.BookFor(host, candidates[i].ID, fleet.LoadOf(need, 0, false))
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -68,6 +68,9 @@
 
 // New puts a host together. Run starts it.
 func New(options Options) (*Host, error) {
+	if options.Store == nil {
+		return nil, errNoStore
+	}
 	o := options.withDefaults()
 	h := &Host{
 		options: o, settings: o.Settings, tokens: o.Settings.Tokens(), logger: o.Logger,
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
@@ -18,13 +19,13 @@
 // DefaultPolicy is the routing policy in force unless Options name another.
 const DefaultPolicy = routing.PolicyForecast
 
-// Options of a Host. Settings is required.
+// Options of a Host.
 type Options struct {
-	Settings *settings.Settings
-	Network  link.Network // default: TCP
-	Store    store.Store  // required
-	Policy   string       // routing policy, default DefaultPolicy
-	Logger   *zap.Logger  // default: none
+	Settings *settings.Settings // required
+	Network  link.Network       // default: TCP
+	Store    store.Store        // required
+	Policy   string             // routing policy, default DefaultPolicy
+	Logger   *zap.Logger        // default: none
 	Registry *prometheus.Registry
 	// AnnounceDelay is the time between the announcement that the host is
 	// leaving and its refusing new work, so that address answers get ahead
@@ -39,6 +40,8 @@
 	PollsPerSecond float64
 }
 
+var errNoStore = errors.New("entry host: options name no store")
+
 const (
 	defaultAnnounceDelay  = 500 * time.Millisecond
 	defaultBackendSilence = 5 * time.Second
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -8,7 +8,10 @@
 	"slices"
 	"time"
 
+	"github.com/papayasail/papayasail/allocation"
 	"github.com/papayasail/papayasail/findings"
+	"github.com/papayasail/papayasail/gateway"
+	"github.com/papayasail/papayasail/gatewayhost"
 )
 
 // Cause says why a request was lost.
@@ -114,15 +117,15 @@
 		l.first = r.At
 	}
 	switch r.Message {
-	case msgRequest:
+	case gateway.MsgRequest:
 		l.ended[r.Request] = r
-	case msgPlaced:
+	case allocation.MsgPlaced:
 		l.placed[r.Request] = r
-	case msgNoPlace:
+	case allocation.MsgNoPlace:
 		l.short[r.Request] = r
-	case msgStarts:
+	case gatewayhost.MsgStart:
 		l.starts[r.Host] = append(l.starts[r.Host], r)
-	case msgStops:
+	case gatewayhost.MsgStopping:
 		l.stops[r.Host] = append(l.stops[r.Host], r)
 	}
 }
--- a/explain/record.go
+++ b/explain/record.go
@@ -11,16 +11,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Messages of the lines that tell what became of requests; the constants
-// beside the loggers have the same text.
-const (
-	msgRequest = "request"
-	msgPlaced  = "generation placed"
-	msgNoPlace = "no server has a place"
-	msgStarts  = "entry host starts"
-	msgStops   = "entry host stops"
-)
-
 // record is one line of a log.
 type record struct {
 	Host    string    // that wrote it
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -7,7 +7,8 @@
 	"go.uber.org/zap"
 )
 
-const msgRequest = "request"
+// MsgRequest is the log message of each request's end.
+const MsgRequest = "request"
 
 // passedEvent notes the times of events, for what callers see of stalls.
 func (t *task) passedEvent() {
@@ -66,8 +67,8 @@
 			zap.Duration("longest_pause", t.longestPause), zap.Duration("paused_at", t.pausedAt), zap.Int("moves", t.moves))
 	}
 	if o.Reason == "" {
-		t.gateway.options.Logger.Info(msgRequest, fields...)
+		t.gateway.options.Logger.Info(MsgRequest, fields...)
 		return
 	}
-	t.gateway.options.Logger.Warn(msgRequest, fields...)
+	t.gateway.options.Logger.Warn(MsgRequest, fields...)
 }
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -30,7 +30,8 @@
 )
 
 const (
-	msgStart   = "entry host starts"
+	// MsgStart is the log message of a process's start.
+	MsgStart   = "entry host starts"
 	msgStopped = "entry host stopped"
 
 	// configurationSpacing groups configurations that come together; one may
@@ -169,7 +170,7 @@
 // Run serves until ctx ends, then stops gracefully: callers' requests at one
 // server, side questions at the others.
 func (h *Host) Run(ctx context.Context, callers Server, others ...Server) error {
-	h.logger.Info(msgStart, zap.String("host", h.options.Name), zap.String("domain", h.options.Domain))
+	h.logger.Info(MsgStart, zap.String("host", h.options.Name), zap.String("domain", h.options.Domain))
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -96,12 +97,7 @@
 
 // othersLive reports whether another entry host takes requests.
 func (h *Host) othersLive() bool {
-	for _, m := range h.Members() {
-		if m.State == peer.StateAlive && m.Host != h.options.Name {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(h.Members(), func(m peer.Member) bool { return m.State == peer.StateAlive && m.Host != h.options.Name })
 }
 
 // Addresses returns where callers of a failure domain may connect, and how long
--- a/gatewayhost/stop.go
+++ b/gatewayhost/stop.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	msgStopping = "entry host stops"
+	// MsgStopping is the log message of a stop's beginning.
+	MsgStopping = "entry host stops"
 	msgCutOff   = "requests cut off at the end of the grace"
 
 	// calledBack is how long a stopping host goes on taking calls, so that
@@ -41,7 +42,7 @@
 // connection, and 138 of 181 requests failed. A host therefore goes on taking
 // what ends before it does for as long as generations keep it alive.
 func (h *Host) stop(callers *http.Server) {
-	h.logger.Info(msgStopping)
+	h.logger.Info(MsgStopping)
 	h.stopping.Store(true)
 	deadline := time.Now().Add(h.options.StopGrace - stopMargin)
 	h.gateway.Stop(deadline)
