migration: the package that moves runs has a name of its own

Cause: the platform now asks for the evacuation of a failure domain, which is another thing than a run's move off a leaving engine; both would have been called evacuation in code and glossary. Change: package evacuation is migration, gateway/evacuate.go is migrate.go. No behaviour changes; the tests are the same. Ruled out: keeping the word for moves and naming the new thing a drain, which is an operator's order for one server already.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -16,8 +16,8 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/test/bufconn"
 
-	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/migration"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/placement"
 )
@@ -166,8 +166,8 @@
 	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
 	_, _, client := pair(t, at, from)
 	at.MarkLeaving(fleet.Life{ID: "e1"}, fleet.SourceList)
-	move := func(run string) evacuation.Move {
-		return evacuation.Move{Source: "e1", Run: run, Size: 9000, Need: placement.Need{PromptTokens: 3000, OutputTokens: 500}}
+	move := func(run string) migration.Move {
+		return migration.Move{Source: "e1", Run: run, Size: 9000, Need: placement.Need{PromptTokens: 3000, OutputTokens: 500}}
 	}
 	destination, end, err := client.TakeTurn(context.Background(), llm, move("r1"))
 	is.NoErr(err)
--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -22,8 +22,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/migration"
 	"github.com/papayasail/papayasail/placement"
 )
 
@@ -84,7 +84,7 @@
 
 // moves are those of one part of a service.
 type moves struct {
-	queue *evacuation.Queue
+	queue *migration.Queue
 	wake  chan struct{} // holds a token when the queue is to be looked at
 }
 
@@ -154,7 +154,7 @@
 
 // TakeTurn waits until a host's run may move. The turn has to be ended.
 // Where the part has no server left another one is named.
-func (a *Allocator) TakeTurn(ctx context.Context, host string, part Part, move evacuation.Move) (to Placed, err error) {
+func (a *Allocator) TakeTurn(ctx context.Context, host string, part Part, move migration.Move) (to Placed, err error) {
 	m := a.moves(part)
 	entered := time.Now()
 	granted, cancel := m.queue.Enter(move)
@@ -194,7 +194,7 @@
 	m := a.queues[part]
 	if m == nil {
 		m = &moves{wake: make(chan struct{}, 1)}
-		m.queue = evacuation.NewQueue(func(source string) []placement.Candidate {
+		m.queue = migration.NewQueue(func(source string) []placement.Candidate {
 			server, _ := a.fleet.Get(source)
 			return a.candidates(part, server.Domain)
 		}, time.Now)
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -10,8 +10,8 @@
 	"google.golang.org/grpc"
 
 	"github.com/papayasail/papayasail/allocation/allocationpb"
-	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/migration"
 	"github.com/papayasail/papayasail/peer"
 )
 
@@ -141,7 +141,7 @@
 
 // TakeTurn waits until a run may move off a leaving server, and returns where
 // to ("": nowhere) and what ends the turn.
-func (c *Client) TakeTurn(ctx context.Context, service string, move evacuation.Move) (destination string, end func(), err error) {
+func (c *Client) TakeTurn(ctx context.Context, service string, move migration.Move) (destination string, end func(), err error) {
 	source, _ := c.fleet.Get(move.Source)
 	to, end, err := c.takeTurnIn(ctx, c.cut(service).partOf(source.Domain, move.Source), move)
 	if err != nil || to.Elsewhere.Service == "" {
@@ -152,7 +152,7 @@
 	return to.Server, end, err
 }
 
-func (c *Client) takeTurnIn(ctx context.Context, part Part, move evacuation.Move) (to Placed, end func(), err error) {
+func (c *Client) takeTurnIn(ctx context.Context, part Part, move migration.Move) (to Placed, end func(), err error) {
 	allocator := c.allocator(part)
 	if allocator != c.host {
 		to, err = c.takeTurnAt(ctx, allocator, part, move)
@@ -167,7 +167,7 @@
 	return to, func() { c.local.EndTurn(part, move.Source, move.Run) }, err
 }
 
-func (c *Client) takeTurnAt(ctx context.Context, allocator string, part Part, move evacuation.Move) (Placed, error) {
+func (c *Client) takeTurnAt(ctx context.Context, allocator string, part Part, move migration.Move) (Placed, error) {
 	var response *allocationpb.TakeTurnResponse
 	err := c.callWaiting(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
 		response, err = client.TakeTurn(ctx, &allocationpb.TakeTurnRequest{
@@ -179,7 +179,7 @@
 	return Placed{Server: response.GetDestination(), Elsewhere: partFrom(response.GetElsewhere())}, err
 }
 
-func (c *Client) endTurnAt(allocator string, part Part, move evacuation.Move) {
+func (c *Client) endTurnAt(allocator string, part Part, move migration.Move) {
 	ctx, cancel := context.WithTimeout(context.Background(), placeTimeout)
 	defer cancel()
 	// Where this is lost the turn ends by itself, some hundred ms later.
--- a/allocation/part_test.go
+++ b/allocation/part_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/domain"
-	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/migration"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/placement"
 )
@@ -196,7 +196,7 @@
 	}
 	other := Part{Service: llm, Domain: "d0", Count: 1}
 	allocator.market.hear(other, nil, []float64{0.1})
-	move := evacuation.Move{Source: "e1", Run: "r1", Size: 9000, Need: placement.Need{PromptTokens: 3000, OutputTokens: 500}}
+	move := migration.Move{Source: "e1", Run: "r1", Size: 9000, Need: placement.Need{PromptTokens: 3000, OutputTokens: 500}}
 	destination, end, err := client.TakeTurn(context.Background(), llm, move)
 	is.NoErr(err)
 	defer end()
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -9,8 +9,8 @@
 	"google.golang.org/grpc"
 
 	"github.com/papayasail/papayasail/allocation/allocationpb"
-	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/migration"
 	"github.com/papayasail/papayasail/placement"
 )
 
@@ -106,7 +106,7 @@
 
 // TakeTurn implements allocationpb.AllocationServer.
 func (s *server) TakeTurn(ctx context.Context, r *allocationpb.TakeTurnRequest) (*allocationpb.TakeTurnResponse, error) {
-	to, err := s.allocator.TakeTurn(ctx, r.GetHost(), partFrom(r.GetPart()), evacuation.Move{
+	to, err := s.allocator.TakeTurn(ctx, r.GetHost(), partFrom(r.GetPart()), migration.Move{
 		Source: r.GetSource(), Run: r.GetRun(), Size: int(r.GetSize()),
 		Need: placement.Need{PromptTokens: int(r.GetHeldTokens()), OutputTokens: int(r.GetRemainingTokens())},
 	})
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/papayasail/papayasail/allocation"
-	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/migration"
 )
 
 // Call is a request on its way to a backend server.
@@ -64,7 +64,7 @@
 	Place(ctx context.Context, service string, asked allocation.Asked, except []string) string
 	// TakeTurn waits until a run may move, and returns where to ("": nowhere)
 	// and what ends the turn.
-	TakeTurn(ctx context.Context, service string, move evacuation.Move) (destination string, end func(), err error)
+	TakeTurn(ctx context.Context, service string, move migration.Move) (destination string, end func(), err error)
 }
 
 // Backend speaks with backend servers. Errors are *backend.CallError, whose
--- a/gateway/evacuate.go
+++ b/gateway/migrate.go
@@ -6,9 +6,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/internal/sleep"
+	"github.com/papayasail/papayasail/migration"
 	"github.com/papayasail/papayasail/placement"
 )
 
@@ -38,22 +38,22 @@
 		if run.over() || run.lost() {
 			return
 		}
-		g.evacuate(ctx, run)
+		g.migrate(ctx, run)
 		if sleep.For(ctx, moveRetry) != nil || run.over() {
 			return
 		}
 	}
 }
 
-// evacuate waits for the run's turn and tries once to move it.
-func (g *Gateway) evacuate(ctx context.Context, run *run) {
+// migrate waits for the run's turn and tries once to move it.
+func (g *Gateway) migrate(ctx context.Context, run *run) {
 	if !run.started() {
 		return
 	}
 	source, id := run.server(), run.task.request.ID
 	waiting, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
-	move := evacuation.Move{Source: source.ID, Run: id, Size: run.size(), Need: placement.Need{PromptTokens: run.tokens(), OutputTokens: run.expectedMore()}}
+	move := migration.Move{Source: source.ID, Run: id, Size: run.size(), Need: placement.Need{PromptTokens: run.tokens(), OutputTokens: run.expectedMore()}}
 	destination, end, err := g.options.Allocator.TakeTurn(waiting, run.task.service.Name, move)
 	if err != nil {
 		return
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/papayasail/papayasail/allocation"
 	"github.com/papayasail/papayasail/backend"
-	"github.com/papayasail/papayasail/evacuation"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/migration"
 	"github.com/papayasail/papayasail/placement"
 )
 
@@ -93,7 +93,7 @@
 	return ""
 }
 
-func (w *world) TakeTurn(ctx context.Context, service string, move evacuation.Move) (string, func(), error) {
+func (w *world) TakeTurn(ctx context.Context, service string, move migration.Move) (string, func(), error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.turns++
--- a/evacuation/queue.go
+++ b/migration/queue.go
@@ -1,4 +1,4 @@
-// Package evacuation decides in which order generations move off backend
+// Package migration decides in which order generations move off backend
 // servers that are leaving, and where to. It does no input or output.
 //
 // The load it answers: an engine with four to ten generations of some 3,500
@@ -8,7 +8,7 @@
 // does the last, short increment of each move, during which the stream stands
 // still: 200 to 900 ms were measured where each host moved by itself, 10 ms on
 // a free link.
-package evacuation
+package migration
 
 import (
 	"cmp"
--- a/evacuation/queue_test.go
+++ b/migration/queue_test.go
@@ -1,4 +1,4 @@
-package evacuation
+package migration
 
 import (
 	"fmt"
