Cold servers get no more requests than they bear

Cause: a server says for how long it stays cold, and the configuration how many requests a second it bears then; hosts took it as a cost only. All hosts together may send it 1.5 times that and 5 (the users' bound). Change: fleet counts what this host sends or places at a server in the last 1.1 s; placement leaves out one that is cold and has its part. The allocator of a part spends half of the stated rate, the hosts that decide by themselves share the other half evenly (by hash where that is below one request); hosts share plain servers evenly. What servers bear above the stated rate is left for two hosts that both take themselves for the allocator. Ruled out: a bound at the allocator alone (hosts without one overrun a cold engine), a bound on servers whether cold or not (strangles services that bear more when warm).

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -245,9 +245,9 @@
 				return nil
 			},
 			Verified: func() time.Duration { return verifyAfter },
-			Departs: func(_ context.Context, server fleet.Server) (bool, error) {
+			Ask: func(_ context.Context, server fleet.Server) (fleet.OwnWord, error) {
 				asked.Add(1)
-				return server.ID == "e2", nil
+				return fleet.OwnWord{Leaves: server.ID == "e2"}, nil
 			},
 		}
 		ctx, stop := context.WithCancel(context.Background())
--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -55,6 +55,9 @@
 	// Relayed takes in another allocator's Revision, and how long ago the
 	// store was asked for it; nil: it is not used. It must not block.
 	Relayed func(allocator string, revision uint64, age time.Duration)
+	// ColdShare returns the part of what a cold server of a part bears that this
+	// host may give it; nil: all.
+	ColdShare func(part Part) float64
 
 	mu     sync.Mutex // guards queues
 	queues map[Part]*moves
@@ -111,7 +114,8 @@
 		lacking := placement.ShortageOf(need, candidates, a.limits)
 		a.logger.Info(MsgNoPlace, zap.String("request", request), zap.String("for", host), zap.Int("candidates", len(candidates)),
 			zap.Int("prompt_tokens", need.PromptTokens), zap.Int("output_tokens", need.OutputTokens), zap.Bool("returning", need.Returning),
-			zap.Int("lack_reading", lacking.Reading), zap.Int("lack_slots", lacking.Slots), zap.Int("lack_memory", lacking.Memory))
+			zap.Int("lack_reading", lacking.Reading), zap.Int("lack_slots", lacking.Slots), zap.Int("lack_memory", lacking.Memory),
+			zap.Int("lack_warmth", lacking.Warmth))
 		return Placed{}
 	}
 	chosen := &candidates[i]
@@ -149,7 +153,11 @@
 
 // candidates returns the servers of a part that may get work.
 func (a *Allocator) candidates(part Part, domain string, except ...string) []placement.Candidate {
-	return a.fleet.CandidatesAmong(part.Service, domain, part.Holds, except...)
+	share := 0.0 // all of it
+	if a.ColdShare != nil {
+		share = a.ColdShare(part)
+	}
+	return a.fleet.CandidatesFor(fleet.Query{Service: part.Service, Domain: domain, Among: part.Holds, Except: except, ColdShare: share})
 }
 
 // TakeTurn waits until a host's run may move. The turn has to be ended.
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -92,7 +92,26 @@
 
 // NewClient returns the client of a host, with its own allocator.
 func NewClient(host, domain string, peers Peers, local *Allocator, table *fleet.Table, logger *zap.Logger) *Client {
-	return &Client{host: host, domain: domain, peers: peers, local: local, fleet: table, logger: logger, avoided: map[string]rest{}, leaving: map[string]knownLeaving{}}
+	c := &Client{host: host, domain: domain, peers: peers, local: local, fleet: table, logger: logger, avoided: map[string]rest{}, leaving: map[string]knownLeaving{}}
+	if local != nil {
+		local.ColdShare = c.coldShare
+	}
+	return c
+}
+
+// allocatorsColdShare is what the allocator of a part may give cold servers of
+// the requests that they bear; the hosts that decide by themselves share the
+// rest. What servers bear above the stated rate is left for the moments in
+// which two hosts take themselves for the allocator.
+const allocatorsColdShare = 0.5
+
+// coldShare returns the part of what a cold server bears that this host may
+// give it.
+func (c *Client) coldShare(part Part) float64 {
+	if c.chosen(part) == c.host {
+		return allocatorsColdShare
+	}
+	return (1 - allocatorsColdShare) / float64(max(1, c.hosts()))
 }
 
 // Place chooses a server for a generation, or returns "" if none has a place.
--- /dev/null
+++ b/allocation/cold_test.go
@@ -0,0 +1,135 @@
+package allocation
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/peer"
+	"github.com/papayasail/papayasail/placement"
+)
+
+// The load that is replayed: a failure domain of three is back with six cold
+// engines, while three times as many brief generations come as usual, and a
+// third of the hosts does not reach the allocator.
+const (
+	coldEngines   = 6
+	warmEngines   = 4
+	coldRate      = 25.0
+	coldBound     = coldRate*1.5 + 5 // of all hosts together
+	coldHosts     = 24
+	coldHostsLost = 8    // decide by themselves
+	coldPerSecond = 2000 // generations
+	coldRunsFor   = 150  // ms
+	coldSeconds   = 3.0  // that the domain stays cold
+	coldStepMs    = 10
+)
+
+// coldFleet counts what cold engines get.
+type coldFleet struct {
+	clients []*Client
+	tables  []*fleet.Table
+	sent    map[string][]time.Time
+	placed  int
+	refused int
+}
+
+func newColdFleet() *coldFleet {
+	f := &coldFleet{sent: map[string][]time.Time{}}
+	members := make([]peer.Member, coldHosts)
+	for i := range members {
+		members[i] = peer.Member{Host: fmt.Sprintf("h%02d", i), State: peer.StateAlive, FailureDomain: "d0"}
+	}
+	for _, m := range members {
+		table := fleet.NewTable(m.Host, zap.NewNop())
+		table.SetMemory(llm, 34000)
+		table.SetColdRate(llm, coldRate)
+		for e := range coldEngines + warmEngines {
+			server := fleet.Server{ID: fmt.Sprintf("e%02d", e), Service: llm, Address: fmt.Sprint(e), Domain: "d1", Slots: 24}
+			if e < coldEngines {
+				server.Domain, server.SlowFor = "d0", time.Duration(coldSeconds*float64(time.Second))
+			}
+			table.Put(server)
+		}
+		local := NewAllocator(table, placement.DefaultLimits, first, zap.NewNop())
+		f.tables = append(f.tables, table)
+		f.clients = append(f.clients, NewClient(m.Host, "d0", &hosts{members: members}, local, table, zap.NewNop()))
+	}
+	return f
+}
+
+// decider is the host that decides for another one.
+func (f *coldFleet) decider(host int) int {
+	if host < coldHostsLost {
+		return host
+	}
+	for i, c := range f.clients {
+		if c.chosen(Whole(llm)) == c.host {
+			return i
+		}
+	}
+	return host
+}
+
+// place places one generation of a host, and ends it a little later.
+func (f *coldFleet) place(host int, id string) {
+	by := f.decider(host)
+	placed := f.clients[by].local.Place(f.clients[host].host, "d0", Whole(llm), Asked{Request: id, Need: placement.Need{PromptTokens: 10, OutputTokens: 5}}, nil)
+	if placed.Server == "" {
+		f.refused++
+		return
+	}
+	f.placed++
+	f.sent[placed.Server] = append(f.sent[placed.Server], time.Now())
+	work := f.tables[host].Begin(placed.Server, fleet.Work{ID: id, PromptTokens: 10, OutputTokens: 5}, false)
+	time.AfterFunc(coldRunsFor*time.Millisecond, func() {
+		work.End()
+		if by != host {
+			f.tables[by].SetOthers(f.clients[host].host, llm, f.tables[host].OwnGenerations()[llm], Whole(llm).Holds)
+		}
+	})
+}
+
+func TestDomainThatIsBackColdIsNotOverrun(t *testing.T) {
+	// A failure domain is back with cold engines, the emptiest of all, under
+	// three times the usual load. Each engine got up to a hundred requests in a
+	// second, of all hosts together, and crashed. What is more than the warm engines bear
+	// is refused instead.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newColdFleet()
+		for step := range int(coldSeconds * 1000 / coldStepMs) {
+			for i := range coldPerSecond * coldStepMs / 1000 {
+				f.place((step*7+i*5)%coldHosts, fmt.Sprintf("r%d-%d", step, i))
+			}
+			time.Sleep(coldStepMs * time.Millisecond)
+		}
+		most := 0
+		for e := range coldEngines {
+			most = max(most, mostInASecond(f.sent[fmt.Sprintf("e%02d", e)]))
+		}
+		t.Logf("placed %d, refused %d, at most %d a second at a cold engine", f.placed, f.refused, most)
+		is.True(float64(most) <= coldBound)
+		is.True(most > 0)                                                            // they get what they bear
+		is.True(float64(f.placed) > 0.9*coldSeconds*1000/coldRunsFor*warmEngines*24) // the warm ones are full
+	})
+}
+
+// mostInASecond returns how many of the times lie within one second at most.
+func mostInASecond(times []time.Time) (most int) {
+	for i, begin := range times {
+		count := 0
+		for _, at := range times[i:] {
+			if at.Sub(begin) < time.Second {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
--- a/allocation/exchange_test.go
+++ b/allocation/exchange_test.go
@@ -69,7 +69,7 @@
 		sentinel := &Sentinel{
 			Host: "a", Fleet: table, Logger: zap.NewNop(), Client: NewClient("a", "d", &hosts{members: members}, nil, table, zap.NewNop()),
 			Check: answer(&checks), Verify: answer(&verifies), Verified: func() time.Duration { return time.Duration(heard.Load()) },
-			Departs: func(context.Context, fleet.Server) (bool, error) { return false, nil },
+			Ask: func(context.Context, fleet.Server) (fleet.OwnWord, error) { return fleet.OwnWord{}, nil },
 		}
 		ctx, stop := context.WithCancel(t.Context())
 		go func() { _ = sentinel.Run(ctx) }()
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -47,9 +47,9 @@
 	// Verified returns how long ago the store was last asked for the
 	// configuration.
 	Verified func() time.Duration
-	// Departs asks a server whether it is leaving.
-	Departs func(ctx context.Context, server fleet.Server) (bool, error)
-	Logger  *zap.Logger
+	// Ask asks a server what it says of itself.
+	Ask    func(ctx context.Context, server fleet.Server) (fleet.OwnWord, error)
+	Logger *zap.Logger
 }
 
 // Run watches the parts of services for which this host decides, until ctx ends.
@@ -106,6 +106,19 @@
 	return slices.DeleteFunc(servers, func(server fleet.Server) bool { return !part.Holds(server) })
 }
 
+// heed asks one server, and takes in what it says of itself. One that does not
+// answer says nothing: its requests show whether it can be reached.
+func (s *Sentinel) heed(ctx context.Context, server fleet.Server) {
+	word, err := s.Ask(ctx, server)
+	if err != nil {
+		return
+	}
+	if word.Leaves {
+		s.Fleet.MarkLeaving(server.Life(), fleet.SourceAnswer)
+	}
+	s.Fleet.NoteCold(server.Life(), word.ColdFor)
+}
+
 // ask asks the servers of the parts at once.
 func (s *Sentinel) ask(ctx context.Context, parts []Part) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
@@ -114,9 +127,7 @@
 	for _, part := range parts {
 		for _, server := range s.asked(part) {
 			group.Go(func() {
-				if departs, err := s.Departs(ctx, server); err == nil && departs {
-					s.Fleet.MarkLeaving(server.Life(), fleet.SourceAnswer)
-				}
+				s.heed(ctx, server)
 			})
 		}
 	}
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -7,23 +7,40 @@
 	"github.com/papayasail/papayasail/placement"
 )
 
-// Candidates returns the servers of a service that may get work from a failure
-// domain, but for those in except.
+// Query asks for the servers of a service that may get a request.
+type Query struct {
+	Service string
+	Domain  string // failure domain from which the request is sent
+	// Among says which servers are asked for; nil: all.
+	Among  func(Server) bool
+	Except []string // IDs
+	// ColdShare is the part that the asking host may spend of the requests that
+	// a cold server takes; zero: all of them.
+	ColdShare float64
+}
+
+// Candidates returns the servers of a service that may get a request from a
+// failure domain, but for those in except.
 func (t *Table) Candidates(name, domain string, except ...string) []placement.Candidate {
-	return t.CandidatesAmong(name, domain, func(Server) bool { return true }, except...)
+	return t.CandidatesFor(Query{Service: name, Domain: domain, Except: except})
 }
 
-// CandidatesAmong returns those of the candidates that are wanted.
-func (t *Table) CandidatesAmong(name, domain string, wanted func(Server) bool, except ...string) []placement.Candidate {
+// CandidatesFor returns the servers that may get a request.
+func (t *Table) CandidatesFor(q Query) []placement.Candidate {
+	if q.ColdShare == 0 {
+		q.ColdShare = 1
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, now := t.service(name), time.Now()
+	s, now := t.service(q.Service), time.Now()
 	candidates := make([]placement.Candidate, 0, len(s.members))
 	for _, e := range s.members {
-		if !e.takesWork() || now.Before(e.unreachable) || !wanted(e.server) || slices.Contains(except, e.server.ID) {
+		if !e.takesWork() || now.Before(e.unreachable) || q.Among != nil && !q.Among(e.server) || slices.Contains(q.Except, e.server.ID) {
 			continue
 		}
-		candidates = append(candidates, e.candidate(s, domain, now))
+		c := e.candidate(s, q.Domain, now)
+		c.ColdFull = t.coldFull(e, q.ColdShare, now)
+		candidates = append(candidates, c)
 	}
 	return candidates
 }
--- /dev/null
+++ b/fleet/cold.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// coldWindow is the span over which requests to a cold server are counted: the
+// second for which the bound is given, and what sends differ in their way.
+const coldWindow = 1100 * time.Millisecond
+
+// mostCold bounds what an entry's word on how long its server stays cold can do.
+const mostCold = 10 * time.Minute
+
+// SetColdRate notes how many requests a second each server of a service takes
+// while it is cold; zero: there is no bound.
+func (t *Table) SetColdRate(name string, perSecond float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.service(name).coldRate = perSecond
+}
+
+// NoteCold takes in a server's own word that it stays cold for so long.
+func (t *Table) NoteCold(life Life, left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entryOf(life); e != nil {
+		e.coldFor(left)
+	}
+}
+
+// coldFor makes the server count as cold for so long at least.
+func (e *entry) coldFor(left time.Duration) {
+	if until := time.Now().Add(min(left, mostCold)); until.After(e.slowUntil) {
+		e.slowUntil = until
+	}
+}
+
+// noteStart counts a request that is sent to the server. Called with mu held.
+func (e *entry) noteStart(now time.Time) {
+	e.dropStarts(now)
+	e.starts = append(e.starts, now)
+}
+
+func (e *entry) dropStarts(now time.Time) {
+	over := 0
+	for over < len(e.starts) && now.Sub(e.starts[over]) > coldWindow {
+		over++
+	}
+	e.starts = slices.Delete(e.starts, 0, over)
+}
+
+// coldFull reports whether the server is cold and has got from this host what
+// it may while it is. Share is this host's part of the service's bound.
+//
+// Failure: a server has just started, or a whole failure domain is back, and
+// looks like the emptiest of all to every host. Together they send it more than
+// it bears, and it crashes again. Hosts that decide by themselves do not ask
+// each other: where a host's part is below one request, some hosts have one and
+// the others none, by a hash that spreads servers over hosts.
+func (t *Table) coldFull(e *entry, share float64, now time.Time) bool {
+	rate := t.service(e.server.Service).coldRate
+	if rate <= 0 || !now.Before(e.slowUntil) {
+		return false
+	}
+	e.dropStarts(now)
+	allowed := rate * share
+	whole := int(allowed)
+	if part := allowed - float64(whole); part > 0 && hashShare(t.host, e.server.ID) < part {
+		whole++
+	}
+	return len(e.starts) >= whole
+}
+
+// hashShare returns a number from 0 to 1 that a host has for a server.
+func hashShare(host, server string) float64 {
+	const steps = 1 << 20
+	return float64(xxhash.Sum64String(host+"\x00"+server)%steps) / steps
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -19,6 +19,13 @@
 	SlowFor time.Duration
 }
 
+// OwnWord is what a server says of itself when it is asked.
+type OwnWord struct {
+	Leaves bool
+	// ColdFor is how much longer it is cold; zero: it is not, or does not say.
+	ColdFor time.Duration
+}
+
 // Life returns which life of the server this is.
 func (s Server) Life() Life { return Life{s.ID, s.Born} }
 
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -42,6 +42,7 @@
 	memoryTokens int
 	members      []*entry
 	departed     map[Life]time.Time // those that were forgotten, and when
+	coldRate     float64            // requests a second that a cold server takes; zero: no bound
 }
 
 // departedKept is how long a forgotten server is told to hosts that ask which
@@ -55,9 +56,10 @@
 	endLife        context.CancelFunc
 	leaving        bool
 	removed        bool
-	unnamed        bool // its entry cannot be read
-	slowUntil      time.Time
-	unreachable    time.Time // until then it gets no work
+	unnamed        bool        // its entry cannot be read
+	slowUntil      time.Time   // it is cold
+	starts         []time.Time // of requests that this host sent or placed there, in the last coldWindow
+	unreachable    time.Time   // until then it gets no work
 	health         health
 	pace           pace
 	evidence       Evidence             // of this host, since it was told
@@ -121,7 +123,7 @@
 		server.Born = e.server.Born
 	}
 	e.server, e.unnamed = server, false
-	e.slowUntil = time.Now().Add(server.SlowFor)
+	e.slowUntil = time.Now().Add(min(server.SlowFor, mostCold))
 	delete(t.service(server.Service).departed, server.Life())
 	if !server.Leaving && e.mayReturn() {
 		e.removed, e.leaving, e.gone = false, false, make(chan struct{})
@@ -201,8 +203,8 @@
 	s.departed[e.server.Life()] = time.Now()
 }
 
-// Get returns a server and whether it takes new work. One that is not known
-// has no ID.
+// Get returns a server and whether requests may be sent there. One that is not
+// known has no ID.
 func (t *Table) Get(id string) (server Server, usable bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -98,6 +98,7 @@
 		return nil
 	}
 	booked := &work
+	e.noteStart(time.Now())
 	booked.table, booked.entry = t, e
 	e.work[booked] = struct{}{}
 	return booked
@@ -228,6 +229,7 @@
 		return // this host's own work is booked when it begins
 	}
 	known := e.others[host]
+	e.noteStart(time.Now())
 	if time.Since(known.At) >= loadLifetime {
 		known = Load{}
 	}
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -63,6 +63,9 @@
 	HealthPath string
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdRate is how many requests a second each of its servers takes while it
+	// is cold; zero: there is no bound.
+	ColdRate float64
 }
 
 // Organisation is a customer of the operator.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 			memory = service.Engine.MemoryTokens
 		}
 		g.options.Fleet.SetMemory(service.Name, memory)
+		g.options.Fleet.SetColdRate(service.Name, service.ColdRate)
 	}
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -33,7 +33,7 @@
 	defer giveUp.Stop()
 	for {
 		changed := table.Changed()
-		candidates := table.Candidates(t.service.Name, t.gateway.options.Domain, t.tried...)
+		candidates := table.CandidatesFor(t.query())
 		if len(candidates) == 0 {
 			return nil, ReasonNoServer
 		}
@@ -55,6 +55,16 @@
 	}
 }
 
+// query asks for the servers that may get the request. Hosts share evenly what
+// cold servers of plain services bear; generations are placed by an allocator.
+func (t *task) query() fleet.Query {
+	q := fleet.Query{Service: t.service.Name, Domain: t.gateway.options.Domain, Except: t.tried}
+	if t.service.ColdRate > 0 {
+		q.ColdShare = 1 / float64(max(1, t.gateway.options.Budget.Hosts()))
+	}
+	return q
+}
+
 // choose returns the server for the request, or "".
 func (t *task) choose(ctx context.Context, need placement.Need, candidates []placement.Candidate) string {
 	if t.service.Engine != nil && t.route.Kind == Generation {
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -121,14 +121,15 @@
 func (h *Host) askDeparts(server fleet.Server) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), departsTimeout)
 	defer cancel()
-	return h.departs(ctx, server)
+	word, err := h.ask(ctx, server)
+	return word.Leaves, err
 }
 
-// departs asks a server whether it is leaving.
-func (h *Host) departs(ctx context.Context, server fleet.Server) (bool, error) {
+// ask asks a server what it says of itself.
+func (h *Host) ask(ctx context.Context, server fleet.Server) (fleet.OwnWord, error) {
 	path := ""
 	if c := h.gateway.Configuration(); c != nil && c.Services[server.Service] != nil {
 		path = c.Services[server.Service].HealthPath
 	}
-	return h.options.Backend.Departs(ctx, server, path)
+	return h.options.Backend.Ask(ctx, server, path)
 }
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -69,9 +69,9 @@
 // Backend speaks with backend servers.
 type Backend interface {
 	gateway.Backend
-	// Departs asks a server whether it is leaving. HealthPath is where its
+	// Ask asks a server what it says of itself. HealthPath is where its
 	// service's servers tell their health; "": nowhere.
-	Departs(ctx context.Context, server fleet.Server, healthPath string) (bool, error)
+	Ask(ctx context.Context, server fleet.Server, healthPath string) (fleet.OwnWord, error)
 }
 
 // Server is an HTTP server of the host, at an IP:port.
@@ -146,7 +146,7 @@
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
 	h.allocation.Told = h.catchUp
 	h.sentinel = &allocation.Sentinel{
-		Host: o.Name, Client: h.allocation, Fleet: h.fleet, Check: o.Store.Check, Verify: h.verify, Verified: h.verified, Departs: h.departs,
+		Host: o.Name, Client: h.allocation, Fleet: h.fleet, Check: o.Store.Check, Verify: h.verify, Verified: h.verified, Ask: h.ask,
 		Logger: o.Logger,
 	}
 	h.gateway = gateway.New(gateway.Options{
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -46,14 +46,15 @@
 	return s.List(ctx, kind)
 }
 
-// servers is a Backend of which only Departs is used.
+// servers is a Backend of which only Ask is used.
 type servers struct {
 	gateway.Backend
 	departs func(id string) (bool, error)
 }
 
-func (s servers) Departs(_ context.Context, server fleet.Server, _ string) (bool, error) {
-	return s.departs(server.ID)
+func (s servers) Ask(_ context.Context, server fleet.Server, _ string) (fleet.OwnWord, error) {
+	leaves, err := s.departs(server.ID)
+	return fleet.OwnWord{Leaves: leaves}, err
 }
 
 var errUnreadable = errors.New("unreadable")
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,8 @@
 	Doubtful bool
 	// Slow says that it has just started and is still slow.
 	Slow bool
+	// ColdFull says that it is cold and gets as many requests now as it bears.
+	ColdFull bool
 	// Pace is the least time that an engine has lately taken for a token of a
 	// generation; zero: not known.
 	Pace time.Duration
@@ -194,10 +196,11 @@
 	lacksReading      // too many prompts before it
 	lacksSlots
 	lacksMemory
+	lacksWarmth // it is cold
 )
 
 // Shortage counts servers without a place by what they lack first.
-type Shortage struct{ Reading, Slots, Memory int }
+type Shortage struct{ Reading, Slots, Memory, Warmth int }
 
 // ShortageOf says why none of the candidates has a place.
 func ShortageOf(need Need, candidates []Candidate, limits Limits) (shortage Shortage) {
@@ -209,6 +212,8 @@
 			shortage.Slots++
 		case lacksMemory:
 			shortage.Memory++
+		case lacksWarmth:
+			shortage.Warmth++
 		}
 	}
 	return shortage
@@ -220,6 +225,9 @@
 
 // lacks returns what the server lacks first for the request.
 func (c *Candidate) lacks(need Need, limits Limits) lack {
+	if c.ColdFull {
+		return lacksWarmth
+	}
 	if c.Running == 0 {
 		return lacksNothing // an idle server takes one whatever the limits say
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -94,6 +94,18 @@
 	is.Equal(Pick(Need{PromptTokens: 3000, OutputTokens: 700}, both, DefaultLimits, noDraw), 0)
 }
 
+func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
+	// A server has just started: it is idle, and the emptiest of all. It has got
+	// as many requests as it bears while it is cold; one more each time that it
+	// is idle would crash it.
+	is := is.New(t)
+	cold := Candidate{ID: "cold", Slots: 6, SameDomain: true, ColdFull: true}
+	warm := Candidate{ID: "warm", Slots: 6, SameDomain: true, Running: 9}
+	is.Equal(Pick(Need{}, []Candidate{cold, warm}, DefaultLimits, noDraw), 1)
+	is.Equal(Pick(Need{}, []Candidate{cold}, DefaultLimits, noDraw), -1)
+	is.Equal(ShortageOf(Need{}, []Candidate{cold}, DefaultLimits), Shortage{Warmth: 1})
+}
+
 func TestDoubtfulServersGetWorkOnlyWhenOthersAreFull(t *testing.T) {
 	// A server fails nearly half of its requests, quickly, and so looks idle.
 	// Least loaded first would send it most of the traffic.
