Evacuated failure domains get no requests

Cause: an operator's order evacuations/ZONE asks that nothing be sent to the servers of a failure domain until it is removed. Change: gatewayhost follows a third kind of objects; whoever watches the store watches it too, peers spread it like the configuration, the allocators' answers name its newest revision, hosts that start read it before anything else, and a watch that missed a change with the history is listed anew. fleet sends nothing into such a domain: first sends, second tries, moves, runs that are taken up again. What runs there ends there. Where all servers of a service are in evacuated domains, requests are refused at once as not run (evacuated), to come back in 2 s. Ruled out: reading the order's content (another writer could end it by spoiling it), polling with stale reads (seconds old, five allowed), moving runs off evacuated engines (the order asks only that nothing more be sent).

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -55,6 +55,9 @@
 	// Relayed takes in another allocator's Revision, and how long ago the
 	// store was asked for it; nil: it is not used. It must not block.
 	Relayed func(allocator string, revision uint64, age time.Duration)
+	// Evacuated returns the newest revision of an evacuation that this host
+	// knows; it is told to other hosts. Nil: not told.
+	Evacuated func() uint64
 	// ColdShare returns the part of what a cold server of a part bears that this
 	// host may give it; nil: all.
 	ColdShare func(part Part) float64
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -47,6 +47,9 @@
 	// Told is called with each word of an allocator on the newest
 	// configuration; nil: with none. It must not block.
 	Told func(allocator string, revision uint64)
+	// ToldEvacuated is called with each word of an allocator on the newest
+	// evacuation of a failure domain; nil: with none. It must not block.
+	ToldEvacuated func(allocator string, revision uint64)
 
 	view atomic.Pointer[view]
 
--- a/allocation/report.go
+++ b/allocation/report.go
@@ -181,6 +181,9 @@
 			c.Told(allocator, revision)
 		}
 	}
+	if revision := response.GetEvacuationRevision(); revision > 0 && c.ToldEvacuated != nil {
+		c.ToldEvacuated(allocator, revision)
+	}
 	if ms := response.GetUndisturbedMs(); ms > 0 {
 		c.toldDisturbed(time.Duration(ms) * time.Millisecond)
 	}
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -91,6 +91,9 @@
 	if s.allocator.Revision != nil {
 		response.ConfigurationRevision = s.allocator.Revision()
 	}
+	if s.allocator.Evacuated != nil {
+		response.EvacuationRevision = s.allocator.Evacuated()
+	}
 	return response, nil
 }
 
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -35,7 +35,7 @@
 	s, now := t.service(q.Service), time.Now()
 	candidates := make([]placement.Candidate, 0, len(s.members))
 	for _, e := range s.members {
-		if !e.takesWork() || now.Before(e.unreachable) || q.Among != nil && !q.Among(e.server) || slices.Contains(q.Except, e.server.ID) {
+		if !t.takesRequests(e) || now.Before(e.unreachable) || q.Among != nil && !q.Among(e.server) || slices.Contains(q.Except, e.server.ID) {
 			continue
 		}
 		c := e.candidate(s, q.Domain, now)
--- /dev/null
+++ b/fleet/evacuation_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestEvacuatedDomainGetsNothing(t *testing.T) {
+	// An operator evacuates a failure domain before its power is cut. New
+	// requests, second tries and runs that move went on being sent to its
+	// servers, and ended with the power.
+	is := is.New(t)
+	table := newTable()
+	work := table.Begin("a", Work{ID: "1"}, false)
+	table.SetEvacuated("d1", true)
+	is.Equal(ids(table.Candidates("llm", "d1")), []string{"b"})
+	is.True(table.Begin("a", Work{ID: "2"}, false) == nil)
+	is.True(table.Begin("a", Work{ID: "1"}, true) == nil) // a run that is taken up again
+	_, usable := table.Get("a")
+	is.True(!usable)
+	is.Equal(len(table.Usable("llm")), 2) // it is still asked whether it leaves
+	select {
+	case <-work.Gone():
+		t.Fatal("what runs there may end there")
+	default:
+	}
+	table.Put(Server{ID: "c", Service: "llm", Address: "10.0.0.3:1", Domain: "d1", Slots: 24})
+	is.Equal(ids(table.Candidates("llm", "d1")), []string{"b"}) // one that is added meanwhile
+	table.SetEvacuated("d1", false)
+	is.Equal(ids(table.Candidates("llm", "d1")), []string{"a", "b", "c"})
+}
+
+func TestAllDomainsEvacuated(t *testing.T) {
+	// Both domains are evacuated. Callers are to hear that at once instead of
+	// waiting for a place; an order for a domain that nobody knows changes
+	// nothing.
+	is := is.New(t)
+	table := newTable()
+	table.SetEvacuated("d1", true)
+	table.SetEvacuated("nowhere", true)
+	is.True(!table.EvacuatedOnly("llm"))
+	table.SetEvacuated("d2", true)
+	is.True(table.EvacuatedOnly("llm"))
+	is.True(!table.EvacuatedOnly("plain")) // has no servers at all
+	is.Equal(len(table.Candidates("llm", "d1")), 0)
+	table.SetEvacuated("d2", false)
+	is.True(!table.EvacuatedOnly("llm"))
+}
+
+func TestReturnedDomainCountsAsCold(t *testing.T) {
+	// A domain is given back with cold servers. Their entries say so two
+	// seconds later, when they have crashed under what waited everywhere.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		table.SetColdRate("llm", 5)
+		table.SetEvacuated("d1", true)
+		table.SetEvacuated("d1", false)
+		for i := range 5 {
+			is.True(!candidate(table, "a", 1).ColdFull)
+			table.Begin("a", Work{ID: fmt.Sprint(i)}, false).End()
+		}
+		is.True(candidate(table, "a", 1).ColdFull)
+		is.True(!candidate(table, "b", 1).ColdFull)
+		time.Sleep(coldWindow + time.Millisecond)
+		is.True(!candidate(table, "a", 1).ColdFull)
+		time.Sleep(returnedCold)
+		for i := range 20 {
+			table.Begin("a", Work{ID: fmt.Sprint(i)}, false)
+		}
+		is.True(!candidate(table, "a", 1).ColdFull)
+	})
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -34,15 +34,17 @@
 	mu       sync.Mutex // guards all below
 	servers  map[string]*entry
 	services map[string]*service
-	own      chan struct{} // holds a token when this host's work on engines has changed
-	changed  chan struct{} // closed and replaced at each change that may free a place
+	// evacuated are the failure domains whose servers get no requests.
+	evacuated map[string]bool
+	own       chan struct{} // holds a token when this host's work on engines has changed
+	changed   chan struct{} // closed and replaced at each change that may free a place
 }
 
 type service struct {
 	memoryTokens int
+	coldRate     float64 // requests a second that a cold server takes; zero: no bound
 	members      []*entry
 	departed     map[Life]time.Time // those that were forgotten, and when
-	coldRate     float64            // requests a second that a cold server takes; zero: no bound
 }
 
 // departedKept is how long a forgotten server is told to hosts that ask which
@@ -75,7 +77,7 @@
 func NewTable(host string, logger *zap.Logger) *Table {
 	return &Table{
 		host: host, logger: logger,
-		servers: map[string]*entry{}, services: map[string]*service{},
+		servers: map[string]*entry{}, services: map[string]*service{}, evacuated: map[string]bool{},
 		changed: make(chan struct{}), own: make(chan struct{}, 1),
 	}
 }
@@ -212,7 +214,7 @@
 	if e == nil {
 		return Server{}, false
 	}
-	return e.server, e.takesWork()
+	return e.server, t.takesRequests(e)
 }
 
 // takesWork reports whether the server may get new work, as far as its entry
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -87,18 +87,19 @@
 	return e.sum.load
 }
 
-// Begin books a request on a server. It returns nil if the server takes no
-// new work; resumed says that the request is a run that moves there, which a
-// leaving server may still be given back.
+// Begin books a request that is about to be sent to a server. It returns nil if
+// the server takes no new work, or its failure domain is evacuated; resumed
+// says that the request is a run that moves there, which a leaving server may
+// still be given back.
 func (t *Table) Begin(server string, work Work, resumed bool) *Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[server]
-	if e == nil || !e.takesWork() && !resumed {
+	if e == nil || t.evacuated[e.server.Domain] || !e.takesWork() && !resumed {
 		return nil
 	}
-	booked := &work
 	e.noteStart(time.Now())
+	booked := &work
 	booked.table, booked.entry = t, e
 	e.work[booked] = struct{}{}
 	return booked
@@ -228,8 +229,8 @@
 	if e == nil || host == t.host {
 		return // this host's own work is booked when it begins
 	}
-	known := e.others[host]
 	e.noteStart(time.Now())
+	known := e.others[host]
 	if time.Since(known.At) >= loadLifetime {
 		known = Load{}
 	}
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -261,3 +261,39 @@
 		is.True(len(w.calls) <= requests+requests*2/10) // within the operator's ratio
 	}
 }
+
+func TestEvacuatedServiceRefusesAtOnce(t *testing.T) {
+	// The only failure domain with servers of a service is evacuated. Callers
+	// waited for a place until their time was nearly over; nothing has run, and
+	// they are to come back when the evacuation may be over.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.fleet.SetEvacuated("d1", true)
+		for _, path := range []string{"/read/1", "/write/1", "/letter/1"} {
+			began := time.Now()
+			o := w.serve(path)
+			is.Equal(time.Since(began), time.Duration(0))
+			is.Equal(o.Reason, ReasonEvacuated)
+			is.True(o.NotRun)
+			is.Equal(o.RetryAfter, retryEvacuated)
+		}
+		is.Equal(len(w.calls), 0)
+		w.fleet.SetEvacuated("d1", false)
+		w.send = func(context.Context, Call) (*Reply, error) { return answer(http.StatusOK, "level"), nil }
+		is.Equal(w.serve("/read/1").Status, http.StatusOK)
+	})
+}
+
+func TestSecondTryKeepsOutOfAnEvacuatedDomain(t *testing.T) {
+	// A server fails a read, and its failure domain is evacuated meanwhile. The
+	// second try must not go to another server there.
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(context.Context, Call) (*Reply, error) {
+			w.fleet.SetEvacuated("d1", true)
+			return answer(http.StatusInternalServerError, "no"), nil
+		}
+		is.Equal(w.serve("/read/1").Status, http.StatusInternalServerError)
+		is.Equal(len(w.calls), 1)
+	})
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -22,6 +22,9 @@
 	// placeAgain is when to ask again for a place: short generations end at a
 	// service every 50 to 100 ms.
 	placeAgain = 40 * time.Millisecond
+	// retryEvacuated is when to come back while all servers are in evacuated
+	// failure domains; evacuations last for seconds.
+	retryEvacuated = 2 * time.Second
 )
 
 // place books the request on a server, waiting a little for a place. The
@@ -34,6 +37,9 @@
 	for {
 		changed := table.Changed()
 		candidates := table.CandidatesFor(t.query())
+		if len(candidates) == 0 && table.EvacuatedOnly(t.service.Name) {
+			return nil, ReasonEvacuated
+		}
 		if len(candidates) == 0 {
 			return nil, ReasonNoServer
 		}
@@ -82,8 +88,11 @@
 	if ctx.Err() == context.Canceled {
 		return abandoned()
 	}
-	if reason == ReasonFull {
+	switch reason {
+	case ReasonFull:
 		return refused(reason, retryFull+rand.N(retryFull))
+	case ReasonEvacuated:
+		return refused(reason, retryEvacuated)
 	}
 	return refused(reason, retryNoServer)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -83,6 +83,7 @@
 	ReasonStopping        Reason = "stopping"               // this host is being stopped
 	ReasonHostStopped     Reason = "host_stopped"           // this host's stop ended before the request did
 	ReasonNoServer        Reason = "no_backend_server"      // none is known
+	ReasonEvacuated       Reason = "evacuated"              // all servers are in evacuated failure domains
 	ReasonFull            Reason = "full"                   // no server has a place in time
 	ReasonServerFull      Reason = "refused_by_server"      // the server said that it did not run
 	ReasonUnreachable     Reason = "server_unreachable"     // no connection
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -24,6 +24,9 @@
 		h.removeServer(object.Name)
 	case object.Kind == objects.Servers:
 		return h.applyServer(object)
+	case object.Kind == objects.Evacuations:
+		h.fleet.SetEvacuated(object.Name, !object.Deleted)
+		h.evacuated.Store(max(h.evacuated.Load(), uint64(object.Version)))
 	}
 	return nil
 }
--- a/gatewayhost/boot.go
+++ b/gatewayhost/boot.go
@@ -31,7 +31,7 @@
 func (h *Host) boot(ctx context.Context) error {
 	waiting := time.NewTimer(bootWait)
 	defer waiting.Stop()
-	for _, kind := range []string{h.options.Objects.Configuration, h.options.Objects.Servers} {
+	for _, kind := range []string{h.options.Objects.Evacuations, h.options.Objects.Configuration, h.options.Objects.Servers} {
 		h.readStale(ctx, kind)
 	}
 	select {
--- /dev/null
+++ b/gatewayhost/evacuation_test.go
@@ -0,0 +1,145 @@
+package gatewayhost
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/store"
+)
+
+const evacuatedDomain = "d" // in which the test's servers are
+
+// evacuate writes or removes the order, and returns its revision.
+func evacuate(ctx context.Context, is *is.I, memory *store.Memory, order bool) {
+	if order {
+		_, err := memory.Put(ctx, kindOfEvacuations, evacuatedDomain, []byte("{}"), 0)
+		is.NoErr(err)
+		return
+	}
+	memory.Remove(kindOfEvacuations, evacuatedDomain)
+}
+
+// using returns how many hosts would send requests to the test's servers.
+func (f *largeFleet) using() int {
+	using := 0
+	for _, h := range f.hosts {
+		using += min(1, len(h.fleet.Candidates("s", "d")))
+	}
+	return using
+}
+
+func TestEvacuationReachesAllHosts(t *testing.T) {
+	// An operator evacuates a failure domain, and takes it back. Three hosts
+	// watch the store; each other one has to hear of both from its peers, or
+	// goes on sending into a domain whose power is about to be cut.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		f := startFleet(ctx, 12, store.NewMemory())
+		_, err := f.memory.Put(ctx, kindOfServers, "i-1", []byte("ready"), 0)
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		is.Equal(f.using(), 12)
+		for range 3 { // in series
+			evacuate(ctx, is, f.memory, true)
+			time.Sleep(time.Second)
+			is.Equal(f.using(), 0)
+			evacuate(ctx, is, f.memory, false)
+			time.Sleep(time.Second)
+			is.Equal(f.using(), 12)
+		}
+		stop()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
+func TestEvacuationOutlivesItsWatchers(t *testing.T) {
+	// A failure domain is evacuated and the store goes down. All hosts that
+	// watched it are turned away; those that start now know what their peers
+	// know, before they send anything.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		f := startFleet(ctx, 6, store.NewMemory())
+		_, err := f.memory.Put(ctx, kindOfServers, "i-1", []byte("ready"), 0)
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		evacuate(ctx, is, f.memory, true)
+		time.Sleep(time.Second)
+		f.memory.SetFaults(store.Faults{Outage: true})
+		late := newHost("late", f.fabric.Host("10.0.1.1"), "10.0.1.1", f.memory, stays, "10.0.0.1"+peerPort)
+		for _, run := range []func(context.Context) error{late.runNode, late.boot, late.servers.Run, late.evacuations.Run} {
+			go func() { _ = run(ctx) }()
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(len(late.fleet.Usable("s")), 1) // it knows the server
+		is.Equal(len(late.fleet.Candidates("s", "d")), 0)
+		stop()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
+// deafStore has watches that miss all changes.
+type deafStore struct{ checkedStore }
+
+func (deafStore) Watch(ctx context.Context, _ string, _ store.Version) ([]store.Object, store.Version, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func TestEvacuationMissedWithTheHistory(t *testing.T) {
+	// The store drops its history while an order is written, so that the watch
+	// on evacuations, a kind that never changes otherwise, hears nothing. The
+	// watch on servers is told so, and has the evacuations listed too.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		h, memory := alone(stays)
+		h.evacuations.Store = deafStore{checkedStore{memory}}
+		go func() { _ = h.evacuations.Run(ctx) }()
+		time.Sleep(time.Second)
+		h.table.Adopt(entry(1, false))
+		evacuate(ctx, is, memory, true)
+		time.Sleep(time.Second)
+		is.Equal(len(h.fleet.Candidates("s", "d")), 1)
+		h.servers.OnCompacted()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(h.fleet.Candidates("s", "d")), 0)
+		stop()
+		synctest.Wait()
+	})
+}
+
+func TestEvacuationWithoutReadableContentHolds(t *testing.T) {
+	// Another writer overwrites the order. Whatever it says now, it is there:
+	// sending into the domain would be the greater harm.
+	is := is.New(t)
+	h, _ := alone(stays)
+	h.table.Adopt(entry(5, false))
+	for i, value := range [][]byte{nil, []byte("null"), []byte("{\"zone\":7}"), []byte("\xff")} {
+		_, findings := h.table.Adopt([]store.Object{{Kind: kindOfEvacuations, Name: evacuatedDomain, Version: store.Version(6 + i), Value: value}})
+		is.Equal(len(findings), 0)
+		is.Equal(len(h.fleet.Candidates("s", "d")), 0)
+	}
+	h.table.Adopt([]store.Object{{Kind: kindOfEvacuations, Name: evacuatedDomain, Version: 3, Deleted: true}}) // of an earlier one
+	is.Equal(len(h.fleet.Candidates("s", "d")), 0)
+	h.table.Adopt([]store.Object{{Kind: kindOfEvacuations, Name: evacuatedDomain, Version: 20, Deleted: true}})
+	is.Equal(len(h.fleet.Candidates("s", "d")), 1)
+}
+
+func TestAllocatorTellsOfEvacuations(t *testing.T) {
+	// News of an order misses a host. Its allocator's next answer names a newer
+	// revision, and the host fetches it.
+	is := is.New(t)
+	h, _ := alone(stays)
+	h.table.Adopt([]store.Object{{Kind: kindOfEvacuations, Name: evacuatedDomain, Version: 9}})
+	is.Equal(h.allocator.Evacuated(), uint64(9))
+	h.catchUpEvacuations("b", 9)
+	is.True(!h.pulling.Load()) // it has that one
+}
--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
 
@@ -95,8 +96,16 @@
 // relist has everything read anew that the store has.
 func (h *Host) relist() {
 	h.logger.Info(msgReread)
-	h.configuration.Relist()
-	h.servers.Relist()
+	h.relistBut("")
+}
+
+// relistBut has the kinds of objects but one read anew.
+func (h *Host) relistBut(kind string) {
+	for _, f := range []*replica.Follower{h.configuration, h.servers, h.evacuations} {
+		if f.Kind != kind {
+			f.Relist()
+		}
+	}
 }
 
 // catchUp fetches what an allocator has newer than this host.
@@ -105,7 +114,20 @@
 // have it at once; news of it passes from host to host and may miss one for
 // seconds. Every host hears from an allocator within a second.
 func (h *Host) catchUp(allocator string, revision uint64) {
-	if h.revision() >= revision || !h.pulling.CompareAndSwap(false, true) {
+	if h.revision() < revision {
+		h.pull(allocator, revision)
+	}
+}
+
+// catchUpEvacuations does the same for the evacuations of failure domains.
+func (h *Host) catchUpEvacuations(allocator string, revision uint64) {
+	if h.evacuated.Load() < revision {
+		h.pull(allocator, revision)
+	}
+}
+
+func (h *Host) pull(allocator string, revision uint64) {
+	if !h.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -59,11 +59,17 @@
 // Objects says which stored objects a host acts by, and how to read them.
 type Objects struct {
 	// Configuration and ConfigurationName are kind and name of the operator's
-	// configuration; Servers is the kind of the backend servers' entries,
-	// which are named by the servers' ids.
-	Configuration, ConfigurationName, Servers string
-	ReadConfiguration                         func(data []byte) (*gateway.Configuration, error)
-	ReadServer                                func(id string, data []byte) (fleet.Server, error)
+	// configuration.
+	Configuration, ConfigurationName string
+	// Servers is the kind of the backend servers' entries, which are named by
+	// the servers' ids.
+	Servers string
+	// Evacuations is the kind of the operator's orders that no request goes to
+	// the servers of a failure domain, by which they are named. An order holds
+	// for as long as it is there, whatever its content.
+	Evacuations       string
+	ReadConfiguration func(data []byte) (*gateway.Configuration, error)
+	ReadServer        func(id string, data []byte) (fleet.Server, error)
 }
 
 // Backend speaks with backend servers.
@@ -111,6 +117,8 @@
 	table         *replica.Table
 	configuration *replica.Follower
 	servers       *replica.Follower
+	evacuations   *replica.Follower
+	evacuated     atomic.Uint64 // newest revision of an evacuation
 	node          atomic.Pointer[peer.Node]
 	fleet         *fleet.Table
 	allocator     *allocation.Allocator
@@ -136,7 +144,7 @@
 	}
 	h.configuration = h.follower(o.Objects.Configuration, configurationSpacing)
 	h.servers = h.follower(o.Objects.Servers, serversSpacing)
-	h.configuration.OnCompacted, h.servers.OnCompacted = h.servers.Relist, h.configuration.Relist
+	h.evacuations = h.follower(o.Objects.Evacuations, 0)
 	h.fleet = fleet.NewTable(o.Name, o.Logger)
 	h.allocator = allocation.NewAllocator(h.fleet, placement.DefaultLimits, rand.IntN, o.Logger)
 	h.allocator.Undisturbed = h.servers.Undisturbed
@@ -144,7 +152,8 @@
 	h.node.Store(h.newNode(0, o.Registerer))
 	h.table.Subscribe(func() { h.node.Load().Announce() })
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
-	h.allocation.Told = h.catchUp
+	h.allocator.Evacuated = h.evacuated.Load
+	h.allocation.Told, h.allocation.ToldEvacuated = h.catchUp, h.catchUpEvacuations
 	h.sentinel = &allocation.Sentinel{
 		Host: o.Name, Client: h.allocation, Fleet: h.fleet, Check: o.Store.Check, Verify: h.verify, Verified: h.verified, Ask: h.ask,
 		Logger: o.Logger,
@@ -161,6 +170,7 @@
 	return &replica.Follower{
 		Store: h.options.Store, Kind: kind, Table: h.table, Logger: h.logger.With(zap.String("kind", kind)),
 		Active: h.watch.Watches, Spacing: spacing, Backoff: store.Backoff{Initial: storeBackoff, Max: storeBackoffMax},
+		OnCompacted: func() { h.relistBut(kind) },
 	}
 }
 
@@ -175,7 +185,7 @@
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
 	h.booting.Store(true)
-	for _, run := range []func(context.Context) error{h.boot, h.configuration.Run, h.servers.Run, h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run, h.watch.Run} {
+	for _, run := range []func(context.Context) error{h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run, h.watch.Run} {
 		group.Go(func() error { return ignoreEnd(run(inner)) })
 	}
 	server := h.serve(inner, group, callers)
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -27,6 +27,7 @@
 const (
 	kindOfConfiguration = "configuration"
 	kindOfServers       = "servers"
+	kindOfEvacuations   = "evacuations"
 	peerPort            = ":9000"
 )
 
@@ -61,7 +62,7 @@
 
 func objects() Objects {
 	return Objects{
-		Configuration: kindOfConfiguration, ConfigurationName: "main", Servers: kindOfServers,
+		Configuration: kindOfConfiguration, ConfigurationName: "main", Servers: kindOfServers, Evacuations: kindOfEvacuations,
 		ReadConfiguration: func(data []byte) (*gateway.Configuration, error) {
 			if len(data) == 0 {
 				return nil, errUnreadable
@@ -72,7 +73,7 @@
 			if len(data) == 0 {
 				return fleet.Server{}, errUnreadable
 			}
-			return fleet.Server{ID: id, Service: "s", Address: "10.9.9.9:1", Slots: 1, Leaving: string(data) == "leaving"}, nil
+			return fleet.Server{ID: id, Service: "s", Address: "10.9.9.9:1", Domain: "d", Slots: 1, Leaving: string(data) == "leaving"}, nil
 		},
 	}
 }
--- a/gatewayhost/large_test.go
+++ b/gatewayhost/large_test.go
@@ -51,19 +51,20 @@
 	stores []*pricedStore
 	calls  atomic.Int64
 	memory *store.Memory
+	fabric *network.Fabric
 }
 
 func startFleet(ctx context.Context, count int, memory *store.Memory) *largeFleet {
-	f := &largeFleet{memory: memory}
 	fabric := network.New(network.Options{})
+	f := &largeFleet{memory: memory, fabric: fabric}
 	for i := range count {
 		address := fmt.Sprintf("10.0.0.%d", i+1)
 		h := newHost(fmt.Sprintf("h%02d", i), fabric.Host(address), address, f.memory, stays, "10.0.0.1"+peerPort)
 		priced := &pricedStore{checkedStore: checkedStore{f.memory}, calls: &f.calls}
-		h.options.Store, h.servers.Store, h.configuration.Store = priced, priced, priced
+		h.options.Store, h.servers.Store, h.configuration.Store, h.evacuations.Store = priced, priced, priced, priced
 		h.booting.Store(true)
 		f.hosts, f.stores = append(f.hosts, h), append(f.stores, priced)
-		for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.watch.Run} {
+		for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.evacuations.Run, h.watch.Run} {
 			go func() { _ = run(ctx) }()
 		}
 	}
