--- a/audit/entry.go
+++ b/audit/entry.go
@@ -15,9 +15,10 @@
 type What string
 
 const (
-	WhatDocument What = "document"
-	WhatDrain    What = "drain"
-	WhatOrder    What = "order"
+	WhatDocument   What = "document"
+	WhatDrain      What = "drain"
+	WhatEvacuation What = "evacuation"
+	WhatOrder      What = "order"
 
 	WhatOrganisation What = "organisation"
 
@@ -30,7 +31,7 @@
 	Who      string        `json:"who"`
 	When     time.Time     `json:"when"` // clock of the host that wrote it
 	What     What          `json:"what"`
-	Name     string        `json:"name"` // service, backend server or organisation
+	Name     string        `json:"name"` // service, backend server, failure domain or organisation
 	From     store.Version `json:"from_version"`
 	// To is the version that the change made. It is zero inside the object
 	// that the change wrote, whose own version it is.
--- a/cli/app_test.go
+++ b/cli/app_test.go
@@ -26,7 +26,7 @@
 	code, out, _ := run("", "--help")
 	is.Equal(code, ExitOK)
 	for _, name := range []string{"check", "apply", "get", "list", "history", "status", "wait", "addresses", "call",
-		"generate", "drain", "settle", "audit", "bench", "plot", "demo", "hash-token"} {
+		"generate", "drain", "evacuate", "settle", "audit", "bench", "plot", "demo", "hash-token"} {
 		if strings.Count(out, "\n"+name) != 1 {
 			t.Errorf("--help does not name %s once", name)
 		}
--- a/cli/documents.go
+++ b/cli/documents.go
@@ -9,7 +9,6 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/findings"
@@ -114,11 +113,7 @@
 	change := apply.Flag("change-id", "Id of the change; repeats with the same id are one change.").String()
 	wait := apply.Flag("wait", "Wait until the change is in force everywhere.").Bool()
 	commands["apply"] = func(ctx context.Context) error {
-		id := *change
-		if id == "" {
-			id = uuid.NewString()
-		}
-		return a.apply(ctx, *file, *expect, id, *wait)
+		return a.apply(ctx, *file, *expect, idOf(*change), *wait)
 	}
 }
 
--- a/cli/organisations.go
+++ b/cli/organisations.go
@@ -6,7 +6,6 @@
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/google/uuid"
 
 	"github.com/papayasail/papayasail/gen/operator"
 	"github.com/papayasail/papayasail/internal/operatorclient"
@@ -57,9 +56,7 @@
 
 // resolve fills in the expected version and the change id.
 func (c *organisationChange) resolve(ctx context.Context, a *App) (expect uint64, err error) {
-	if c.change == "" {
-		c.change = uuid.NewString()
-	}
+	c.change = idOf(c.change)
 	if c.expect > noVersion {
 		return uint64(c.expect), nil
 	}
--- a/cli/site_test.go
+++ b/cli/site_test.go
@@ -80,6 +80,8 @@
 	is.True(strings.Contains(c.ok(demo.OperatorToken, "audit"), c.site.Engines[0].Address))
 	is.True(strings.Contains(c.ok(demo.OperatorToken, "status"), "host-3"))
 	c.ok(demo.OperatorToken, "drain", "--end", c.site.Engines[0].Address)
+	c.ok(demo.OperatorToken, "evacuate", c.site.Engines[0].FailureDomain)
+	c.ok(demo.OperatorToken, "evacuate", "--end", c.site.Engines[0].FailureDomain)
 
 	is.True(strings.Contains(c.ok(demo.CallerToken, "addresses"), "host-2"))
 	is.True(strings.Contains(c.ok(demo.CallerToken, "call", "gauges", "POST", "/verdicts", "--data", "gate 1"), plain.AnswerText("POST", "/verdicts", "gate 1")))
--- a/cli/state.go
+++ b/cli/state.go
@@ -29,13 +29,21 @@
 	address := drain.Arg("address", "IP:port of the backend server.").Required().String()
 	end := drain.Flag("end", "End the drain instead.").Bool()
 	change := drain.Flag("change-id", "Id of the change; repeats with the same id are one change.").String()
-	commands["drain"] = func(ctx context.Context) error {
-		id := *change
-		if id == "" {
-			id = uuid.NewString()
-		}
-		return a.drain(ctx, *address, *end, id)
+	commands["drain"] = func(ctx context.Context) error { return a.drain(ctx, *address, *end, idOf(*change)) }
+
+	evacuate := parser.Command("evacuate", "Keep new work from all backend servers of a failure domain.")
+	domain := evacuate.Arg("failure-domain", "Its name, as the service documents give it.").Required().String()
+	endEvacuation := evacuate.Flag("end", "End the evacuation instead.").Bool()
+	evacuation := evacuate.Flag("change-id", "Id of the change; repeats with the same id are one change.").String()
+	commands["evacuate"] = func(ctx context.Context) error { return a.evacuate(ctx, *domain, *endEvacuation, idOf(*evacuation)) }
+}
+
+// idOf returns the id of a change, a new one where the operator gave none.
+func idOf(given string) string {
+	if given == "" {
+		return uuid.NewString()
 	}
+	return given
 }
 
 func (a *App) askStatus(ctx context.Context) (*operator.HostStatus, error) {
@@ -92,11 +100,24 @@
 	answer, err := ask(ctx, a, func(client *operator.Client, token *string) (*operator.Accepted, error) {
 		return client.Drain(ctx, &operator.DrainPayload{Token: token, Address: address, End: end, ChangeID: change})
 	})
+	return a.acceptedOr("drain", address, "backend server", change, answer, err)
+}
+
+func (a *App) evacuate(ctx context.Context, domain string, end bool, change string) error {
+	answer, err := ask(ctx, a, func(client *operator.Client, token *string) (*operator.Accepted, error) {
+		return client.Evacuate(ctx, &operator.EvacuatePayload{Token: token, FailureDomain: domain, End: end, ChangeID: change})
+	})
+	return a.acceptedOr("evacuate", domain, "failure domain", change, answer, err)
+}
+
+// acceptedOr prints the answer to a change of what a command names; without one
+// it says how to repeat the command as the same change.
+func (a *App) acceptedOr(command, name, what, change string, answer *operator.Accepted, err error) error {
 	if err != nil && !operatorclient.Answered(err) {
-		return &unknownError{fmt.Sprintf("no answer, the drain may have been accepted (%v)\nrepeat it with: papayasail drain %s --change-id %s", err, address, change)}
+		return &unknownError{fmt.Sprintf("no answer, the change may have been accepted (%v)\nrepeat it with: papayasail %s %s --change-id %s", err, command, name, change)}
 	}
 	if err != nil {
 		return err
 	}
-	return a.accepted("backend server "+address, answer)
+	return a.accepted(what+" "+name, answer)
 }
--- a/configuration/acceptor.go
+++ b/configuration/acceptor.go
@@ -48,6 +48,8 @@
 	// ErrWrongService means that a document names another service than the
 	// one that it is put in force for.
 	ErrWrongService = errors.New("configuration: document names another service")
+	// ErrNoFailureDomain means that an evacuation names no failure domain.
+	ErrNoFailureDomain = errors.New("configuration: failure domain required")
 )
 
 // Acceptor takes changes: accepted means that the conditional write to the
@@ -109,19 +111,28 @@
 	if err := checkAddress(address); err != nil {
 		return Result{Outcome: NotAccepted}, err
 	}
+	return a.write(ctx, drainEdit(audit.WhatDrain, DrainName(address), address, end, changeID, who))
+}
+
+// Evacuate keeps new work from all backend servers of a failure domain, or ends
+// that. It has no expected version: the last one wins. Errors:
+// ErrNoFailureDomain, and as Put.
+func (a *Acceptor) Evacuate(ctx context.Context, domain string, end bool, changeID, who string) (Result, error) {
+	if domain == "" {
+		return Result{Outcome: NotAccepted}, ErrNoFailureDomain
+	}
+	return a.write(ctx, drainEdit(audit.WhatEvacuation, EvacuationName(domain), domain, end, changeID, who))
+}
+
+func drainEdit(what audit.What, stored, name string, end bool, changeID, who string) *edit {
 	detail := "start"
 	if end {
 		detail = "end"
 	}
-	return a.write(ctx, &edit{
-		stored:   DrainName(address),
-		what:     audit.WhatDrain,
-		name:     address,
-		changeID: changeID,
-		who:      who,
-		detail:   detail,
-		apply:    func(e *Envelope) { e.Drained = !end },
-	})
+	return &edit{
+		stored: stored, what: what, name: name, changeID: changeID, who: who, detail: detail,
+		apply: func(e *Envelope) { e.Drained = !end },
+	}
 }
 
 // Settle tells whether a change to a service was accepted. A change that is
--- a/configuration/acceptor_test.go
+++ b/configuration/acceptor_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/papayasail/papayasail/audit"
 	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
@@ -196,3 +197,34 @@
 		is.True(err != nil)
 	})
 }
+
+func TestEvacuationAndTrail(t *testing.T) {
+	// An operator evacuates a failure domain and takes it back; the trail says
+	// who did. A repeat with the same change id is one change.
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx := is.New(t), t.Context()
+		memory := store.NewMemory()
+		acceptor, table := NewAcceptor(memory, parseTest), NewTable(parseTest)
+		watcher := &replica.Follower{Store: memory, Kind: Kind, Table: table.Table}
+		go func() { _ = watcher.Run(ctx) }()
+		for range 2 {
+			_, err := acceptor.Evacuate(ctx, "ankara", false, "e1", "olga")
+			is.NoErr(err)
+			synctest.Wait()
+			is.True(table.Evacuated("ankara"))
+		}
+		is.True(!table.Drained("ankara"))
+		is.True(!table.Evacuated("konya"))
+		_, err := acceptor.Evacuate(ctx, "ankara", true, "e2", "olga")
+		is.NoErr(err)
+		synctest.Wait()
+		is.True(!table.Evacuated("ankara"))
+		entries, err := acceptor.Trail(ctx)
+		is.NoErr(err)
+		is.Equal(len(entries), 2)
+		is.Equal(entries[0].What, audit.WhatEvacuation)
+		is.Equal(entries[0].Who, "olga")
+		_, err = acceptor.Evacuate(ctx, "", false, "e3", "olga")
+		is.True(errors.Is(err, ErrNoFailureDomain))
+	})
+}
--- a/configuration/object.go
+++ b/configuration/object.go
@@ -19,8 +19,9 @@
 const Kind = "configuration"
 
 const (
-	servicePrefix = "service/"
-	drainPrefix   = "drain/"
+	servicePrefix    = "service/"
+	drainPrefix      = "drain/"
+	evacuationPrefix = "evacuation/"
 	// organisationsPrefix is followed by the name of a shard.
 	organisationsPrefix = "organisations/"
 	// headroomBytes is kept free below the store's limit.
@@ -33,13 +34,17 @@
 // DrainName is the stored name of a backend server's drain.
 func DrainName(address string) string { return drainPrefix + address }
 
-// Envelope is the stored form of a document, a drain or a shard of organisations. The change that wrote
-// it stands in the history, so a read settles a write whose answer was lost.
+// EvacuationName is the stored name of a failure domain's evacuation.
+func EvacuationName(domain string) string { return evacuationPrefix + domain }
+
+// Envelope is the stored form of a document, a drain, an evacuation or a shard
+// of organisations. The change that wrote it stands in the history, so a read settles a write whose answer was lost.
 type Envelope struct {
 	// Document is the service document; empty in a drain, and in a service
 	// that only ever had changes settled as not accepted.
 	Document string `json:"document,omitempty"`
-	// Drained says that the backend server gets no new work.
+	// Drained says that the backend server, or all of the failure domain, gets
+	// no new work.
 	Drained bool `json:"drained,omitempty"`
 	// Organisations is one shard of them, ordered by name.
 	Organisations []Organisation `json:"organisations,omitempty"`
@@ -97,6 +102,9 @@
 	if address, ok := strings.CutPrefix(stored, drainPrefix); ok {
 		return audit.WhatDrain, address
 	}
+	if domain, ok := strings.CutPrefix(stored, evacuationPrefix); ok {
+		return audit.WhatEvacuation, domain
+	}
 	if shard, ok := strings.CutPrefix(stored, organisationsPrefix); ok {
 		return audit.WhatOrganisation, shard
 	}
--- a/configuration/table.go
+++ b/configuration/table.go
@@ -37,7 +37,7 @@
 
 	mu        sync.RWMutex // guards all below
 	services  map[string]inForce
-	drained   map[string]bool
+	drained   map[target]bool
 	directory directory
 }
 
@@ -47,12 +47,19 @@
 	version  store.Version
 }
 
+// target is what is kept from new work: a backend server (a drain) or a
+// failure domain (an evacuation).
+type target struct {
+	what audit.What
+	name string
+}
+
 // NewTable returns an empty table that reads documents with parse.
 func NewTable(parse Parser) *Table {
 	t := &Table{
 		parse:     parse,
 		services:  map[string]inForce{},
-		drained:   map[string]bool{},
+		drained:   map[target]bool{},
 		directory: newDirectory(),
 	}
 	t.Table = replica.New(t.putInForce)
@@ -74,11 +81,11 @@
 		return err
 	}
 	switch what {
-	case audit.WhatDrain:
+	case audit.WhatDrain, audit.WhatEvacuation:
 		if envelope.Drained {
-			t.drained[name] = true
+			t.drained[target{what, name}] = true
 		} else {
-			delete(t.drained, name)
+			delete(t.drained, target{what, name})
 		}
 	case audit.WhatOrganisation:
 		organisations := stamped(envelope.Organisations, object.Version)
@@ -102,8 +109,8 @@
 // forget takes a deleted object out of force. The caller holds mu.
 func (t *Table) forget(what audit.What, name string) {
 	switch what {
-	case audit.WhatDrain:
-		delete(t.drained, name)
+	case audit.WhatDrain, audit.WhatEvacuation:
+		delete(t.drained, target{what, name})
 	case audit.WhatOrganisation:
 		t.directory.take(name, nil)
 	case audit.WhatDocument:
@@ -146,7 +153,14 @@
 func (t *Table) Drained(address string) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.drained[address]
+	return t.drained[target{audit.WhatDrain, address}]
+}
+
+// Evacuated reports whether an operator evacuated a failure domain.
+func (t *Table) Evacuated(domain string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.drained[target{audit.WhatEvacuation, domain}]
 }
 
 // Organisation returns the organisation in force that holds a token. It is
--- a/design/design.go
+++ b/design/design.go
@@ -145,7 +145,7 @@
 	Attribute("change_id", String)
 	Attribute("who", String)
 	Attribute("when", String, func() { Format(FormatDateTime) })
-	Attribute("what", String, "document, drain, organisation, order or settled")
+	Attribute("what", String, "document, drain, evacuation, organisation, order or settled")
 	Attribute("name", String, "Service, backend server or organisation")
 	Attribute("from_version", UInt64)
 	Attribute("to_version", UInt64)
@@ -309,6 +309,19 @@
 		HTTP(func() { POST("/v1/operator/backend_servers/{address}/drain"); Response(StatusOK) })
 	})
 
+	Method("evacuate", func() {
+		Description("Keep new work from all backend servers of a failure domain (or end that).")
+		Payload(func() {
+			operatorToken()
+			Attribute("failure_domain", String)
+			Attribute("end", Boolean, "End the evacuation", func() { Default(false) })
+			Attribute("change_id", String)
+			Required("failure_domain", "change_id")
+		})
+		Result(Accepted)
+		HTTP(func() { POST("/v1/operator/failure_domains/{failure_domain}/evacuation"); Response(StatusOK) })
+	})
+
 	Method("put_organisation", func() {
 		Description("Put an organisation in force, on condition that its current version is the expected one.")
 		Payload(func() {
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -236,11 +236,12 @@
 	})
 }
 
-// takeDrains follows the drains that operators have put in force.
+// takeDrains follows the drains and evacuations that operators have put in
+// force.
 func (h *Host) takeDrains() {
 	for _, document := range h.table.Documents() {
 		for _, server := range document.BackendServers {
-			if h.table.Drained(server.Address) {
+			if h.table.Drained(server.Address) || h.table.Evacuated(server.FailureDomain) {
 				h.pool.MarkLeaving(server.Address, backend.SourceOperator, time.Time{})
 			} else {
 				h.pool.ClearLeaving(server.Address, backend.SourceOperator)
--- a/entryhost/host_test.go
+++ b/entryhost/host_test.go
@@ -363,6 +363,30 @@
 	})
 }
 
+// An operator evacuates the failure domain of an engine and ends that. New work
+// must stay away from it within 3 s on every host, and come back within 3 s of
+// the end. A misspelt name is refused.
+func TestEvacuationBeginsAndEndsEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4)
+		defer s.close()
+		operators := &operatorService{s.hosts[0]}
+		document, _, _ := s.hosts[0].table.Document(outlook)
+		domain := document.BackendServers[0].FailureDomain
+		for i, end := range []bool{false, true} {
+			_, err := operators.Evacuate(context.Background(), &operator.EvacuatePayload{FailureDomain: domain, End: end, ChangeID: fmt.Sprint("c", i)})
+			s.is.NoErr(err)
+			time.Sleep(3 * time.Second)
+			for _, host := range s.hosts {
+				state := host.pool.Snapshot(outlook).Servers[0].State
+				s.is.Equal(state == backend.StateLeaving, !end)
+			}
+		}
+		_, err := operators.Evacuate(context.Background(), &operator.EvacuatePayload{FailureDomain: "anakra", ChangeID: "c9"})
+		s.is.True(err != nil)
+	})
+}
+
 // The connection to the plain service breaks after it ran an acknowledgement.
 // Nobody can tell whether it ran, and no repeat will: the desk hears "unknown"
 // without a time to come back, and a repeat hears the same and runs nothing.
--- a/entryhost/operator.go
+++ b/entryhost/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 
 	"github.com/papayasail/papayasail/audit"
 	"github.com/papayasail/papayasail/configuration"
+	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/findings"
 	"github.com/papayasail/papayasail/gen/operator"
 	"github.com/papayasail/papayasail/store"
@@ -160,6 +162,25 @@
 	return accepted(result, err, p.Address, p.ChangeID)
 }
 
+// Evacuate implements operator.Service. A failure domain without any backend
+// server is most likely misspelt; evacuations of such may be ended only.
+func (s *operatorService) Evacuate(ctx context.Context, p *operator.EvacuatePayload) (*operator.Accepted, error) {
+	if !p.End && !s.host.hasServersIn(p.FailureDomain) {
+		return nil, operatorProblem("not_found", http.StatusNotFound, fmt.Sprintf("no backend server is in failure domain %q", p.FailureDomain), 0)
+	}
+	result, err := s.host.acceptor.Evacuate(ctx, p.FailureDomain, p.End, p.ChangeID, operatorName(ctx))
+	return accepted(result, err, p.FailureDomain, p.ChangeID)
+}
+
+func (h *Host) hasServersIn(domain string) bool {
+	for _, document := range h.table.Documents() {
+		if slices.ContainsFunc(document.BackendServers, func(b contract.BackendServer) bool { return b.FailureDomain == domain }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Status implements operator.Service.
 func (s *operatorService) Status(ctx context.Context, _ *operator.StatusPayload) (*operator.HostStatus, error) {
 	h := s.host
--- a/gen/http/caller/client/cli.go
+++ b/gen/http/caller/client/cli.go
@@ -45,7 +45,7 @@
 	{
 		err = json.Unmarshal([]byte(callerGenerateBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"max_tokens\": 356407826058247689,\n      \"prompt\": \"Totam et distinctio dolor.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"max_tokens\": 4544224839901335562,\n      \"prompt\": \"Qui et ut delectus nisi.\"\n   }'")
 		}
 		if body.MaxTokens != nil {
 			if *body.MaxTokens < 0 {
--- a/gen/http/cli/entryhost/cli.go
+++ b/gen/http/cli/entryhost/cli.go
@@ -25,14 +25,14 @@
 func UsageCommands() []string {
 	return []string{
 		"caller (addresses|generate|call)",
-		"operator (put|get|list|history|settle|audit|status|drain|put-organisation|remove-organisation|settle-organisation|list-organisations)",
+		"operator (put|get|list|history|settle|audit|status|drain|evacuate|put-organisation|remove-organisation|settle-organisation|list-organisations)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller addresses --failure-domain \"Est quisquam est officia praesentium.\" --token \"Earum quis blanditiis animi fugit.\"" + "\n" +
-		os.Args[0] + " " + "operator put --body '{\n      \"change_id\": \"Eum numquam officia.\",\n      \"document\": \"Cupiditate fugit culpa.\",\n      \"expect_version\": 13288410784410858894\n   }' --service \"Pariatur dolore eius aut.\" --token \"Rerum in et ipsam enim aut eum.\"" + "\n" +
+	return os.Args[0] + " " + "caller addresses --failure-domain \"Blanditiis animi fugit ut.\" --token \"Architecto reprehenderit tempore provident sit voluptatibus non.\"" + "\n" +
+		os.Args[0] + " " + "operator put --body '{\n      \"change_id\": \"Dolore eius aut.\",\n      \"document\": \"Eum numquam officia.\",\n      \"expect_version\": 2547633246897508711\n   }' --service \"Rerum in et ipsam enim aut eum.\" --token \"Commodi sequi ut dolores.\"" + "\n" +
 		""
 }
 
@@ -100,6 +100,11 @@
 		operatorDrainAddressFlag = operatorDrainFlags.String("address", "REQUIRED", "IP:port of the backend server")
 		operatorDrainTokenFlag   = operatorDrainFlags.String("token", "", "")
 
+		operatorEvacuateFlags             = flag.NewFlagSet("evacuate", flag.ExitOnError)
+		operatorEvacuateBodyFlag          = operatorEvacuateFlags.String("body", "REQUIRED", "")
+		operatorEvacuateFailureDomainFlag = operatorEvacuateFlags.String("failure-domain", "REQUIRED", "")
+		operatorEvacuateTokenFlag         = operatorEvacuateFlags.String("token", "", "")
+
 		operatorPutOrganisationFlags     = flag.NewFlagSet("put-organisation", flag.ExitOnError)
 		operatorPutOrganisationBodyFlag  = operatorPutOrganisationFlags.String("body", "REQUIRED", "")
 		operatorPutOrganisationNameFlag  = operatorPutOrganisationFlags.String("name", "REQUIRED", "")
@@ -136,6 +141,7 @@
 	operatorAuditFlags.Usage = operatorAuditUsage
 	operatorStatusFlags.Usage = operatorStatusUsage
 	operatorDrainFlags.Usage = operatorDrainUsage
+	operatorEvacuateFlags.Usage = operatorEvacuateUsage
 	operatorPutOrganisationFlags.Usage = operatorPutOrganisationUsage
 	operatorRemoveOrganisationFlags.Usage = operatorRemoveOrganisationUsage
 	operatorSettleOrganisationFlags.Usage = operatorSettleOrganisationUsage
@@ -214,6 +220,9 @@
 			case "drain":
 				epf = operatorDrainFlags
 
+			case "evacuate":
+				epf = operatorEvacuateFlags
+
 			case "put-organisation":
 				epf = operatorPutOrganisationFlags
 
@@ -291,6 +300,9 @@
 			case "drain":
 				endpoint = c.Drain()
 				data, err = operatorc.BuildDrainPayload(*operatorDrainBodyFlag, *operatorDrainAddressFlag, *operatorDrainTokenFlag)
+			case "evacuate":
+				endpoint = c.Evacuate()
+				data, err = operatorc.BuildEvacuatePayload(*operatorEvacuateBodyFlag, *operatorEvacuateFailureDomainFlag, *operatorEvacuateTokenFlag)
 			case "put-organisation":
 				endpoint = c.PutOrganisation()
 				data, err = operatorc.BuildPutOrganisationPayload(*operatorPutOrganisationBodyFlag, *operatorPutOrganisationNameFlag, *operatorPutOrganisationTokenFlag)
@@ -342,7 +354,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller addresses --failure-domain \"Est quisquam est officia praesentium.\" --token \"Earum quis blanditiis animi fugit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller addresses --failure-domain \"Blanditiis animi fugit ut.\" --token \"Architecto reprehenderit tempore provident sit voluptatibus non.\"")
 }
 
 func callerGenerateUsage() {
@@ -368,7 +380,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller generate --body '{\n      \"max_tokens\": 356407826058247689,\n      \"prompt\": \"Totam et distinctio dolor.\"\n   }' --service \"Reiciendis ut et pariatur qui.\" --idempotency-key \"Sed voluptatem vel officiis magni.\" --last \"Quam facere.\" --token \"Beatae culpa non dolores.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller generate --body '{\n      \"max_tokens\": 4544224839901335562,\n      \"prompt\": \"Qui et ut delectus nisi.\"\n   }' --service \"Maxime nesciunt sunt consectetur.\" --idempotency-key \"Eos odio in asperiores distinctio.\" --last \"Officia qui adipisci ut repellat.\" --token \"Quisquam facilis officiis recusandae.\"")
 }
 
 func callerCallUsage() {
@@ -394,7 +406,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller call --service \"Illum eveniet occaecati et modi quis voluptatem.\" --path \"Sunt perferendis nihil aut omnis perspiciatis.\" --idempotency-key \"Unde enim.\" --token \"Eligendi et consequatur rem placeat eos autem.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller call --service \"Autem eligendi et consequatur.\" --path \"Placeat eos.\" --idempotency-key \"Quia ut.\" --token \"Optio ut nesciunt commodi voluptas porro aut.\" --stream \"goa.png\"")
 }
 
 // operatorUsage displays the usage of the operator command and its subcommands.
@@ -410,6 +422,7 @@
 	fmt.Fprintln(os.Stderr, `    audit: Audit trail, newest first.`)
 	fmt.Fprintln(os.Stderr, `    status: Status implements status.`)
 	fmt.Fprintln(os.Stderr, `    drain: Mark a backend server as leaving (or end that): it gets no new work anywhere.`)
+	fmt.Fprintln(os.Stderr, `    evacuate: Keep new work from all backend servers of a failure domain (or end that).`)
 	fmt.Fprintln(os.Stderr, `    put-organisation: Put an organisation in force, on condition that its current version is the expected one.`)
 	fmt.Fprintln(os.Stderr, `    remove-organisation: Remove an organisation, on condition that its current version is the expected one: none of its tokens is taken any more.`)
 	fmt.Fprintln(os.Stderr, `    settle-organisation: Whether a change to an organisation with an unknown outcome was accepted.`)
@@ -437,7 +450,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put --body '{\n      \"change_id\": \"Eum numquam officia.\",\n      \"document\": \"Cupiditate fugit culpa.\",\n      \"expect_version\": 13288410784410858894\n   }' --service \"Pariatur dolore eius aut.\" --token \"Rerum in et ipsam enim aut eum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put --body '{\n      \"change_id\": \"Dolore eius aut.\",\n      \"document\": \"Eum numquam officia.\",\n      \"expect_version\": 2547633246897508711\n   }' --service \"Rerum in et ipsam enim aut eum.\" --token \"Commodi sequi ut dolores.\"")
 }
 
 func operatorGetUsage() {
@@ -578,6 +591,28 @@
 	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator drain --body '{\n      \"change_id\": \"Et tenetur numquam sunt minus sint.\",\n      \"end\": true\n   }' --address \"Et quae dolor saepe porro expedita.\" --token \"Corrupti quos nulla qui.\"")
 }
 
+func operatorEvacuateUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator evacuate", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -failure-domain STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Keep new work from all backend servers of a failure domain (or end that).`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -failure-domain STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator evacuate --body '{\n      \"change_id\": \"Dolorem ut nihil doloremque quisquam dolor aliquid.\",\n      \"end\": false\n   }' --failure-domain \"Quis delectus ut.\" --token \"Eum ut quae corrupti sed id est.\"")
+}
+
 func operatorPutOrganisationUsage() {
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] operator put-organisation", os.Args[0])
@@ -597,7 +632,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put-organisation --body '{\n      \"change_id\": \"Nostrum rerum in ratione recusandae omnis.\",\n      \"expect_version\": 15195401662694765141,\n      \"services\": [\n         \"Ut quae corrupti sed.\",\n         \"Est id rerum quas quis.\",\n         \"In et quasi esse.\",\n         \"Ipsa dicta.\"\n      ],\n      \"token_sha256\": [\n         \"Dolorem ut nihil doloremque quisquam dolor aliquid.\",\n         \"Quis delectus ut.\"\n      ]\n   }' --name \"Minima nihil sint aut nam.\" --token \"Quia blanditiis omnis quis facilis adipisci corrupti.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put-organisation --body '{\n      \"change_id\": \"Ipsa voluptas natus.\",\n      \"expect_version\": 9297253433241998972,\n      \"services\": [\n         \"Et ipsum animi sed eum maxime magni.\",\n         \"Et omnis id fugit earum.\"\n      ],\n      \"token_sha256\": [\n         \"Corporis nesciunt assumenda sint sint voluptatem cumque.\",\n         \"Assumenda laudantium tempora sit alias quaerat maiores.\",\n         \"Earum et ab ipsa explicabo qui.\",\n         \"Ipsum doloremque.\"\n      ]\n   }' --name \"Error consequuntur sint in perferendis dolorem et.\" --token \"Veritatis sit voluptatem animi nostrum repellat magni.\"")
 }
 
 func operatorRemoveOrganisationUsage() {
@@ -621,7 +656,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator remove-organisation --name \"Animi nostrum repellat.\" --expect-version 341124812777673270 --change-id \"Non ullam.\" --token \"Temporibus blanditiis veniam modi consequatur magnam ad.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator remove-organisation --name \"Id pariatur nemo.\" --expect-version 16979259987412883333 --change-id \"Rerum recusandae culpa minima amet ducimus.\" --token \"Est recusandae blanditiis esse accusamus.\"")
 }
 
 func operatorSettleOrganisationUsage() {
@@ -643,7 +678,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator settle-organisation --name \"Esse accusamus saepe eius.\" --change-id \"Eius labore recusandae dignissimos sapiente nesciunt quaerat.\" --token \"Beatae reprehenderit incidunt voluptates et est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator settle-organisation --name \"Est fuga distinctio rem animi et vitae.\" --change-id \"Cum excepturi laborum temporibus expedita et.\" --token \"Ipsa sapiente voluptas vero vel quidem.\"")
 }
 
 func operatorListOrganisationsUsage() {
@@ -667,5 +702,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator list-organisations --name \"Expedita et quia ipsa sapiente voluptas.\" --after \"Vel quidem.\" --limit 575 --token \"Repudiandae ipsa aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator list-organisations --name \"Laboriosam modi quis.\" --after \"Et minima.\" --limit 867 --token \"Ut omnis placeat est ut deserunt rerum.\"")
 }
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorPutBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"change_id\": \"Eum numquam officia.\",\n      \"document\": \"Cupiditate fugit culpa.\",\n      \"expect_version\": 13288410784410858894\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"change_id\": \"Dolore eius aut.\",\n      \"document\": \"Eum numquam officia.\",\n      \"expect_version\": 2547633246897508711\n   }'")
 		}
 	}
 	var service string
@@ -195,6 +195,43 @@
 	return v, nil
 }
 
+// BuildEvacuatePayload builds the payload for the operator evacuate endpoint
+// from CLI flags.
+func BuildEvacuatePayload(operatorEvacuateBody string, operatorEvacuateFailureDomain string, operatorEvacuateToken string) (*operator.EvacuatePayload, error) {
+	var err error
+	var body EvacuateRequestBody
+	{
+		err = json.Unmarshal([]byte(operatorEvacuateBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"change_id\": \"Dolorem ut nihil doloremque quisquam dolor aliquid.\",\n      \"end\": false\n   }'")
+		}
+	}
+	var failureDomain string
+	{
+		failureDomain = operatorEvacuateFailureDomain
+	}
+	var token *string
+	{
+		if operatorEvacuateToken != "" {
+			token = &operatorEvacuateToken
+		}
+	}
+	v := &operator.EvacuatePayload{
+		End:      body.End,
+		ChangeID: body.ChangeID,
+	}
+	{
+		var zero bool
+		if v.End == zero {
+			v.End = false
+		}
+	}
+	v.FailureDomain = failureDomain
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildPutOrganisationPayload builds the payload for the operator
 // put_organisation endpoint from CLI flags.
 func BuildPutOrganisationPayload(operatorPutOrganisationBody string, operatorPutOrganisationName string, operatorPutOrganisationToken string) (*operator.PutOrganisationPayload, error) {
@@ -203,7 +240,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorPutOrganisationBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"change_id\": \"Nostrum rerum in ratione recusandae omnis.\",\n      \"expect_version\": 15195401662694765141,\n      \"services\": [\n         \"Ut quae corrupti sed.\",\n         \"Est id rerum quas quis.\",\n         \"In et quasi esse.\",\n         \"Ipsa dicta.\"\n      ],\n      \"token_sha256\": [\n         \"Dolorem ut nihil doloremque quisquam dolor aliquid.\",\n         \"Quis delectus ut.\"\n      ]\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"change_id\": \"Ipsa voluptas natus.\",\n      \"expect_version\": 9297253433241998972,\n      \"services\": [\n         \"Et ipsum animi sed eum maxime magni.\",\n         \"Et omnis id fugit earum.\"\n      ],\n      \"token_sha256\": [\n         \"Corporis nesciunt assumenda sint sint voluptatem cumque.\",\n         \"Assumenda laudantium tempora sit alias quaerat maiores.\",\n         \"Earum et ab ipsa explicabo qui.\",\n         \"Ipsum doloremque.\"\n      ]\n   }'")
 		}
 		if body.TokenSha256 == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("token_sha256", "body"))
--- a/gen/http/operator/client/client.go
+++ b/gen/http/operator/client/client.go
@@ -42,6 +42,10 @@
 	// Drain Doer is the HTTP client used to make requests to the drain endpoint.
 	DrainDoer goahttp.Doer
 
+	// Evacuate Doer is the HTTP client used to make requests to the evacuate
+	// endpoint.
+	EvacuateDoer goahttp.Doer
+
 	// PutOrganisation Doer is the HTTP client used to make requests to the
 	// put_organisation endpoint.
 	PutOrganisationDoer goahttp.Doer
@@ -86,6 +90,7 @@
 		AuditDoer:              doer,
 		StatusDoer:             doer,
 		DrainDoer:              doer,
+		EvacuateDoer:           doer,
 		PutOrganisationDoer:    doer,
 		RemoveOrganisationDoer: doer,
 		SettleOrganisationDoer: doer,
@@ -290,6 +295,30 @@
 	}
 }
 
+// Evacuate returns an endpoint that makes HTTP requests to the operator
+// service evacuate server.
+func (c *Client) Evacuate() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeEvacuateRequest(c.encoder)
+		decodeResponse = DecodeEvacuateResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildEvacuateRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.EvacuateDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operator", "evacuate", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // PutOrganisation returns an endpoint that makes HTTP requests to the operator
 // service put_organisation server.
 func (c *Client) PutOrganisation() goa.Endpoint {
--- a/gen/http/operator/client/encode_decode.go
+++ b/gen/http/operator/client/encode_decode.go
@@ -1315,6 +1315,172 @@
 	}
 }
 
+// BuildEvacuateRequest instantiates a HTTP request object with method and path
+// set to call the "operator" service "evacuate" endpoint
+func (c *Client) BuildEvacuateRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		failureDomain string
+	)
+	{
+		p, ok := v.(*operator.EvacuatePayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("operator", "evacuate", "*operator.EvacuatePayload", v)
+		}
+		failureDomain = p.FailureDomain
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: EvacuateOperatorPath(failureDomain)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operator", "evacuate", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeEvacuateRequest returns an encoder for requests sent to the operator
+// evacuate server.
+func EncodeEvacuateRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operator.EvacuatePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operator", "evacuate", "*operator.EvacuatePayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			if !strings.Contains(head, " ") {
+				req.Header.Set("Authorization", "Bearer "+head)
+			} else {
+				req.Header.Set("Authorization", head)
+			}
+		}
+		body := NewEvacuateRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("operator", "evacuate", err)
+		}
+		return nil
+	}
+}
+
+// DecodeEvacuateResponse returns a decoder for responses returned by the
+// operator evacuate endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeEvacuateResponse may return the following errors:
+//   - "unauthorized" (type *operator.Problem): http.StatusUnauthorized
+//   - "invalid" (type *operator.Problem): http.StatusUnprocessableEntity
+//   - "conflict" (type *operator.Problem): http.StatusConflict
+//   - "not_found" (type *operator.Problem): http.StatusNotFound
+//   - "unavailable" (type *operator.Problem): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeEvacuateResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body EvacuateResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "evacuate", err)
+			}
+			err = ValidateEvacuateResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "evacuate", err)
+			}
+			res := NewEvacuateAcceptedOK(&body)
+			return res, nil
+		case http.StatusUnauthorized:
+			var (
+				body EvacuateUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "evacuate", err)
+			}
+			err = ValidateEvacuateUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "evacuate", err)
+			}
+			return nil, NewEvacuateUnauthorized(&body)
+		case http.StatusUnprocessableEntity:
+			var (
+				body EvacuateInvalidResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "evacuate", err)
+			}
+			err = ValidateEvacuateInvalidResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "evacuate", err)
+			}
+			return nil, NewEvacuateInvalid(&body)
+		case http.StatusConflict:
+			var (
+				body EvacuateConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "evacuate", err)
+			}
+			err = ValidateEvacuateConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "evacuate", err)
+			}
+			return nil, NewEvacuateConflict(&body)
+		case http.StatusNotFound:
+			var (
+				body EvacuateNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "evacuate", err)
+			}
+			err = ValidateEvacuateNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "evacuate", err)
+			}
+			return nil, NewEvacuateNotFound(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body EvacuateUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "evacuate", err)
+			}
+			err = ValidateEvacuateUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "evacuate", err)
+			}
+			return nil, NewEvacuateUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operator", "evacuate", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildPutOrganisationRequest instantiates a HTTP request object with method
 // and path set to call the "operator" service "put_organisation" endpoint
 func (c *Client) BuildPutOrganisationRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/operator/client/paths.go
+++ b/gen/http/operator/client/paths.go
@@ -51,6 +51,11 @@
 	return fmt.Sprintf("/v1/operator/backend_servers/%v/drain", address)
 }
 
+// EvacuateOperatorPath returns the URL path to the operator service evacuate HTTP endpoint.
+func EvacuateOperatorPath(failureDomain string) string {
+	return fmt.Sprintf("/v1/operator/failure_domains/%v/evacuation", failureDomain)
+}
+
 // PutOrganisationOperatorPath returns the URL path to the operator service put_organisation HTTP endpoint.
 func PutOrganisationOperatorPath(name string) string {
 	return fmt.Sprintf("/v1/operator/organisations/%v", name)
--- a/gen/http/operator/client/types.go
+++ b/gen/http/operator/client/types.go
@@ -31,6 +31,14 @@
 	ChangeID string `form:"change_id" json:"change_id" xml:"change_id"`
 }
 
+// EvacuateRequestBody is the type of the "operator" service "evacuate"
+// endpoint HTTP request body.
+type EvacuateRequestBody struct {
+	// End the evacuation
+	End      bool   `form:"end" json:"end" xml:"end"`
+	ChangeID string `form:"change_id" json:"change_id" xml:"change_id"`
+}
+
 // PutOrganisationRequestBody is the type of the "operator" service
 // "put_organisation" endpoint HTTP request body.
 type PutOrganisationRequestBody struct {
@@ -97,6 +105,17 @@
 	Settle *string `form:"settle,omitempty" json:"settle,omitempty" xml:"settle,omitempty"`
 }
 
+// EvacuateResponseBody is the type of the "operator" service "evacuate"
+// endpoint HTTP response body.
+type EvacuateResponseBody struct {
+	ChangeID *string `form:"change_id,omitempty" json:"change_id,omitempty" xml:"change_id,omitempty"`
+	Outcome  *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Version that was accepted, or the current one
+	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	// Command that settles an unknown outcome later
+	Settle *string `form:"settle,omitempty" json:"settle,omitempty" xml:"settle,omitempty"`
+}
+
 // PutOrganisationResponseBody is the type of the "operator" service
 // "put_organisation" endpoint HTTP response body.
 type PutOrganisationResponseBody struct {
@@ -1050,6 +1069,121 @@
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
+// EvacuateUnauthorizedResponseBody is the type of the "operator" service
+// "evacuate" endpoint HTTP response body for the "unauthorized" error.
+type EvacuateUnauthorizedResponseBody struct {
+	// Error class
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// URI reference of the reason
+	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
+	// Reason in words
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// HTTP status
+	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Stable reason code
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
+// EvacuateInvalidResponseBody is the type of the "operator" service "evacuate"
+// endpoint HTTP response body for the "invalid" error.
+type EvacuateInvalidResponseBody struct {
+	// Error class
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// URI reference of the reason
+	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
+	// Reason in words
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// HTTP status
+	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Stable reason code
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
+// EvacuateConflictResponseBody is the type of the "operator" service
+// "evacuate" endpoint HTTP response body for the "conflict" error.
+type EvacuateConflictResponseBody struct {
+	// Error class
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// URI reference of the reason
+	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
+	// Reason in words
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// HTTP status
+	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Stable reason code
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
+// EvacuateNotFoundResponseBody is the type of the "operator" service
+// "evacuate" endpoint HTTP response body for the "not_found" error.
+type EvacuateNotFoundResponseBody struct {
+	// Error class
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// URI reference of the reason
+	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
+	// Reason in words
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// HTTP status
+	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Stable reason code
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
+// EvacuateUnavailableResponseBody is the type of the "operator" service
+// "evacuate" endpoint HTTP response body for the "unavailable" error.
+type EvacuateUnavailableResponseBody struct {
+	// Error class
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// URI reference of the reason
+	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
+	// Reason in words
+	Title *string `form:"title,omitempty" json:"title,omitempty" xml:"title,omitempty"`
+	// HTTP status
+	Status *int `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Stable reason code
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
 // PutOrganisationUnauthorizedResponseBody is the type of the "operator"
 // service "put_organisation" endpoint HTTP response body for the
 // "unauthorized" error.
@@ -1538,7 +1672,7 @@
 	ChangeID *string `form:"change_id,omitempty" json:"change_id,omitempty" xml:"change_id,omitempty"`
 	Who      *string `form:"who,omitempty" json:"who,omitempty" xml:"who,omitempty"`
 	When     *string `form:"when,omitempty" json:"when,omitempty" xml:"when,omitempty"`
-	// document, drain, organisation, order or settled
+	// document, drain, evacuation, organisation, order or settled
 	What *string `form:"what,omitempty" json:"what,omitempty" xml:"what,omitempty"`
 	// Service, backend server or organisation
 	Name        *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
@@ -1616,6 +1750,22 @@
 	return body
 }
 
+// NewEvacuateRequestBody builds the HTTP request body from the payload of the
+// "evacuate" endpoint of the "operator" service.
+func NewEvacuateRequestBody(p *operator.EvacuatePayload) *EvacuateRequestBody {
+	body := &EvacuateRequestBody{
+		End:      p.End,
+		ChangeID: p.ChangeID,
+	}
+	{
+		var zero bool
+		if body.End == zero {
+			body.End = false
+		}
+	}
+	return body
+}
+
 // NewPutOrganisationRequestBody builds the HTTP request body from the payload
 // of the "put_organisation" endpoint of the "operator" service.
 func NewPutOrganisationRequestBody(p *operator.PutOrganisationPayload) *PutOrganisationRequestBody {
@@ -2824,6 +2974,153 @@
 	return v
 }
 
+// NewEvacuateAcceptedOK builds a "operator" service "evacuate" endpoint result
+// from a HTTP "OK" response.
+func NewEvacuateAcceptedOK(body *EvacuateResponseBody) *operator.Accepted {
+	v := &operator.Accepted{
+		ChangeID: *body.ChangeID,
+		Outcome:  *body.Outcome,
+		Version:  *body.Version,
+		Settle:   body.Settle,
+	}
+
+	return v
+}
+
+// NewEvacuateUnauthorized builds a operator service evacuate endpoint
+// unauthorized error.
+func NewEvacuateUnauthorized(body *EvacuateUnauthorizedResponseBody) *operator.Problem {
+	v := &operator.Problem{
+		Name:         *body.Name,
+		Type:         *body.Type,
+		Title:        *body.Title,
+		Status:       *body.Status,
+		Detail:       body.Detail,
+		Outcome:      *body.Outcome,
+		Reason:       *body.Reason,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewEvacuateInvalid builds a operator service evacuate endpoint invalid error.
+func NewEvacuateInvalid(body *EvacuateInvalidResponseBody) *operator.Problem {
+	v := &operator.Problem{
+		Name:         *body.Name,
+		Type:         *body.Type,
+		Title:        *body.Title,
+		Status:       *body.Status,
+		Detail:       body.Detail,
+		Outcome:      *body.Outcome,
+		Reason:       *body.Reason,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewEvacuateConflict builds a operator service evacuate endpoint conflict
+// error.
+func NewEvacuateConflict(body *EvacuateConflictResponseBody) *operator.Problem {
+	v := &operator.Problem{
+		Name:         *body.Name,
+		Type:         *body.Type,
+		Title:        *body.Title,
+		Status:       *body.Status,
+		Detail:       body.Detail,
+		Outcome:      *body.Outcome,
+		Reason:       *body.Reason,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewEvacuateNotFound builds a operator service evacuate endpoint not_found
+// error.
+func NewEvacuateNotFound(body *EvacuateNotFoundResponseBody) *operator.Problem {
+	v := &operator.Problem{
+		Name:         *body.Name,
+		Type:         *body.Type,
+		Title:        *body.Title,
+		Status:       *body.Status,
+		Detail:       body.Detail,
+		Outcome:      *body.Outcome,
+		Reason:       *body.Reason,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewEvacuateUnavailable builds a operator service evacuate endpoint
+// unavailable error.
+func NewEvacuateUnavailable(body *EvacuateUnavailableResponseBody) *operator.Problem {
+	v := &operator.Problem{
+		Name:         *body.Name,
+		Type:         *body.Type,
+		Title:        *body.Title,
+		Status:       *body.Status,
+		Detail:       body.Detail,
+		Outcome:      *body.Outcome,
+		Reason:       *body.Reason,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewPutOrganisationAcceptedOK builds a "operator" service "put_organisation"
 // endpoint result from a HTTP "OK" response.
 func NewPutOrganisationAcceptedOK(body *PutOrganisationResponseBody) *operator.Accepted {
@@ -3533,6 +3830,26 @@
 	return
 }
 
+// ValidateEvacuateResponseBody runs the validations defined on
+// EvacuateResponseBody
+func ValidateEvacuateResponseBody(body *EvacuateResponseBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "accepted" || *body.Outcome == "not_accepted" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"accepted", "not_accepted", "unknown"}))
+		}
+	}
+	return
+}
+
 // ValidatePutOrganisationResponseBody runs the validations defined on
 // put_organisation_response_body
 func ValidatePutOrganisationResponseBody(body *PutOrganisationResponseBody) (err error) {
@@ -5033,6 +5350,186 @@
 	return
 }
 
+// ValidateEvacuateUnauthorizedResponseBody runs the validations defined on
+// evacuate_unauthorized_response_body
+func ValidateEvacuateUnauthorizedResponseBody(body *EvacuateUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Type == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "done" || *body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"done", "not_run", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateEvacuateInvalidResponseBody runs the validations defined on
+// evacuate_invalid_response_body
+func ValidateEvacuateInvalidResponseBody(body *EvacuateInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Type == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "done" || *body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"done", "not_run", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateEvacuateConflictResponseBody runs the validations defined on
+// evacuate_conflict_response_body
+func ValidateEvacuateConflictResponseBody(body *EvacuateConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Type == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "done" || *body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"done", "not_run", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateEvacuateNotFoundResponseBody runs the validations defined on
+// evacuate_not_found_response_body
+func ValidateEvacuateNotFoundResponseBody(body *EvacuateNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Type == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "done" || *body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"done", "not_run", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateEvacuateUnavailableResponseBody runs the validations defined on
+// evacuate_unavailable_response_body
+func ValidateEvacuateUnavailableResponseBody(body *EvacuateUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Type == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
+	}
+	if body.Title == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("title", "body"))
+	}
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "done" || *body.Outcome == "not_run" || *body.Outcome == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"done", "not_run", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidatePutOrganisationUnauthorizedResponseBody runs the validations defined
 // on put_organisation_unauthorized_response_body
 func ValidatePutOrganisationUnauthorizedResponseBody(body *PutOrganisationUnauthorizedResponseBody) (err error) {
--- a/gen/http/operator/server/encode_decode.go
+++ b/gen/http/operator/server/encode_decode.go
@@ -1066,6 +1066,153 @@
 	}
 }
 
+// EncodeEvacuateResponse returns an encoder for responses returned by the
+// operator evacuate endpoint.
+func EncodeEvacuateResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operator.Accepted)
+		enc := encoder(ctx, w)
+		body := NewEvacuateResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeEvacuateRequest returns a decoder for requests sent to the operator
+// evacuate endpoint.
+func DecodeEvacuateRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operator.EvacuatePayload, error) {
+	return func(r *http.Request) (*operator.EvacuatePayload, error) {
+		var payload *operator.EvacuatePayload
+		var (
+			body EvacuateRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateEvacuateRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			failureDomain string
+			token         *string
+
+			params = mux.Vars(r)
+		)
+		failureDomain = params["failure_domain"]
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		payload = NewEvacuatePayload(&body, failureDomain, token)
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeEvacuateError returns an encoder for errors returned by the evacuate
+// operator endpoint.
+func EncodeEvacuateError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unauthorized":
+			var res *operator.Problem
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "invalid":
+			var res *operator.Problem
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "conflict":
+			var res *operator.Problem
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "not_found":
+			var res *operator.Problem
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *operator.Problem
+			errors.As(v, &res)
+			ctx = context.WithValue(ctx, goahttp.ContentTypeKey, "application/problem+json")
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodePutOrganisationResponse returns an encoder for responses returned by
 // the operator put_organisation endpoint.
 func EncodePutOrganisationResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/gen/http/operator/server/server.go
+++ b/gen/http/operator/server/server.go
@@ -27,6 +27,7 @@
 	Audit              http.Handler
 	Status             http.Handler
 	Drain              http.Handler
+	Evacuate           http.Handler
 	PutOrganisation    http.Handler
 	RemoveOrganisation http.Handler
 	SettleOrganisation http.Handler
@@ -68,6 +69,7 @@
 			{"Audit", "GET", "/v1/operator/audit"},
 			{"Status", "GET", "/v1/operator/status"},
 			{"Drain", "POST", "/v1/operator/backend_servers/{address}/drain"},
+			{"Evacuate", "POST", "/v1/operator/failure_domains/{failure_domain}/evacuation"},
 			{"PutOrganisation", "PUT", "/v1/operator/organisations/{name}"},
 			{"RemoveOrganisation", "DELETE", "/v1/operator/organisations/{name}"},
 			{"SettleOrganisation", "GET", "/v1/operator/organisations/{name}/changes/{change_id}"},
@@ -81,6 +83,7 @@
 		Audit:              NewAuditHandler(e.Audit, mux, decoder, encoder, errhandler, formatter),
 		Status:             NewStatusHandler(e.Status, mux, decoder, encoder, errhandler, formatter),
 		Drain:              NewDrainHandler(e.Drain, mux, decoder, encoder, errhandler, formatter),
+		Evacuate:           NewEvacuateHandler(e.Evacuate, mux, decoder, encoder, errhandler, formatter),
 		PutOrganisation:    NewPutOrganisationHandler(e.PutOrganisation, mux, decoder, encoder, errhandler, formatter),
 		RemoveOrganisation: NewRemoveOrganisationHandler(e.RemoveOrganisation, mux, decoder, encoder, errhandler, formatter),
 		SettleOrganisation: NewSettleOrganisationHandler(e.SettleOrganisation, mux, decoder, encoder, errhandler, formatter),
@@ -101,6 +104,7 @@
 	s.Audit = m(s.Audit)
 	s.Status = m(s.Status)
 	s.Drain = m(s.Drain)
+	s.Evacuate = m(s.Evacuate)
 	s.PutOrganisation = m(s.PutOrganisation)
 	s.RemoveOrganisation = m(s.RemoveOrganisation)
 	s.SettleOrganisation = m(s.SettleOrganisation)
@@ -120,6 +124,7 @@
 	MountAuditHandler(mux, h.Audit)
 	MountStatusHandler(mux, h.Status)
 	MountDrainHandler(mux, h.Drain)
+	MountEvacuateHandler(mux, h.Evacuate)
 	MountPutOrganisationHandler(mux, h.PutOrganisation)
 	MountRemoveOrganisationHandler(mux, h.RemoveOrganisation)
 	MountSettleOrganisationHandler(mux, h.SettleOrganisation)
@@ -555,6 +560,59 @@
 	})
 }
 
+// MountEvacuateHandler configures the mux to serve the "operator" service
+// "evacuate" endpoint.
+func MountEvacuateHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/operator/failure_domains/{failure_domain}/evacuation", f)
+}
+
+// NewEvacuateHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operator" service "evacuate" endpoint.
+func NewEvacuateHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeEvacuateRequest(mux, decoder)
+		encodeResponse = EncodeEvacuateResponse(encoder)
+		encodeError    = EncodeEvacuateError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "evacuate")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operator")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountPutOrganisationHandler configures the mux to serve the "operator"
 // service "put_organisation" endpoint.
 func MountPutOrganisationHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/operator/server/types.go
+++ b/gen/http/operator/server/types.go
@@ -31,6 +31,14 @@
 	ChangeID *string `form:"change_id,omitempty" json:"change_id,omitempty" xml:"change_id,omitempty"`
 }
 
+// EvacuateRequestBody is the type of the "operator" service "evacuate"
+// endpoint HTTP request body.
+type EvacuateRequestBody struct {
+	// End the evacuation
+	End      *bool   `form:"end,omitempty" json:"end,omitempty" xml:"end,omitempty"`
+	ChangeID *string `form:"change_id,omitempty" json:"change_id,omitempty" xml:"change_id,omitempty"`
+}
+
 // PutOrganisationRequestBody is the type of the "operator" service
 // "put_organisation" endpoint HTTP request body.
 type PutOrganisationRequestBody struct {
@@ -109,6 +117,17 @@
 	Settle *string `form:"settle,omitempty" json:"settle,omitempty" xml:"settle,omitempty"`
 }
 
+// EvacuateResponseBody is the type of the "operator" service "evacuate"
+// endpoint HTTP response body.
+type EvacuateResponseBody struct {
+	ChangeID string `form:"change_id" json:"change_id" xml:"change_id"`
+	Outcome  string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Version that was accepted, or the current one
+	Version uint64 `form:"version" json:"version" xml:"version"`
+	// Command that settles an unknown outcome later
+	Settle *string `form:"settle,omitempty" json:"settle,omitempty" xml:"settle,omitempty"`
+}
+
 // PutOrganisationResponseBody is the type of the "operator" service
 // "put_organisation" endpoint HTTP response body.
 type PutOrganisationResponseBody struct {
@@ -1066,6 +1085,121 @@
 	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
 }
 
+// EvacuateUnauthorizedResponseBody is the type of the "operator" service
+// "evacuate" endpoint HTTP response body for the "unauthorized" error.
+type EvacuateUnauthorizedResponseBody struct {
+	// Error class
+	Name string `form:"name" json:"name" xml:"name"`
+	// URI reference of the reason
+	Type string `form:"type" json:"type" xml:"type"`
+	// Reason in words
+	Title string `form:"title" json:"title" xml:"title"`
+	// HTTP status
+	Status int `form:"status" json:"status" xml:"status"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Stable reason code
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
+// EvacuateInvalidResponseBody is the type of the "operator" service "evacuate"
+// endpoint HTTP response body for the "invalid" error.
+type EvacuateInvalidResponseBody struct {
+	// Error class
+	Name string `form:"name" json:"name" xml:"name"`
+	// URI reference of the reason
+	Type string `form:"type" json:"type" xml:"type"`
+	// Reason in words
+	Title string `form:"title" json:"title" xml:"title"`
+	// HTTP status
+	Status int `form:"status" json:"status" xml:"status"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Stable reason code
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
+// EvacuateConflictResponseBody is the type of the "operator" service
+// "evacuate" endpoint HTTP response body for the "conflict" error.
+type EvacuateConflictResponseBody struct {
+	// Error class
+	Name string `form:"name" json:"name" xml:"name"`
+	// URI reference of the reason
+	Type string `form:"type" json:"type" xml:"type"`
+	// Reason in words
+	Title string `form:"title" json:"title" xml:"title"`
+	// HTTP status
+	Status int `form:"status" json:"status" xml:"status"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Stable reason code
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
+// EvacuateNotFoundResponseBody is the type of the "operator" service
+// "evacuate" endpoint HTTP response body for the "not_found" error.
+type EvacuateNotFoundResponseBody struct {
+	// Error class
+	Name string `form:"name" json:"name" xml:"name"`
+	// URI reference of the reason
+	Type string `form:"type" json:"type" xml:"type"`
+	// Reason in words
+	Title string `form:"title" json:"title" xml:"title"`
+	// HTTP status
+	Status int `form:"status" json:"status" xml:"status"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Stable reason code
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
+// EvacuateUnavailableResponseBody is the type of the "operator" service
+// "evacuate" endpoint HTTP response body for the "unavailable" error.
+type EvacuateUnavailableResponseBody struct {
+	// Error class
+	Name string `form:"name" json:"name" xml:"name"`
+	// URI reference of the reason
+	Type string `form:"type" json:"type" xml:"type"`
+	// Reason in words
+	Title string `form:"title" json:"title" xml:"title"`
+	// HTTP status
+	Status int `form:"status" json:"status" xml:"status"`
+	// What happened
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Stable reason code
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// When to come back, in milliseconds; absent: not with this request
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Mistakes found in a document
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+}
+
 // PutOrganisationUnauthorizedResponseBody is the type of the "operator"
 // service "put_organisation" endpoint HTTP response body for the
 // "unauthorized" error.
@@ -1554,7 +1688,7 @@
 	ChangeID string `form:"change_id" json:"change_id" xml:"change_id"`
 	Who      string `form:"who" json:"who" xml:"who"`
 	When     string `form:"when" json:"when" xml:"when"`
-	// document, drain, organisation, order or settled
+	// document, drain, evacuation, organisation, order or settled
 	What string `form:"what" json:"what" xml:"what"`
 	// Service, backend server or organisation
 	Name        string  `form:"name" json:"name" xml:"name"`
@@ -1741,6 +1875,18 @@
 	return body
 }
 
+// NewEvacuateResponseBody builds the HTTP response body from the result of the
+// "evacuate" endpoint of the "operator" service.
+func NewEvacuateResponseBody(res *operator.Accepted) *EvacuateResponseBody {
+	body := &EvacuateResponseBody{
+		ChangeID: res.ChangeID,
+		Outcome:  res.Outcome,
+		Version:  res.Version,
+		Settle:   res.Settle,
+	}
+	return body
+}
+
 // NewPutOrganisationResponseBody builds the HTTP response body from the result
 // of the "put_organisation" endpoint of the "operator" service.
 func NewPutOrganisationResponseBody(res *operator.Accepted) *PutOrganisationResponseBody {
@@ -2831,6 +2977,136 @@
 	return body
 }
 
+// NewEvacuateUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operator" service.
+func NewEvacuateUnauthorizedResponseBody(res *operator.Problem) *EvacuateUnauthorizedResponseBody {
+	body := &EvacuateUnauthorizedResponseBody{
+		Name:         res.Name,
+		Type:         res.Type,
+		Title:        res.Title,
+		Status:       res.Status,
+		Detail:       res.Detail,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewEvacuateInvalidResponseBody builds the HTTP response body from the result
+// of the "evacuate" endpoint of the "operator" service.
+func NewEvacuateInvalidResponseBody(res *operator.Problem) *EvacuateInvalidResponseBody {
+	body := &EvacuateInvalidResponseBody{
+		Name:         res.Name,
+		Type:         res.Type,
+		Title:        res.Title,
+		Status:       res.Status,
+		Detail:       res.Detail,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewEvacuateConflictResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operator" service.
+func NewEvacuateConflictResponseBody(res *operator.Problem) *EvacuateConflictResponseBody {
+	body := &EvacuateConflictResponseBody{
+		Name:         res.Name,
+		Type:         res.Type,
+		Title:        res.Title,
+		Status:       res.Status,
+		Detail:       res.Detail,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewEvacuateNotFoundResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operator" service.
+func NewEvacuateNotFoundResponseBody(res *operator.Problem) *EvacuateNotFoundResponseBody {
+	body := &EvacuateNotFoundResponseBody{
+		Name:         res.Name,
+		Type:         res.Type,
+		Title:        res.Title,
+		Status:       res.Status,
+		Detail:       res.Detail,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewEvacuateUnavailableResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operator" service.
+func NewEvacuateUnavailableResponseBody(res *operator.Problem) *EvacuateUnavailableResponseBody {
+	body := &EvacuateUnavailableResponseBody{
+		Name:         res.Name,
+		Type:         res.Type,
+		Title:        res.Title,
+		Status:       res.Status,
+		Detail:       res.Detail,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewPutOrganisationUnauthorizedResponseBody builds the HTTP response body
 // from the result of the "put_organisation" endpoint of the "operator" service.
 func NewPutOrganisationUnauthorizedResponseBody(res *operator.Problem) *PutOrganisationUnauthorizedResponseBody {
@@ -3439,6 +3715,23 @@
 	return v
 }
 
+// NewEvacuatePayload builds a operator service evacuate endpoint payload.
+func NewEvacuatePayload(body *EvacuateRequestBody, failureDomain string, token *string) *operator.EvacuatePayload {
+	v := &operator.EvacuatePayload{
+		ChangeID: *body.ChangeID,
+	}
+	if body.End != nil {
+		v.End = *body.End
+	}
+	if body.End == nil {
+		v.End = false
+	}
+	v.FailureDomain = failureDomain
+	v.Token = token
+
+	return v
+}
+
 // NewPutOrganisationPayload builds a operator service put_organisation
 // endpoint payload.
 func NewPutOrganisationPayload(body *PutOrganisationRequestBody, name string, token *string) *operator.PutOrganisationPayload {
@@ -3519,6 +3812,15 @@
 	return
 }
 
+// ValidateEvacuateRequestBody runs the validations defined on
+// EvacuateRequestBody
+func ValidateEvacuateRequestBody(body *EvacuateRequestBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	return
+}
+
 // ValidatePutOrganisationRequestBody runs the validations defined on
 // put_organisation_request_body
 func ValidatePutOrganisationRequestBody(body *PutOrganisationRequestBody) (err error) {
--- a/gen/operator/client.go
+++ b/gen/operator/client.go
@@ -23,6 +23,7 @@
 	AuditEndpoint              goa.Endpoint
 	StatusEndpoint             goa.Endpoint
 	DrainEndpoint              goa.Endpoint
+	EvacuateEndpoint           goa.Endpoint
 	PutOrganisationEndpoint    goa.Endpoint
 	RemoveOrganisationEndpoint goa.Endpoint
 	SettleOrganisationEndpoint goa.Endpoint
@@ -30,7 +31,7 @@
 }
 
 // NewClient initializes a "operator" service client given the endpoints.
-func NewClient(put, get, list, history, settle, audit, status, drain, putOrganisation, removeOrganisation, settleOrganisation, listOrganisations goa.Endpoint) *Client {
+func NewClient(put, get, list, history, settle, audit, status, drain, evacuate, putOrganisation, removeOrganisation, settleOrganisation, listOrganisations goa.Endpoint) *Client {
 	return &Client{
 		PutEndpoint:                put,
 		GetEndpoint:                get,
@@ -40,6 +41,7 @@
 		AuditEndpoint:              audit,
 		StatusEndpoint:             status,
 		DrainEndpoint:              drain,
+		EvacuateEndpoint:           evacuate,
 		PutOrganisationEndpoint:    putOrganisation,
 		RemoveOrganisationEndpoint: removeOrganisation,
 		SettleOrganisationEndpoint: settleOrganisation,
@@ -183,6 +185,23 @@
 	return ires.(*Accepted), nil
 }
 
+// Evacuate calls the "evacuate" endpoint of the "operator" service.
+// Evacuate may return the following errors:
+//   - "unauthorized" (type *Problem)
+//   - "invalid" (type *Problem)
+//   - "conflict" (type *Problem)
+//   - "not_found" (type *Problem)
+//   - "unavailable" (type *Problem)
+//   - error: internal error
+func (c *Client) Evacuate(ctx context.Context, p *EvacuatePayload) (res *Accepted, err error) {
+	var ires any
+	ires, err = c.EvacuateEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Accepted), nil
+}
+
 // PutOrganisation calls the "put_organisation" endpoint of the "operator"
 // service.
 // PutOrganisation may return the following errors:
--- a/gen/operator/endpoints.go
+++ b/gen/operator/endpoints.go
@@ -24,6 +24,7 @@
 	Audit              goa.Endpoint
 	Status             goa.Endpoint
 	Drain              goa.Endpoint
+	Evacuate           goa.Endpoint
 	PutOrganisation    goa.Endpoint
 	RemoveOrganisation goa.Endpoint
 	SettleOrganisation goa.Endpoint
@@ -43,6 +44,7 @@
 		Audit:              NewAuditEndpoint(s, a.JWTAuth),
 		Status:             NewStatusEndpoint(s, a.JWTAuth),
 		Drain:              NewDrainEndpoint(s, a.JWTAuth),
+		Evacuate:           NewEvacuateEndpoint(s, a.JWTAuth),
 		PutOrganisation:    NewPutOrganisationEndpoint(s, a.JWTAuth),
 		RemoveOrganisation: NewRemoveOrganisationEndpoint(s, a.JWTAuth),
 		SettleOrganisation: NewSettleOrganisationEndpoint(s, a.JWTAuth),
@@ -60,6 +62,7 @@
 	e.Audit = m(e.Audit)
 	e.Status = m(e.Status)
 	e.Drain = m(e.Drain)
+	e.Evacuate = m(e.Evacuate)
 	e.PutOrganisation = m(e.PutOrganisation)
 	e.RemoveOrganisation = m(e.RemoveOrganisation)
 	e.SettleOrganisation = m(e.SettleOrganisation)
@@ -250,6 +253,29 @@
 	}
 }
 
+// NewEvacuateEndpoint returns an endpoint function that calls the method
+// "evacuate" of service "operator".
+func NewEvacuateEndpoint(s Service, authJWTFn security.AuthJWTFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*EvacuatePayload)
+		var err error
+		sc := security.JWTScheme{
+			Name:           "bearer",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		var token string
+		if p.Token != nil {
+			token = *p.Token
+		}
+		ctx, err = authJWTFn(ctx, token, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Evacuate(ctx, p)
+	}
+}
+
 // NewPutOrganisationEndpoint returns an endpoint function that calls the
 // method "put_organisation" of service "operator".
 func NewPutOrganisationEndpoint(s Service, authJWTFn security.AuthJWTFunc) goa.Endpoint {
--- a/gen/operator/service.go
+++ b/gen/operator/service.go
@@ -32,6 +32,8 @@
 	Status(context.Context, *StatusPayload) (res *HostStatus, err error)
 	// Mark a backend server as leaving (or end that): it gets no new work anywhere.
 	Drain(context.Context, *DrainPayload) (res *Accepted, err error)
+	// Keep new work from all backend servers of a failure domain (or end that).
+	Evacuate(context.Context, *EvacuatePayload) (res *Accepted, err error)
 	// Put an organisation in force, on condition that its current version is the
 	// expected one.
 	PutOrganisation(context.Context, *PutOrganisationPayload) (res *Accepted, err error)
@@ -65,7 +67,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [12]string{"put", "get", "list", "history", "settle", "audit", "status", "drain", "put_organisation", "remove_organisation", "settle_organisation", "list_organisations"}
+var MethodNames = [13]string{"put", "get", "list", "history", "settle", "audit", "status", "drain", "evacuate", "put_organisation", "remove_organisation", "settle_organisation", "list_organisations"}
 
 // Accepted is the result type of the operator service put method.
 type Accepted struct {
@@ -97,7 +99,7 @@
 	ChangeID string
 	Who      string
 	When     string
-	// document, drain, organisation, order or settled
+	// document, drain, evacuation, organisation, order or settled
 	What string
 	// Service, backend server or organisation
 	Name        string
@@ -116,6 +118,15 @@
 	ChangeID string
 }
 
+// EvacuatePayload is the payload type of the operator service evacuate method.
+type EvacuatePayload struct {
+	Token         *string
+	FailureDomain string
+	// End the evacuation
+	End      bool
+	ChangeID string
+}
+
 type Finding struct {
 	File    string
 	Line    int
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -32,7 +32,7 @@
 		scheme, host = parsed.Scheme, parsed.Host
 	}
 	c := operatorhttp.NewClient(scheme, host, newDoer(network, tlsConfig), goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
-	return operator.NewClient(c.Put(), c.Get(), c.List(), c.History(), c.Settle(), c.Audit(), c.Status(), c.Drain(),
+	return operator.NewClient(c.Put(), c.Get(), c.List(), c.History(), c.Settle(), c.Audit(), c.Status(), c.Drain(), c.Evacuate(),
 		c.PutOrganisation(), c.RemoveOrganisation(), c.SettleOrganisation(), c.ListOrganisations())
 }
 
