--- a/allocation/cold_test.go
+++ b/allocation/cold_test.go
@@ -24,7 +24,7 @@
 	coldBound     = coldRate*1.5 + 5 // of all hosts together
 	coldHosts     = 24
 	coldHostsLost = 8    // decide by themselves
-	coldPerSecond = 2000 // generations
+	coldArrivals  = 2000 // generations
 	coldRunsFor   = 150  // ms
 	coldSeconds   = 3.0  // that the domain stays cold
 	coldStepMs    = 10
@@ -104,7 +104,7 @@
 		is := is.New(t)
 		f := newColdFleet()
 		for step := range int(coldSeconds * 1000 / coldStepMs) {
-			for i := range coldPerSecond * coldStepMs / 1000 {
+			for i := range coldArrivals * coldStepMs / 1000 {
 				f.place((step*7+i*5)%coldHosts, fmt.Sprintf("r%d-%d", step, i))
 			}
 			time.Sleep(coldStepMs * time.Millisecond)
