Hosts heed what plain servers say of their load

Cause: each host knows only its own calls to a plain server. Change: answers carry how many requests the server has (X-Server-Load); for 300 ms a host counts those if they are more than its own, so that the bound on what waits at a server (QueueShare) holds for all hosts together.

--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -45,6 +45,16 @@
 	return candidates
 }
 
+// saidLoad is what a server said of its load.
+type saidLoad struct {
+	requests int // that run or wait
+	at       time.Time
+}
+
+// saidLifetime is how long a plain server's word on its load counts: a queue
+// that was full is worked off by then.
+const saidLifetime = 300 * time.Millisecond
+
 func (e *entry) candidate(s *service, domain string, now time.Time) placement.Candidate {
 	c := placement.Candidate{
 		ID: e.server.ID, SameDomain: e.server.Domain == domain, Slots: e.server.Slots, MemoryTokens: s.memoryTokens,
@@ -53,6 +63,9 @@
 	load := e.ownLoad()
 	load.add(e.othersLoad(now))
 	c.Running, c.HeldTokens, c.UsedTokens = load.Requests, load.HeldTokens, load.UsedTokens
+	if s.memoryTokens == 0 && now.Sub(e.said.at) < saidLifetime {
+		c.Running = max(c.Running, e.said.requests)
+	}
 	c.UnreadTokens, c.BriefUnreadTokens = load.UnreadTokens, load.BriefUnreadTokens
 	return c
 }
--- /dev/null
+++ b/fleet/said_test.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/placement"
+)
+
+// The load that is replayed: 72 hosts call two plain servers of 6 places each,
+// as the third one is away, and calls come a tenth faster than they answer.
+const (
+	saidHosts    = 72
+	saidServers  = 2
+	saidSlots    = 6
+	saidQueue    = 24
+	saidWork     = 32 * time.Millisecond
+	saidGoal     = 150 * time.Millisecond
+	saidPerStep  = 0.42 // calls a ms
+	saidSteps    = 4000 // of a ms
+	saidWaitMost = 19   // ms that a call waits for a place
+)
+
+// saidServer is a plain server: the times at which its requests end.
+type saidServer struct{ ends []time.Time }
+
+// take lets a call in, and returns when it ends; false: the server is full.
+func (s *saidServer) take(now time.Time) (ends time.Time, ok bool) {
+	s.ends = slices.DeleteFunc(s.ends, func(end time.Time) bool { return !now.Before(end) })
+	if len(s.ends) >= saidSlots+saidQueue {
+		return time.Time{}, false
+	}
+	begins := now
+	if n := len(s.ends); n >= saidSlots {
+		begins = s.ends[n-saidSlots]
+	}
+	s.ends = append(s.ends, begins.Add(saidWork))
+	return begins.Add(saidWork), true
+}
+
+// load is what the server says at a moment.
+func (s *saidServer) load(now time.Time) int {
+	left := 0
+	for _, end := range s.ends {
+		if now.Before(end) {
+			left++
+		}
+	}
+	return left
+}
+
+type saidCall struct {
+	host    int
+	arrived time.Time
+}
+
+// saidReplay is the fleet that is replayed.
+type saidReplay struct {
+	random  *rand.Rand
+	servers map[string]*saidServer
+	tables  []*Table
+	told    bool // hosts heed what servers say
+	came    int
+	onTime  int
+}
+
+func newSaidReplay(told bool) *saidReplay {
+	r := &saidReplay{random: rand.New(rand.NewPCG(1, 1)), servers: map[string]*saidServer{}, told: told}
+	for h := range saidHosts {
+		table := NewTable(fmt.Sprintf("h%d", h), zap.NewNop())
+		for s := range saidServers {
+			id := fmt.Sprintf("s%d", s)
+			table.Put(Server{ID: id, Service: "plain", Address: id, Domain: "d", Slots: saidSlots})
+			r.servers[id] = &saidServer{}
+		}
+		r.tables = append(r.tables, table)
+	}
+	return r
+}
+
+// send sends a call if there is a place, as far as its host knows.
+func (r *saidReplay) send(c saidCall) bool {
+	table := r.tables[c.host]
+	candidates := table.Candidates("plain", "d")
+	i := placement.Pick(placement.Need{}, candidates, placement.DefaultLimits, r.random.IntN)
+	if i < 0 {
+		return false
+	}
+	server := r.servers[candidates[i].ID]
+	ends, ok := server.take(time.Now())
+	if !ok {
+		return true // refused by the server
+	}
+	if ends.Sub(c.arrived) <= saidGoal {
+		r.onTime++
+	}
+	work := table.Begin(candidates[i].ID, Work{}, false)
+	time.AfterFunc(time.Until(ends), func() {
+		if r.told {
+			work.Says(server.load(time.Now()))
+		}
+		work.End()
+	})
+	return true
+}
+
+func (r *saidReplay) play() {
+	var waiting []saidCall
+	for range saidSteps {
+		if r.random.Float64() < saidPerStep {
+			r.came++
+			waiting = append(waiting, saidCall{r.random.IntN(saidHosts), time.Now()})
+		}
+		waiting = slices.DeleteFunc(waiting, func(c saidCall) bool {
+			return r.send(c) || time.Since(c.arrived) >= saidWaitMost*time.Millisecond
+		})
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+	}
+	time.Sleep(time.Second) // the last ones end
+}
+
+func TestCallsKeepOutOfFullQueues(t *testing.T) {
+	// One of three plain servers is away. Every host thinks that the others are
+	// empty, their queues fill up, and nearly every call that is answered is
+	// late. With the servers' own word on their load most are on time.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		heeded, blind := newSaidReplay(true), newSaidReplay(false)
+		heeded.play()
+		blind.play()
+		t.Logf("%d came, %d on time; %d without the servers' word", heeded.came, heeded.onTime, blind.onTime)
+		is.True(heeded.onTime*100 > heeded.came*80) // two servers answer 89 in 100
+		is.True(heeded.onTime > blind.onTime)
+	})
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -61,7 +61,8 @@
 	unnamed        bool        // its entry cannot be read
 	slowUntil      time.Time   // it is cold
 	starts         []time.Time // of requests that this host sent or placed there, in the last coldWindow
-	unreachable    time.Time   // until then it gets no work
+	said           saidLoad
+	unreachable    time.Time // until then it gets no work
 	health         health
 	pace           pace
 	evidence       Evidence             // of this host, since it was told
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -46,6 +46,9 @@
 	Leaving bool
 	// Whole says that the answer carries the server's mark of a complete one.
 	Whole bool
+	// Load is how many requests the server says it has, running and waiting;
+	// nil: it does not say.
+	Load *int
 }
 
 // Copied is the result of copying a run's memory.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -104,6 +104,9 @@
 	}
 	defer reply.Body.Close()
 	t.sends++
+	if reply.Load != nil {
+		work.Says(*reply.Load)
+	}
 	if !t.took(work, reply) {
 		return t.notRun(reply)
 	}
