Evidence of plain servers is shared

Cause: a plain server that goes down and up refuses at once and looks idle. Change: reports to the allocator of the own part carry how calls to plain servers ended beside the engines' evidence; a failure without an answer is told at once. A server's own failure (5xx) is an answer: it makes its health worse, and shuns nobody. Ruled out: each host resting after its own broken call (72 hosts fail once each all the same), taking such servers out of use (there may be no other), reports for plain services of their own (360 more messages a second at 72 hosts).

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -161,6 +161,61 @@
 	is.Equal(at.Leaving(llm), []fleet.Life{{ID: "e1"}})
 }
 
+func TestPlainServerThatFailsSeveralHostsIsShunned(t *testing.T) {
+	// One of three plain servers goes down and up. It refuses at once, so that
+	// its load looks low; each of 72 hosts found out by a call of its own, which
+	// may not be repeated: 113 acknowledgements failed in five seconds.
+	is := is.New(t)
+	at, from := engines("a", "e1"), engines("b", "e1")
+	for _, table := range []*fleet.Table{at, from} {
+		table.Put(fleet.Server{ID: "p1", Service: "plain", Address: "p1", Domain: "d", Slots: 6})
+		table.Put(fleet.Server{ID: "p2", Service: "plain", Address: "p2", Domain: "d", Slots: 6})
+	}
+	_, _, client := pair(t, at, from)
+	report := func() {
+		calls, _ := from.TakeCallEvidence()
+		is.True(client.report(context.Background(), Whole(llm), nil, calls))
+	}
+	doubtful := func(table *fleet.Table) (ids []string) {
+		for _, c := range table.Candidates("plain", "d") {
+			if c.Doubtful {
+				ids = append(ids, c.ID)
+			}
+		}
+		return ids
+	}
+	at.Witness("other", "p1", fleet.Evidence{Failed: 1})
+	report()
+	is.Equal(len(doubtful(from)), 0) // one host may be cut off itself
+	work := from.Begin("p1", fleet.Work{ID: "r1"}, false)
+	work.Outcome(true)
+	select {
+	case <-from.OwnChanged():
+	default:
+		t.Fatal("a failure has to be told at once")
+	}
+	report()
+	is.Equal(doubtful(at), []string{"p1"})
+	is.Equal(doubtful(from), []string{"p1"}) // the answer says so
+	is.Equal(len(from.Candidates("plain", "d")), 2)
+}
+
+func TestOwnFailuresOfPlainServersShunNone(t *testing.T) {
+	// A plain service answers 14 in 100 of its calls with a failure of its own.
+	// Two hosts with such answers in a row must not take a server out of use.
+	is := is.New(t)
+	table := engines("a", "e1")
+	table.Put(fleet.Server{ID: "p1", Service: "plain", Address: "p1", Domain: "d", Slots: 6})
+	for range 3 {
+		table.Begin("p1", fleet.Work{}, false).AnsweredBadly()
+	}
+	calls, failed := table.TakeCallEvidence()
+	is.True(!failed)
+	is.Equal(calls, map[string]fleet.Evidence{"p1": {Answered: 3}})
+	table.Witness("other", "p1", fleet.Evidence{Failed: 1})
+	is.Equal(len(table.Shunned()), 0)
+}
+
 func TestTurnsOverTheWire(t *testing.T) {
 	is := is.New(t)
 	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
--- a/allocation/report.go
+++ b/allocation/report.go
@@ -71,23 +71,37 @@
 		if refresh {
 			at = time.Now()
 		}
+		calls, failed := c.fleet.TakeCallEvidence()
 		for service, loads := range c.fleet.OwnGenerations() {
 			evidence := c.fleet.TakeEvidence(service)
 			cut := c.cut(service)
 			home := cut.partOf(c.domain, c.host)
 			for _, part := range cut.parts() {
-				c.reportPart(ctx, part, held(c.fleet, part, loads), held(c.fleet, part, evidence), refresh && part == home, reported)
+				seen, due := held(c.fleet, part, evidence), false
+				if part == home {
+					seen, due = merged(seen, calls), refresh || failed
+					calls = nil // told once, whichever service's allocator hears of them
+				}
+				c.reportPart(ctx, part, held(c.fleet, part, loads), seen, due, reported)
 			}
 		}
 	}
 	return ctx.Err()
 }
 
+// merged returns what either map holds.
+func merged(a, b map[string]fleet.Evidence) map[string]fleet.Evidence {
+	all := maps.Clone(a)
+	maps.Copy(all, b)
+	return all
+}
+
 // reportPart reports where there is something to tell, or to hear: with work
-// there, the answer says which servers leave; at a refresh this host's own part
-// tells it of the newest configuration.
-func (c *Client) reportPart(ctx context.Context, part Part, loads map[string]fleet.Load, evidence map[string]fleet.Evidence, refresh bool, reported map[Part]bool) {
-	if len(loads) == 0 && len(evidence) == 0 && !reported[part] && !refresh {
+// there, the answer says which servers leave; where it is due, this host's own
+// part tells it of the newest configuration. How calls ended is told beside
+// other things, and for itself only where one failed.
+func (c *Client) reportPart(ctx context.Context, part Part, loads map[string]fleet.Load, evidence map[string]fleet.Evidence, due bool, reported map[Part]bool) {
+	if len(loads) == 0 && len(evidence) == 0 && !reported[part] && !due {
 		return
 	}
 	// Where a report is lost its evidence is too; what goes on failing makes
@@ -184,6 +198,9 @@
 	if revision := response.GetEvacuationRevision(); revision > 0 && c.ToldEvacuated != nil {
 		c.ToldEvacuated(allocator, revision)
 	}
+	for _, rest := range response.GetShunned() {
+		c.fleet.Shun(fleet.Life{ID: rest.GetServer(), Born: rest.GetBorn()}, time.Duration(rest.GetLeftMs())*time.Millisecond)
+	}
 	if ms := response.GetUndisturbedMs(); ms > 0 {
 		c.toldDisturbed(time.Duration(ms) * time.Millisecond)
 	}
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -85,6 +85,9 @@
 			response.Leaving = append(response.Leaving, &allocationpb.ServerLife{Server: life.ID, Born: life.Born})
 		}
 	}
+	for life, left := range s.allocator.fleet.Shunned() {
+		response.Shunned = append(response.Shunned, &allocationpb.ServerRest{Server: life.ID, Born: life.Born, LeftMs: uint32(left.Milliseconds())})
+	}
 	if s.allocator.Undisturbed != nil {
 		response.UndisturbedMs = uint32(min(s.allocator.Undisturbed(), time.Hour).Milliseconds())
 	}
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -58,7 +58,7 @@
 func (e *entry) candidate(s *service, domain string, now time.Time) placement.Candidate {
 	c := placement.Candidate{
 		ID: e.server.ID, SameDomain: e.server.Domain == domain, Slots: e.server.Slots, MemoryTokens: s.memoryTokens,
-		Doubtful: e.health.doubtful, Slow: now.Before(e.slowUntil), Pace: e.pace.least,
+		Doubtful: e.health.doubtful || now.Before(e.shunnedUntil), Slow: now.Before(e.slowUntil), Pace: e.pace.least,
 	}
 	load := e.ownLoad()
 	load.add(e.othersLoad(now))
--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -36,7 +36,9 @@
 		e.evidence.Answered++
 	}
 	t.witness(e, t.host, failed)
-	t.ownChanged(e)
+	if failed || t.isEngine(e) {
+		t.tellOwn()
+	}
 }
 
 // TakeEvidence returns how this host's requests to the servers of a service
@@ -44,8 +46,13 @@
 func (t *Table) TakeEvidence(service string) map[string]Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return takeEvidence(t.service(service))
+}
+
+// takeEvidence is called with the table's mu held.
+func takeEvidence(s *service) map[string]Evidence {
 	taken := map[string]Evidence{}
-	for _, e := range t.service(service).members {
+	for _, e := range s.members {
 		if e.evidence == (Evidence{}) {
 			continue
 		}
@@ -56,6 +63,47 @@
 	return taken
 }
 
+// TakeCallEvidence returns how this host's calls to plain servers ended since it
+// was called last, and whether any of them failed.
+func (t *Table) TakeCallEvidence() (taken map[string]Evidence, failed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	taken = map[string]Evidence{}
+	for _, s := range t.services {
+		if s.memoryTokens > 0 {
+			continue
+		}
+		for id, evidence := range takeEvidence(s) {
+			taken[id] = evidence
+			failed = failed || evidence.Failed > 0
+		}
+	}
+	return taken, failed
+}
+
+// Shunned returns the plain servers at which calls of several hosts failed, and
+// for how much longer they get calls only where no other server has a place.
+func (t *Table) Shunned() map[Life]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	shunned, now := map[Life]time.Duration{}, time.Now()
+	for _, e := range t.servers {
+		if left := e.shunnedUntil.Sub(now); left > 0 && !t.isEngine(e) {
+			shunned[e.server.Life()] = left
+		}
+	}
+	return shunned
+}
+
+// Shun takes in another host's word that a plain server is shunned.
+func (t *Table) Shun(life Life, left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entryOf(life); e != nil && !t.isEngine(e) {
+		e.shunnedUntil = time.Now().Add(min(left, avoidedFor))
+	}
+}
+
 // Witness takes in what another entry host's requests to a server came to.
 func (t *Table) Witness(host, server string, evidence Evidence) {
 	t.mu.Lock()
@@ -93,14 +141,25 @@
 			delete(e.witnesses, other)
 		}
 	}
-	if len(e.witnesses) < witnessesNeeded || now.Before(e.unreachable) {
+	rest := e.restOf(t.isEngine(e))
+	if len(e.witnesses) < witnessesNeeded || now.Before(*rest) {
 		return
 	}
-	e.unreachable = now.Add(avoidedFor)
+	*rest = now.Add(avoidedFor)
 	t.logger.Warn(msgAvoided, zap.String("server", e.server.ID), zap.String("address", e.server.Address),
 		zap.Strings("witnesses", slices.Sorted(maps.Keys(e.witnesses))), zap.Duration("for", avoidedFor))
 }
 
+// restOf returns until when the server rests after failures of several hosts. An
+// engine gets nothing then; plain servers are few, and one that rests still
+// gets calls where no other has a place.
+func (e *entry) restOf(engine bool) *time.Time {
+	if engine {
+		return &e.unreachable
+	}
+	return &e.shunnedUntil
+}
+
 // Avoided returns the IDs of the servers of a service that get no work of this
 // host now, as they took no connection of it or failed.
 func (t *Table) Avoided(service string) []string {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -62,6 +62,7 @@
 	slowUntil      time.Time   // it is cold
 	starts         []time.Time // of requests that this host sent or placed there, in the last coldWindow
 	said           saidLoad
+	shunnedUntil   time.Time // until then it gets calls only where no other has a place
 	unreachable    time.Time // until then it gets no work
 	health         health
 	pace           pace
@@ -303,11 +304,18 @@
 // host has had its first token or has ended.
 func (t *Table) OwnChanged() <-chan struct{} { return t.own }
 
+// isEngine is called with mu held.
+func (t *Table) isEngine(e *entry) bool { return t.service(e.server.Service).memoryTokens > 0 }
+
 // ownChanged is called with mu held. Only engines' work is told to others.
 func (t *Table) ownChanged(e *entry) {
-	if t.service(e.server.Service).memoryTokens == 0 {
-		return
+	if t.isEngine(e) {
+		t.tellOwn()
 	}
+}
+
+// tellOwn has what this host knows of its own work told to others soon.
+func (t *Table) tellOwn() {
 	select {
 	case t.own <- struct{}{}:
 	default:
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -174,6 +174,15 @@
 	w.table.noteOwn(w.entry, failed)
 }
 
+// AnsweredBadly takes in that the server answered a request with a failure of
+// its own. Its health is the worse for it, but the server is there.
+func (w *Work) AnsweredBadly() {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.table.judge(w.entry, true)
+	w.table.noteOwn(w.entry, false)
+}
+
 // ownLoad is called with the table's mu held.
 func (e *entry) ownLoad() Load {
 	var load Load
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -116,7 +116,11 @@
 		return t.mayHaveRun(ctx, ReasonBroken)
 	}
 	failing := reply.Status >= http.StatusInternalServerError
-	work.Outcome(failing)
+	if failing {
+		work.AnsweredBadly()
+	} else {
+		work.Outcome(false)
+	}
 	answer := Outcome{Status: reply.Status, Header: reply.Header, Body: body, Complete: true}
 	if reply.Status < http.StatusMultipleChoices && !reply.Whole {
 		return t.mayHaveRun(ctx, ReasonBroken)
