--- a/allocation/report.go
+++ b/allocation/report.go
@@ -30,7 +30,7 @@
 	refreshInterval = 700 * time.Millisecond
 	// leavingKept is for how long the list of leaving servers is not asked for
 	// again. An entry that is older than the list may have undone a part of it
-	// here. The list was most of the bytes of reports: 430 in an answer.
+	// here. The list is most of the bytes of reports.
 	leavingKept = 3 * time.Second
 )
 
@@ -128,8 +128,7 @@
 // pause waits until the next report is due: at once when this host's work has
 // changed, else after the interval.
 //
-// Without changes at once an allocator of 91 hosts held engines for full that
-// had room for 140 ms on average after a generation had ended.
+// Without changes at once an allocator holds engines for full that have room.
 func (c *Client) pause(ctx context.Context, changes *rate.Limiter) error {
 	if err := sleep.For(ctx, reportGap); err != nil {
 		return err
--- a/allocation/view.go
+++ b/allocation/view.go
@@ -12,8 +12,7 @@
 // who decides. It is worked out anew when the members change.
 //
 // The load it answers: each host looks at it some hundred times a second, and
-// to rank 150 hosts takes 0.1 ms. Worked out each time, a calm day of 150 hosts
-// took 237 s of processor time instead of 91.
+// ranking all hosts each time takes more processor time than all else.
 type view struct {
 	generation uint64
 	members    []peer.Member
--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -125,10 +125,9 @@
 //
 // Failure: an engine crashes and all its generations end at once. To an
 // allocator it looks like the emptiest of all, and the next generations go
-// there one after the other until its entry is gone seconds later: of 875 long
-// ones on a day with crashes 49 were lost, and 17 where the allocator heard late
-// that the crashed engine's had ended. A server is avoided once requests of two hosts
-// failed there without an answer to anybody between.
+// there one after the other until its entry is gone seconds later. A server is
+// avoided once requests of two hosts failed there without an answer to anybody
+// between.
 func (t *Table) witness(e *entry, host string, failed bool) {
 	if !failed {
 		clear(e.witnesses)
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -5,9 +5,8 @@
 const (
 	// outcomeWeight is the weight of the newest outcome in the failure rate.
 	outcomeWeight = 0.15
-	// doubtfulAbove and trustedBelow are failure rates. The sites' plain
-	// services fail 14 in 100 of their calls by themselves; faulty servers
-	// fail 40 and more.
+	// doubtfulAbove and trustedBelow are failure rates. Services fail some of
+	// their calls by themselves.
 	doubtfulAbove = 0.4
 	trustedBelow  = 0.2
 )
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -16,8 +16,7 @@
 	// maxDials bounds how many servers one request finds unreachable before
 	// it is refused.
 	maxDials = 3
-	// maxAnswerBytes bounds an answer that is held whole before it is passed
-	// on; those of the sites are below 5 KB.
+	// maxAnswerBytes bounds an answer that is held whole before it is passed on.
 	maxAnswerBytes = 8 << 20
 	// firstTryShare is the part of an idempotent call's time that its first
 	// server gets, where a second may be tried: a hung server costs half of
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes bounds one event; those of the sites are below 2 KB.
+// maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
 
 var errEventTooLarge = errors.New("gateway: event too large")
--- a/gatewayhost/boot.go
+++ b/gatewayhost/boot.go
@@ -29,9 +29,8 @@
 // boot reads the store once, cheaply, and ends the time in which this host
 // follows nobody: after its first exchange with a peer, or bootWait.
 //
-// The load it answers: all hosts of a large fleet start together. Each saw
-// nobody but itself and watched the store until it had met the others; of
-// 1,750 calls that 150 hosts made in 48 s 600 were of their first second. What
+// The load it answers: all hosts of a large fleet start together. Each sees
+// nobody but itself and would watch the store until it has met the others. What
 // is read may be seconds old: nothing is denied by it until a newer word
 // confirms it, and peers bring what has changed since.
 func (h *Host) boot(ctx context.Context) error {
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -39,8 +39,7 @@
 	configurationSpacing = 100 * time.Millisecond
 	// serversSpacing does the same for servers that are replaced. The watchers
 	// of all failure domains do not wait at the same time and tell each other,
-	// and a server that leaves gives notice of 1.5 s at least: with 500 ms as
-	// many generations were saved as with 250 ms on a fleet of 150 hosts.
+	// and a server that leaves gives notice of 1.5 s at least.
 	serversSpacing = 400 * time.Millisecond
 	// storeBackoff and storeBackoffMax space the tries while the store is
 	// away. A host that is cut off from all others tries too, and on some days
--- a/gatewayhost/stop.go
+++ b/gatewayhost/stop.go
@@ -38,8 +38,8 @@
 // finishes what it has read.
 //
 // Failure: all hosts are stopped in turn, one each second, and each has
-// generations that run for the whole grace. For three seconds no host took a
-// connection, and 138 of 181 requests failed. A host therefore goes on taking
+// generations that run for the whole grace. For seconds no host takes a
+// connection, and most requests fail. A host therefore goes on taking
 // what ends before it does for as long as generations keep it alive.
 func (h *Host) stop(callers *http.Server) {
 	h.logger.Info(MsgStopping)
--- a/migration/queue.go
+++ b/migration/queue.go
@@ -2,12 +2,10 @@
 // servers that are leaving, and where to. It does no input or output.
 //
 // The load it answers: an engine with four to ten generations of some 3,500
-// tokens is reclaimed with about two seconds of notice, two engines at a time.
-// One copy takes some 190 ms on a free link, twice as long between failure
-// domains. Copies that run at the same time queue behind each other, and so
-// does the last, short increment of each move, during which the stream stands
-// still: 200 to 900 ms were measured where each host moved by itself, 10 ms on
-// a free link.
+// tokens is reclaimed with about two seconds of notice, several engines at a
+// time. Copies that run at the same time queue behind each other, and so does
+// the last, short increment of each move, during which the stream stands still:
+// for most of a second where each host moves its runs by itself.
 package migration
 
 import (
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -155,8 +155,8 @@
 // Failure: a host takes in an object before an earlier one written elsewhere,
 // so "newer than my version" would skip the earlier one for good. It shows as
 // digests that still differ after such an answer. Asking object by object has
-// no gaps, and is done only then: the names of 150 objects were four fifths of
-// the bytes of a change on a fleet of 100 hosts.
+// no gaps, and is done only then: the names of all objects are most of the bytes
+// of a change.
 func have(table ConfigurationTable) []*peerpb.ObjectVersion {
 	objects := table.Since(0)
 	list := make([]*peerpb.ObjectVersion, 0, len(objects))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -81,15 +81,9 @@
 
 // DefaultLimits keep 6% of the memory free of promises, promise 2% too much to
 // callers that have come back, and let a plain server have two requests waiting
-// for each that it runs. Estimates of length are off by a
-// factor of three, and what overflows stops a stream for a second and is read
-// again. On overloaded days 77.0 of 100 long generations and 91.2 of 100 brief
-// ones were on time with the whole memory promised (78 preemptions a day), 79.7
-// and 93.6 with 96% (53), 79.5 and 94.7 with 92% (48).
-//
-// Of prompts an engine may have 0.8 s of reading before it; the shortest goal
-// is 1.5 s. Of 1,042 long generations on an overloaded day 619 were on time
-// without this bound, 734 with 8,000 tokens and 745 with 5,500.
+// for each that it runs. Estimates of length are off by a factor of three, and
+// what overflows stops a stream for a second and is read again. Of prompts an
+// engine may have 0.8 s of reading before it.
 var DefaultLimits = Limits{Memory: 0.94, ReturningMemory: 1.02, UnreadTokens: 5500, QueueShare: 2}
 
 const (
@@ -106,24 +100,19 @@
 	// generations: chunks of 112 tokens, one each step of 15 to 17 ms.
 	readTokensPerMs = 7.0
 	// patienceMs is the wait for the first token that weighs as much as a
-	// full engine: half of the shortest goal of the sites, as the slowest
-	// engines read a third more slowly than the others.
+	// full engine.
 	patienceMs = 750.0
 	// otherDomainCost ranks a server in another failure domain below one
 	// that is fuller by this share: bytes between domains cost more than
 	// small differences of load, and less than large ones.
 	otherDomainCost = 0.1
 	// otherDomainTokenCost adds to it for each token that is expected: a token
-	// takes some 100 bytes on its way to the caller, a prompt's one. In the
-	// replay of 120 engines in five domains 98 in 100 long generations stay in
-	// theirs with it, 38 without.
+	// takes some 100 bytes on its way to the caller, a prompt's one.
 	otherDomainTokenCost = 0.001
 	// slowCost does the same for a server that has just started.
 	slowCost = 0.5
 	// paceCost ranks an engine that takes twice as long for a token, for long
-	// generations, like one that is fuller by this share. Engines of a site
-	// differ by 30%: one that is full to six tenths and fast goes before one
-	// that is full to a third and slow.
+	// generations, like one that is fuller by this share.
 	paceCost = 0.8
 	// briefPaceGain is what brief generations weigh it the other way round, so
 	// that their prompts are read where they slow no long ones down.
