--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -302,7 +302,7 @@
 			Verified: func() time.Duration { return verifyAfter },
 			Ask: func(_ context.Context, server fleet.Server) (fleet.OwnWord, error) {
 				asked.Add(1)
-				return fleet.OwnWord{Leaves: server.ID == "e2"}, nil
+				return fleet.OwnWord{Leaves: server.ID == "e2", ColdFor: time.Second}, nil
 			},
 		}
 		ctx, stop := context.WithCancel(context.Background())
@@ -310,6 +310,7 @@
 		time.Sleep(checkInterval + time.Millisecond)
 		synctest.Wait()
 		is.Equal(table.Leaving(llm), []fleet.Life{{ID: "e2"}})
+		is.True(table.Candidates(llm, "d")[0].Slow) // e1 says that it is cold
 		away.Store(false)
 		before := asked.Load()
 		time.Sleep(time.Second)
--- a/allocation/cold_test.go
+++ b/allocation/cold_test.go
@@ -120,6 +120,19 @@
 	})
 }
 
+func TestSharesOfColdServersAddUp(t *testing.T) {
+	// Each host that decides by itself believes that what a cold server bears is
+	// its own to spend; together they crash it.
+	is := is.New(t)
+	f := newColdFleet()
+	all := 0.0
+	for _, c := range f.clients {
+		all += c.coldShare(Whole(llm))
+	}
+	is.True(all <= 1)
+	is.True(all > 0.9)
+}
+
 // mostInASecond returns how many of the times lie within one second at most.
 func mostInASecond(times []time.Time) (most int) {
 	for i, begin := range times {
--- a/gatewayhost/evacuation_test.go
+++ b/gatewayhost/evacuation_test.go
@@ -58,6 +58,26 @@
 	})
 }
 
+func TestHostThatStartsKnowsEvacuations(t *testing.T) {
+	// A host starts while a failure domain is evacuated, and meets no peer yet.
+	// It serves by what the store had a moment ago, and that has the order.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		memory := store.NewMemory()
+		_, err := memory.Put(ctx, kindOfServers, "i-1", []byte("ready"), 0)
+		is.NoErr(err)
+		evacuate(ctx, is, memory, true)
+		f := startFleet(ctx, 1, memory)
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(len(f.hosts[0].fleet.Usable("s")), 1)
+		is.Equal(f.using(), 0)
+		stop()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
 func TestEvacuationOutlivesItsWatchers(t *testing.T) {
 	// A failure domain is evacuated and the store goes down. All hosts that
 	// watched it are turned away; those that start now know what their peers
