fleet: an older entry does not end what is known of a cold server

Cause: found by reading: the next entry of a server, written before it became cold, took back that its domain had just returned or that it had said itself that it is cold, so that nothing bounded what it got. Change: what the server says itself, or what may be expected of it, is kept beside what its entry says; either makes it cold. Test: TestReturnedDomainCountsAsCold gets such an entry; it failed before.

--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -39,32 +39,22 @@
 			continue
 		}
 		c := e.candidate(s, q.Domain, now)
-		c.ColdFull = s.coldRate > 0 && now.Before(e.slowUntil) && e.coldFull(t.host, s.coldRate*q.ColdShare, now)
+		c.ColdFull = s.coldRate > 0 && c.Slow && e.coldFull(t.host, s.coldRate*q.ColdShare, now)
 		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
-// saidLoad is what a server said of its load.
-type saidLoad struct {
-	requests int // that run or wait
-	at       time.Time
-}
-
-// saidLifetime is how long a plain server's word on its load counts: a queue
-// that was full is worked off by then.
-const saidLifetime = 300 * time.Millisecond
-
 func (e *entry) candidate(s *service, domain string, now time.Time) placement.Candidate {
 	c := placement.Candidate{
 		ID: e.server.ID, SameDomain: e.server.Domain == domain, Slots: e.server.Slots, MemoryTokens: s.memoryTokens,
-		Doubtful: e.health.doubtful || now.Before(e.shunnedUntil), Slow: now.Before(e.slowUntil), Pace: e.pace.least,
+		Doubtful: e.health.doubtful || now.Before(e.shunnedUntil), Slow: e.cold(now), Pace: e.pace.least,
 	}
 	load := e.ownLoad()
 	load.add(e.othersLoad(now))
 	c.Running, c.HeldTokens, c.UsedTokens = load.Requests, load.HeldTokens, load.UsedTokens
-	if s.memoryTokens == 0 && now.Sub(e.said.at) < saidLifetime {
-		c.Running = max(c.Running, e.said.requests)
+	if s.memoryTokens == 0 {
+		c.Running = max(c.Running, e.said.counting(now))
 	}
 	c.UnreadTokens, c.BriefUnreadTokens = load.UnreadTokens, load.BriefUnreadTokens
 	return c
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -31,13 +31,16 @@
 	}
 }
 
-// coldFor makes the server count as cold for so long at least.
+// coldFor makes the server count as cold for so long at least, whatever its
+// entry says, which may be older.
 func (e *entry) coldFor(left time.Duration) {
-	if until := time.Now().Add(min(left, mostCold)); until.After(e.slowUntil) {
-		e.slowUntil = until
+	if until := time.Now().Add(min(left, mostCold)); until.After(e.coldUntil) {
+		e.coldUntil = until
 	}
 }
 
+func (e *entry) cold(now time.Time) bool { return now.Before(e.slowUntil) || now.Before(e.coldUntil) }
+
 // noteStart counts a request that is sent to the server. Called with mu held.
 func (e *entry) noteStart(now time.Time) {
 	e.dropStarts(now)
--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -68,6 +68,8 @@
 		is.True(!candidate(table, "b", 1).ColdFull)
 		time.Sleep(coldWindow + time.Millisecond)
 		is.True(!candidate(table, "a", 1).ColdFull)
+		table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24}) // an older word of it
+		is.True(candidate(table, "a", 1).Slow)
 		time.Sleep(returnedCold)
 		for i := range 20 {
 			table.Begin("a", Work{ID: fmt.Sprint(i)}, false)
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -60,7 +60,8 @@
 	removed        bool
 	unnamed        bool        // its entry cannot be read
 	evacuated      bool        // its failure domain is
-	slowUntil      time.Time   // it is cold
+	slowUntil      time.Time   // it is cold, as its entry says
+	coldUntil      time.Time   // the same, as it says itself or may be expected
 	starts         []time.Time // of requests that this host sent or placed there, in the last coldWindow
 	said           saidLoad
 	shunnedUntil   time.Time // until then it gets calls only where no other has a place
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -147,18 +147,6 @@
 // lost then.
 func (w *Work) Life() context.Context { return w.entry.life }
 
-// Says takes in how many requests the work's server says it has.
-//
-// The load it answers: one of three plain servers is away and calls come faster
-// than the others answer. Each of 72 hosts has one call there at a time and
-// takes the servers for empty; they stand at the ends of full queues, where
-// every call is late.
-func (w *Work) Says(requests int) {
-	w.table.mu.Lock()
-	defer w.table.mu.Unlock()
-	w.entry.said = saidLoad{requests, time.Now()}
-}
-
 // Unreachable notes that the work's server took no connection.
 func (w *Work) Unreachable() {
 	w.table.mu.Lock()
