--- a/fleet/said_test.go
+++ b/fleet/said_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,10 +30,15 @@
 )
 
 // saidServer is a plain server: the times at which its requests end.
-type saidServer struct{ ends []time.Time }
+type saidServer struct {
+	mu   sync.Mutex // guards ends
+	ends []time.Time
+}
 
 // take lets a call in, and returns when it ends; false: the server is full.
 func (s *saidServer) take(now time.Time) (ends time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.ends = slices.DeleteFunc(s.ends, func(end time.Time) bool { return !now.Before(end) })
 	if len(s.ends) >= saidSlots+saidQueue {
 		return time.Time{}, false
@@ -47,6 +53,8 @@
 
 // load is what the server says at a moment.
 func (s *saidServer) load(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	left := 0
 	for _, end := range s.ends {
 		if now.Before(end) {
