gatewayhost: a configuration found by asking hides no missed change

Cause: found by reading: what the allocator finds by asking raises the newest revision that it knows, so that changes of servers that its deaf watches missed before it were not noticed until the next change of another kind. Change: followers say how far the store's own answers brought them; a watch on configurations that lacks what was found by asking has everything listed anew. Test: TestDeafWatchesAreNoticedBesideAConfiguration; it failed before.

--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -91,36 +91,50 @@
 	if err != nil {
 		return err
 	}
-	if !slices.ContainsFunc(objects, func(o store.Object) bool { return o.Name == h.options.Objects.ConfigurationName }) {
+	i := slices.IndexFunc(objects, func(o store.Object) bool { return o.Name == h.options.Objects.ConfigurationName })
+	if i < 0 {
 		return store.ErrNoObject
 	}
+	there := seen{revision, objects[i].Version}
+	missed := h.misses(there)
 	h.table.Adopt(objects)
 	h.confirmed.Mark(asked)
-	if revision > h.reached() && h.watch.Watches() && h.comparing.CompareAndSwap(false, true) {
-		go h.compare(revision)
+	if missed && h.watch.Watches() && h.comparing.CompareAndSwap(false, true) {
+		go h.compare(there)
 	}
 	return nil
 }
 
+// seen is what an answer of the store says of its changes: how many there were,
+// and which was the configuration's last.
+type seen struct{ revision, configuration store.Version }
+
+// misses reports whether watches of this host have not brought what the store
+// has. A configuration that was found by asking hides what else was missed, so
+// that its own watch is looked at.
+func (h *Host) misses(there seen) bool {
+	return h.reached() < there.revision || h.configuration.Reached() < there.configuration
+}
+
 // reached returns the revision up to which this host has all that it follows.
 func (h *Host) reached() store.Version {
 	objects := h.options.Objects
 	return max(h.table.Version(), min(h.table.Listed(objects.Servers), h.table.Listed(objects.Evacuations)))
 }
 
-// compare has everything listed anew if this host's watches do not bring a
-// revision of the store in time.
+// compare has everything listed anew if this host's watches do not bring in time
+// what the store has.
 //
 // Failure: the store answers, but its watches hear nothing for seconds before
 // they are ended with the history. Ten engines with notices of 1.5 s were known
 // to leave after 3.2 s, and all that ran there was lost. A change of a kind
 // that is not followed costs one list of each kind.
-func (h *Host) compare(revision store.Version) {
+func (h *Host) compare(there seen) {
 	defer h.comparing.Store(false)
 	_ = sleep.For(context.Background(), missedAfter) // never ends early
-	if own := h.reached(); own < revision {
-		h.logger.Warn(msgMissed, zap.Uint64("revision", uint64(revision)), zap.Uint64("own", uint64(own)))
-		h.relistBut(h.options.Objects.Configuration)
+	if h.misses(there) {
+		h.logger.Warn(msgMissed, zap.Uint64("revision", uint64(there.revision)), zap.Uint64("own", uint64(h.reached())))
+		h.relistBut("")
 	}
 }
 
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -354,6 +354,39 @@
 	})
 }
 
+func TestDeafWatchesAreNoticedBesideAConfiguration(t *testing.T) {
+	// All watches are deaf. An engine leaves, and then the configuration changes:
+	// the allocator finds that by asking, and has the store's newest revision by
+	// it. The engine's notice was missed all the same.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h, memory := alone(stays)
+		h.servers.Store, h.configuration.Store = deafStore{checkedStore{memory}}, deafStore{checkedStore{memory}}
+		ctx, stop := context.WithCancel(t.Context())
+		for _, run := range []func(context.Context) error{h.servers.Run, h.evacuations.Run, h.configuration.Run} {
+			go func() { _ = run(ctx) }()
+		}
+		configuration, err := memory.Put(ctx, kindOfConfiguration, "main", []byte{7}, 0)
+		is.NoErr(err)
+		server, err := memory.Put(ctx, kindOfServers, "i-1", []byte("ready"), 0)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		is.NoErr(h.verify(ctx))
+		time.Sleep(missedAfter + time.Millisecond)
+		is.Equal(len(h.fleet.Usable("s")), 1)
+		_, err = memory.Put(ctx, kindOfServers, "i-1", []byte("leaving"), server)
+		is.NoErr(err)
+		_, err = memory.Put(ctx, kindOfConfiguration, "main", []byte{8}, configuration)
+		is.NoErr(err)
+		is.NoErr(h.verify(ctx))
+		time.Sleep(missedAfter + time.Millisecond)
+		synctest.Wait()
+		is.Equal(len(h.fleet.Usable("s")), 0)
+		stop()
+		synctest.Wait()
+	})
+}
+
 func TestChangesOfOtherKindsAreListedOnce(t *testing.T) {
 	// Somebody writes objects of a kind that no host follows. The store's
 	// revision is ahead of all that the watches bring; a host that took that for
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -42,6 +42,7 @@
 	// follower waited for; nil: nothing is. It must not block.
 	OnCompacted func()
 
+	reached   atomic.Uint64 // revision of the newest list or change that the store gave
 	reachable atomic.Bool
 	failed    moment.Moment // when the store last did not answer
 
@@ -88,6 +89,10 @@
 // follower, or moment.Never.
 func (f *Follower) Undisturbed() time.Duration { return f.failed.Age() }
 
+// Reached returns the revision up to which the store's own lists and watches
+// brought changes of the kind; what peers told does not count.
+func (f *Follower) Reached() store.Version { return store.Version(f.reached.Load()) }
+
 // Reachable reports whether the last call to the store succeeded.
 func (f *Follower) Reachable() bool { return f.reachable.Load() }
 
@@ -160,6 +165,7 @@
 	}
 	_, findings := f.Table.AdoptList(f.Kind, objects, revision)
 	f.report(findings)
+	f.reached.Store(uint64(revision))
 	return revision, nil
 }
 
@@ -174,7 +180,9 @@
 	}
 	_, findings := f.Table.Adopt(objects)
 	f.report(findings)
-	return max(after, revision), sleep.For(ctx, f.Spacing)
+	after = max(after, revision)
+	f.reached.Store(uint64(after))
+	return after, sleep.For(ctx, f.Spacing)
 }
 
 func (f *Follower) report(findings []Finding) {
