--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,7 +116,7 @@
 	organisation  string
 	priority      int
 	service       *Service
-	fingerprint   uint64    // of a generation, the same when its caller sends it again
+	fingerprint   uint64    // the same when its caller sends it again
 	until         time.Time // the earlier of the route's timeout and the caller's deadline
 	sends         int       // to servers that may have run it
 	server        fleet.Server
@@ -152,8 +152,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, t.until)
 	defer cancel()
+	t.fingerprint = t.request.fingerprint(t.organisation)
 	if t.route.Kind == Generation {
-		t.fingerprint = t.request.fingerprint(t.organisation)
 		t.gateway.generations.Add(1)
 		defer t.gateway.generations.Add(-1)
 		return t.generate(ctx, sink)
