gatewayhost: a failing test of a request that crashes server after server

Seven hosts, eight servers, one request that ends each server 50 ms after it began and comes again every 400 ms at the next host under another id. More than three sends reach servers later than 3 s after the third crash.

--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -79,9 +79,13 @@
 }
 
 func newHost(name string, through link.Network, address string, memory *store.Memory, departs func(string) (bool, error), seeds ...string) *Host {
+	return newHostWith(servers{departs: departs}, name, through, address, memory, seeds...)
+}
+
+func newHostWith(backend Backend, name string, through link.Network, address string, memory *store.Memory, seeds ...string) *Host {
 	return New(Options{
 		Name: name, Domain: "d", PeerAddress: address + peerPort, CallersAddress: address + ":8000", Seeds: seeds, Network: through,
-		Store: checkedStore{memory}, Objects: objects(), Backend: servers{departs: departs},
+		Store: checkedStore{memory}, Objects: objects(), Backend: backend,
 		RepeatRatio: 0.2, RepeatAllowance: 54, RepeatWindow: 10 * time.Second, ListChangedSlack: 3 * time.Second, StopGrace: 8 * time.Second,
 		Logger: zap.NewNop(), Registerer: prometheus.NewRegistry(),
 	})
--- /dev/null
+++ b/gatewayhost/quarantine_test.go
@@ -0,0 +1,235 @@
+package gatewayhost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fake/network"
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/gateway"
+	"github.com/papayasail/papayasail/store"
+)
+
+const (
+	crashingBody = "crashes each server that runs it"
+	harmlessBody = "harmless"
+
+	crashAfter   = 50 * time.Millisecond // a run began
+	replaceAfter = 3 * time.Second       // a crash
+	serverCount  = 8
+
+	// stableWindow is the time after the third crash in which hosts have to
+	// know of it; retriesAllowed is how often the request may be sent after it.
+	stableWindow   = 3 * time.Second
+	retriesAllowed = 3
+)
+
+// crashing is a Backend whose servers end under requests with crashingBody, as
+// do all other requests that run there.
+type crashing struct {
+	gateway.Backend
+	memory *store.Memory
+
+	mu      sync.Mutex // guards all below
+	started int
+	lives   map[string]chan struct{} // by server: closed when it has ended
+	crashes []time.Time
+	sends   []time.Time // of requests with crashingBody
+}
+
+func newCrashing(memory *store.Memory) *crashing {
+	c := &crashing{memory: memory, lives: map[string]chan struct{}{}}
+	for range serverCount {
+		c.start()
+	}
+	return c
+}
+
+// start starts a server with an id of its own.
+func (c *crashing) start() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	id := fmt.Sprintf("i-%d", c.started)
+	c.lives[id] = make(chan struct{})
+	c.memory.Set(kindOfServers, id, []byte("ready"))
+}
+
+func (c *crashing) end(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.lives[id]:
+		return
+	default:
+	}
+	close(c.lives[id])
+	c.crashes = append(c.crashes, time.Now())
+	time.AfterFunc(replaceAfter, func() {
+		c.memory.Remove(kindOfServers, id)
+		c.start()
+	})
+}
+
+func (c *crashing) life(id string) chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lives[id]
+}
+
+// Ended reports whether a server has ended.
+func (c *crashing) Ended(_ context.Context, server fleet.Server) bool {
+	select {
+	case <-c.life(server.ID):
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *crashing) Ask(context.Context, fleet.Server, string) (fleet.OwnWord, error) {
+	return fleet.OwnWord{}, nil
+}
+
+func (c *crashing) Send(ctx context.Context, call gateway.Call) (*gateway.Reply, error) {
+	if c.Ended(ctx, call.Server) {
+		return nil, &backend.CallError{Evidence: backend.NothingSent, Err: errors.New("refused")}
+	}
+	runs := time.NewTimer(2 * crashAfter)
+	defer runs.Stop()
+	if string(call.Request.Body) == crashingBody {
+		c.mu.Lock()
+		c.sends = append(c.sends, time.Now())
+		c.mu.Unlock()
+		time.AfterFunc(crashAfter, func() { c.end(call.Server.ID) })
+	}
+	select {
+	case <-c.life(call.Server.ID):
+		return nil, &backend.CallError{Evidence: backend.Broken, Err: io.ErrUnexpectedEOF}
+	case <-runs.C:
+	case <-ctx.Done():
+		return nil, &backend.CallError{Evidence: backend.Broken, Err: ctx.Err()}
+	}
+	return &gateway.Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Whole: true}, nil
+}
+
+// retriesAfterThird returns how often the request that crashes servers was sent
+// later than stableWindow after the third crash.
+func (c *crashing) retriesAfterThird() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) < 3 {
+		return 0
+	}
+	retries := 0
+	for _, at := range c.sends {
+		if at.Sub(c.crashes[2]) > stableWindow {
+			retries++
+		}
+	}
+	return retries
+}
+
+// crashingFleet is a fleet of hosts before servers that crash.
+type crashingFleet struct {
+	servers *crashing
+	memory  *store.Memory
+	fabric  *network.Fabric
+	hosts   []*Host
+	ends    []context.CancelFunc // of the hosts
+	next    int                  // request
+}
+
+func startCrashingFleet(ctx context.Context, hosts int) *crashingFleet {
+	f := &crashingFleet{memory: store.NewMemory(), fabric: network.New(network.Options{}), hosts: make([]*Host, hosts), ends: make([]context.CancelFunc, hosts)}
+	f.servers = newCrashing(f.memory)
+	for i := range f.hosts {
+		f.startHost(ctx, i)
+	}
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+func (f *crashingFleet) startHost(ctx context.Context, i int) {
+	address := fmt.Sprintf("10.0.0.%d", i+1)
+	h := newHostWith(f.servers, fmt.Sprintf("h%02d", i), f.fabric.Host(address), address, f.memory, "10.0.0.1"+peerPort, "10.0.0.2"+peerPort)
+	route := &gateway.Route{
+		Name: "write", Host: "h", PathPrefix: "/write/", Kind: gateway.AtMostOnce, Timeout: 3 * time.Second, Goal: time.Second, Attempts: 1,
+		Targets: []gateway.Target{{Service: "s", Weight: 1}},
+	}
+	h.gateway.SetConfiguration(gateway.NewConfiguration(1, []*gateway.Route{route}, []*gateway.Service{{Name: "s"}},
+		map[string]*gateway.Organisation{"key": {Name: "o"}}, gateway.ClientLimits{}))
+	h.booting.Store(true)
+	f.hosts[i] = h
+	ctx, f.ends[i] = context.WithCancel(ctx)
+	for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.evacuations.Run, h.watch.Run} {
+		go func() { _ = run(ctx) }()
+	}
+}
+
+// restartAll ends all hosts at once and starts them again.
+func (f *crashingFleet) restartAll(ctx context.Context) {
+	for _, end := range f.ends {
+		end()
+	}
+	time.Sleep(time.Second)
+	for i := range f.hosts {
+		f.startHost(ctx, i)
+	}
+	time.Sleep(stableWindow)
+}
+
+// request returns a new request and the host whose turn it is.
+func (f *crashingFleet) request(body string) (*Host, *gateway.Request) {
+	f.next++
+	now := time.Now()
+	return f.hosts[f.next%len(f.hosts)], &gateway.Request{
+		ID: fmt.Sprint("r", f.next), Method: http.MethodPost, Host: "h", Path: "/write/1", Header: http.Header{}, Key: "key", Body: []byte(body),
+		Arrived: now, Deadline: now.Add(3 * time.Second),
+	}
+}
+
+func (f *crashingFleet) serve(ctx context.Context, body string) gateway.Outcome {
+	host, request := f.request(body)
+	return host.gateway.Serve(ctx, request, nil)
+}
+
+// pressFor sends the request that crashes servers to one host after the other.
+func (f *crashingFleet) pressFor(ctx context.Context, d time.Duration) {
+	for began := time.Now(); time.Since(began) < d; time.Sleep(400 * time.Millisecond) {
+		host, request := f.request(crashingBody)
+		go host.gateway.Serve(ctx, request, nil)
+	}
+}
+
+func withCrashingFleet(t *testing.T, hosts int, test func(ctx context.Context, is *is.I, f *crashingFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		test(ctx, is.New(t), startCrashingFleet(ctx, hosts))
+		stop()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
+// Guards against a request that crashes one backend server after the other, as
+// its caller repeats it at every host.
+func TestRequestThatCrashesServersIsQuarantined(t *testing.T) {
+	withCrashingFleet(t, 7, func(ctx context.Context, is *is.I, f *crashingFleet) {
+		f.pressFor(ctx, 20*time.Second)
+		is.True(f.servers.retriesAfterThird() <= retriesAllowed)
+		is.Equal(f.serve(ctx, harmlessBody).Status, http.StatusOK)
+	})
+}
