Requests that crash backend servers are quarantined

Cause: what a host learns from a broken answer was kept for the server only. A request that comes again was a new one at every host, so that each repeat went to the next healthy server. The class of fault: a failure that moves with the request is booked on the place where it shows.

Ruled out: second tries and moves of ours, and bystanders of a failing rack.

Why this works: a run whose connection breaks while nothing listens at its server's address any more is counted for the request's fingerprint. A second crash under a run that was sent when the first was known quarantines it: refused at once as not run, with the time that is left, at all hosts, as peers tell each other at once, again with each probe, and in full on joining. Runs of it that wait at other servers are ended. Servers that fall together count as one, and a run to the end clears a request, so that a popular request is not blamed for an outage. What is old when its server falls is told only from the second crash on.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -74,6 +74,9 @@
 // evidence says whether the server may have run the request.
 type Backend interface {
 	Send(ctx context.Context, call Call) (*Reply, error)
+	// Ended reports whether a server's process has ended: nothing listens at its
+	// address. One that cannot be reached has not, as far as is known.
+	Ended(ctx context.Context, server fleet.Server) bool
 	// Copy copies a run's memory from source to destination. With last the
 	// run stops at the source first, and its stream ends there without an end.
 	Copy(ctx context.Context, source, destination fleet.Server, run string, last bool) (Copied, error)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -112,8 +112,12 @@
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
 	if err != nil || len(body) > maxAnswerBytes {
 		work.Outcome(true)
+		if err != nil && tryCtx.Err() == nil {
+			t.blame(work)
+		}
 		return t.mayHaveRun(ctx, ReasonBroken)
 	}
+	t.gateway.options.Quarantine.Completed(t.fingerprint)
 	failing := reply.Status >= http.StatusInternalServerError
 	if failing {
 		work.AnsweredBadly()
@@ -172,6 +176,7 @@
 	if ctx.Err() != context.Canceled {
 		work.Outcome(true)
 	}
+	t.blameIfBroken(ctx, work, err)
 	return t.mayHaveRun(ctx, ReasonBroken)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/placement"
+	"github.com/papayasail/papayasail/quarantine"
 )
 
 const (
@@ -40,8 +41,10 @@
 	// Allocator places generations and gives turns to their moves.
 	Allocator Allocator
 	Budget    *Budget
-	Logger    *zap.Logger
-	Limits    placement.Limits
+	// Quarantine keeps requests from servers that crash them.
+	Quarantine *quarantine.Table
+	Logger     *zap.Logger
+	Limits     placement.Limits
 	// Confirm reports whether the configuration in force here is surely the
 	// newest that was accepted. It may ask the store.
 	Confirm func(ctx context.Context) bool
@@ -116,9 +119,10 @@
 	organisation  string
 	priority      int
 	service       *Service
-	fingerprint   uint64    // the same when its caller sends it again
-	until         time.Time // the earlier of the route's timeout and the caller's deadline
-	sends         int       // to servers that may have run it
+	fingerprint   uint64          // the same when its caller sends it again
+	until         time.Time       // the earlier of the route's timeout and the caller's deadline
+	sends         int             // to servers that may have run it
+	sent          quarantine.Mark // what was known of the request when it was sent last
 	server        fleet.Server
 	tried         []string // servers that it was sent to, or that took no connection
 	moves         int
@@ -153,6 +157,20 @@
 	ctx, cancel := context.WithDeadline(ctx, t.until)
 	defer cancel()
 	t.fingerprint = t.request.fingerprint(t.organisation)
+	if left := t.gateway.options.Quarantine.Quarantined(t.fingerprint); left > 0 {
+		return refused(ReasonQuarantined, left)
+	}
+	ctx, over := t.quarantinable(ctx)
+	defer over()
+	outcome := t.run(ctx, sink)
+	if context.Cause(ctx) == errQuarantined && !outcome.Complete {
+		return t.quarantined(outcome)
+	}
+	return outcome
+}
+
+// run serves a request that is admitted.
+func (t *task) run(ctx context.Context, sink Sink) Outcome {
 	if t.route.Kind == Generation {
 		t.gateway.generations.Add(1)
 		defer t.gateway.generations.Add(-1)
--- a/gateway/life.go
+++ b/gateway/life.go
@@ -18,6 +18,7 @@
 // connections stay silent, and callers waited for the answer of a run that was
 // lost until their time was over.
 func (t *task) sendTo(ctx context.Context, work *fleet.Work, call Call) (*Reply, error) {
+	t.sent = t.gateway.options.Quarantine.Mark(t.fingerprint)
 	ctx, cancel := context.WithCancel(ctx)
 	unbind := context.AfterFunc(work.Life(), cancel)
 	end := func() {
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fleet"
+)
+
+const (
+	// endedTimeout bounds the look whether a server has crashed; a connection
+	// takes 1 to 5 ms, and the request's caller waits meanwhile.
+	endedTimeout = 100 * time.Millisecond
+	// earlyRun is how long after a generation's first event its run still counts
+	// as just begun.
+	earlyRun = time.Second
+)
+
+var errQuarantined = errors.New("gateway: request was quarantined while it ran")
+
+// quarantinable returns a context that ends when the request is quarantined.
+func (t *task) quarantinable(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	over := t.gateway.options.Quarantine.Run(t.fingerprint, func() { cancel(errQuarantined) })
+	return ctx, func() {
+		over()
+		cancel(nil)
+	}
+}
+
+// quarantined is the answer to a request that was quarantined while it waited
+// or ran.
+func (t *task) quarantined(before Outcome) Outcome {
+	switch {
+	case before.Streamed:
+		before.Reason = ReasonQuarantined
+		return before
+	case t.sends > 0:
+		return failed(http.StatusBadGateway, ReasonQuarantined)
+	}
+	return refused(ReasonQuarantined, t.gateway.options.Quarantine.Quarantined(t.fingerprint))
+}
+
+// blame takes in that the connection broke on which a server was to answer. If
+// the server has crashed, the request is suspected of it, as are the others
+// that ran there.
+//
+// Failure: a request crashes each server that runs it, and its caller repeats
+// it at one host after the other. Each crash ends all other runs on the server.
+func (t *task) blame(work *fleet.Work) {
+	server := work.Server()
+	if work.Life().Err() == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+		defer cancel()
+		if !t.gateway.options.Backend.Ended(ctx, server) {
+			return
+		}
+	}
+	early := t.firstEvent == 0 || time.Since(t.request.Arrived) < t.firstEvent+earlyRun
+	t.gateway.options.Quarantine.Crashed(t.fingerprint, t.sent, early, t.request.ID, server.ID)
+}
+
+// blameIfBroken is blame for an exchange that ended with an error.
+func (t *task) blameIfBroken(ctx context.Context, work *fleet.Work, err error) {
+	var failure *backend.CallError
+	if ctx.Err() == nil && errors.As(err, &failure) && failure.Evidence == backend.Broken {
+		t.blame(work)
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -84,6 +84,7 @@
 	ReasonHostStopped     Reason = "host_stopped"           // this host's stop ended before the request did
 	ReasonNoServer        Reason = "no_backend_server"      // none is known
 	ReasonEvacuated       Reason = "evacuated"              // all servers are in evacuated failure domains
+	ReasonQuarantined     Reason = "quarantined"            // servers crash under it
 	ReasonFull            Reason = "full"                   // no server has a place in time
 	ReasonServerFull      Reason = "refused_by_server"      // the server said that it did not run
 	ReasonUnreachable     Reason = "server_unreachable"     // no connection
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -55,20 +55,19 @@
 	work.Produced(tokens)
 }
 
-func (r *run) outcome(failed bool) {
-	r.mu.Lock()
-	work := r.work
-	r.mu.Unlock()
-	work.Outcome(failed)
-}
+func (r *run) outcome(failed bool) { r.current().Outcome(failed) }
 
 // end closes the stream at its present server.
 func (r *run) end(reply *Reply) {
 	reply.Body.Close()
+	r.current().End()
+}
+
+// current is the run's work on its present server.
+func (r *run) current() *fleet.Work {
 	r.mu.Lock()
-	work := r.work
-	r.mu.Unlock()
-	work.End()
+	defer r.mu.Unlock()
+	return r.work
 }
 
 func (r *run) moving() bool {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -97,8 +97,12 @@
 	defer reply.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	if err != nil {
+		if ctx.Err() == nil {
+			t.blame(work)
+		}
 		return t.mayHaveRun(ctx, ReasonBroken).outcome
 	}
+	t.gateway.options.Quarantine.Completed(t.fingerprint)
 	work.Outcome(reply.Status >= http.StatusInternalServerError)
 	return Outcome{Status: reply.Status, Header: reply.Header, Body: body, Complete: true}
 }
@@ -121,6 +125,7 @@
 		}
 		if complete {
 			run.outcome(false)
+			t.gateway.options.Quarantine.Completed(t.fingerprint)
 			return Outcome{Status: http.StatusOK, Streamed: true, Complete: true}, true
 		}
 		run.passed(next.id)
@@ -208,6 +213,7 @@
 		o.Reason = ReasonMoveFailed
 	default:
 		run.outcome(true)
+		t.blame(run.current())
 	}
 	return o
 }
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -18,6 +18,7 @@
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/migration"
 	"github.com/papayasail/papayasail/placement"
+	"github.com/papayasail/papayasail/quarantine"
 )
 
 // world is a gateway with a scripted Backend and Allocator.
@@ -25,7 +26,8 @@
 	gateway *Gateway
 	fleet   *fleet.Table
 	sure    bool
-	alone   bool // no other host takes requests
+	alone   bool            // no other host takes requests
+	ended   map[string]bool // servers that take no connection any more
 
 	mu    sync.Mutex // guards all below
 	calls []Call
@@ -35,11 +37,12 @@
 }
 
 func newWorld() *world {
-	w := &world{fleet: fleet.NewTable("me", zap.NewNop()), sure: true}
+	w := &world{fleet: fleet.NewTable("me", zap.NewNop()), sure: true, ended: map[string]bool{}}
 	w.gateway = New(Options{
 		Domain: "d1", Fleet: w.fleet, Backend: w, Allocator: w, Logger: zap.NewNop(), Limits: placement.DefaultLimits,
-		Budget:  &Budget{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second, Hosts: func() int { return 7 }},
-		Confirm: func(context.Context) bool { return w.sure }, Others: func() bool { return !w.alone }, Metrics: NewMetrics(prometheus.NewRegistry()),
+		Quarantine: quarantine.NewTable(zap.NewNop(), prometheus.NewRegistry()),
+		Budget:     &Budget{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second, Hosts: func() int { return 7 }},
+		Confirm:    func(context.Context) bool { return w.sure }, Others: func() bool { return !w.alone }, Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	w.put("e1", "llm")
 	w.put("e2", "llm")
@@ -83,6 +86,8 @@
 	return w.copy(source, destination, last)
 }
 
+func (w *world) Ended(_ context.Context, server fleet.Server) bool { return w.ended[server.ID] }
+
 func (w *world) Discard(context.Context, fleet.Server, string) error { return nil }
 
 func (w *world) Place(_ context.Context, service string, asked allocation.Asked, except []string) string {
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -25,6 +25,7 @@
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/placement"
+	"github.com/papayasail/papayasail/quarantine"
 	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
 )
@@ -120,6 +121,7 @@
 	evacuated     atomic.Uint64 // newest revision of an evacuation
 	node          atomic.Pointer[peer.Node]
 	fleet         *fleet.Table
+	quarantine    *quarantine.Table
 	allocator     *allocation.Allocator
 	allocation    *allocation.Client
 	sentinel      *allocation.Sentinel
@@ -149,6 +151,8 @@
 	h.allocator = allocation.NewAllocator(h.fleet, placement.DefaultLimits, rand.IntN, o.Logger)
 	h.allocator.Undisturbed = h.servers.Undisturbed
 	h.allocator.Revision, h.allocator.Verified, h.allocator.Relayed = h.surelyNewest, h.verified, h.relay
+	h.quarantine = quarantine.NewTable(o.Logger, o.Registerer)
+	h.quarantine.Changed = func() { h.node.Load().Announce() }
 	h.node.Store(h.newNode(0, o.Registerer))
 	h.table.Subscribe(func() { h.node.Load().Announce() })
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
@@ -159,7 +163,7 @@
 		Logger: o.Logger,
 	}
 	h.gateway = gateway.New(gateway.Options{
-		Domain: o.Domain, Fleet: h.fleet, Backend: o.Backend, Allocator: h.allocation, Logger: o.Logger, Limits: placement.DefaultLimits,
+		Domain: o.Domain, Fleet: h.fleet, Backend: o.Backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger, Limits: placement.DefaultLimits,
 		Budget:  &gateway.Budget{Ratio: o.RepeatRatio, Allowance: o.RepeatAllowance, Window: o.RepeatWindow, Hosts: h.liveHosts},
 		Confirm: h.confirm, Others: h.othersLive, Metrics: gateway.NewMetrics(o.Registerer),
 	})
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -40,7 +40,8 @@
 			Host: o.Name, Incarnation: incarnation, FailureDomain: o.Domain, PeerAddress: o.PeerAddress, CallerAddress: o.CallersAddress,
 			Capacity: o.Capacity,
 		},
-		Network: o.Network, Seeds: o.Seeds, Configuration: spreading{h.table}, Handler: noForwarding{}, Logger: o.Logger,
+		Network: o.Network, Seeds: o.Seeds, Configuration: spreading{h.table}, Handler: noForwarding{}, Suspects: h.quarantine,
+		Logger:     o.Logger,
 		Register:   func(registrar grpc.ServiceRegistrar) { allocation.Register(registrar, h.allocator) },
 		Registerer: registerer, ProbeInterval: probeInterval, SuspicionTimeout: suspicionTimeout,
 		// Bytes between failure domains are dear: probes, news and pulls stay
--- a/gatewayhost/stop_test.go
+++ b/gatewayhost/stop_test.go
@@ -49,7 +49,7 @@
 		fabric := network.New(network.Options{})
 		h := newHost("a", fabric.Host("10.0.0.1"), "10.0.0.1", store.NewMemory(), stays)
 		h.gateway = gateway.New(gateway.Options{
-			Fleet: h.fleet, Backend: streaming{lasts: 5 * time.Second}, Allocator: h.allocation, Logger: zap.NewNop(), Budget: &gateway.Budget{Window: time.Second, Hosts: h.liveHosts},
+			Fleet: h.fleet, Backend: streaming{lasts: 5 * time.Second}, Allocator: h.allocation, Quarantine: h.quarantine, Logger: zap.NewNop(), Budget: &gateway.Budget{Window: time.Second, Hosts: h.liveHosts},
 			Confirm: h.confirm, Others: h.othersLive, Metrics: gateway.NewMetrics(prometheus.NewRegistry()),
 		})
 		route := &gateway.Route{Host: "h", PathPrefix: "/", Kind: gateway.Generation, Timeout: 39 * time.Second, Goal: time.Second, Attempts: 1, Targets: []gateway.Target{{Service: "s", Weight: 1}}}
--- a/peer/options.go
+++ b/peer/options.go
@@ -7,6 +7,7 @@
 	"github.com/papayasail/papayasail/internal/defaults"
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer/peerpb"
+	"github.com/papayasail/papayasail/quarantine"
 	"github.com/papayasail/papayasail/store"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -45,6 +46,18 @@
 	Adopt([]store.Object) (int, error)
 }
 
+// Suspects is what this host knows of requests that crash backend servers, as
+// the spreading between peers needs it; *quarantine.Table is one.
+type Suspects interface {
+	// News returns the records for one message.
+	News() []quarantine.Record
+	// All returns the quarantined requests, for a host that joins.
+	All() []quarantine.Record
+	// Merge takes in what another host knows, and reports whether any of it was
+	// news.
+	Merge(records []quarantine.Record, source string) bool
+}
+
 // Handler serves what other hosts pass to this one.
 type Handler interface {
 	// Forward runs a request whose home is this host.
@@ -63,6 +76,7 @@
 	Seeds         []string // peer addresses asked on joining
 	Configuration ConfigurationTable
 	Handler       Handler
+	Suspects      Suspects // nil: none are known
 	// Register adds services to the server that peers call; nil: none.
 	Register   func(grpc.ServiceRegistrar)
 	Logger     *zap.Logger
@@ -89,6 +103,9 @@
 	defaults.Set(&o.IdleTimeout, DefaultIdleTimeout)
 	defaults.Set(&o.Self.Incarnation, uint64(time.Now().UnixMilli()))
 	defaults.Set(&o.Seed, hashStrings(o.Self.Host)^o.Self.Incarnation)
+	if o.Suspects == nil {
+		o.Suspects = noSuspects{}
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -52,6 +52,7 @@
 		ConfigurationDigest:  answer.ConfigurationDigest,
 		Leaving:              answer.Leaving,
 		MembershipDigest:     answer.MembershipDigest,
+		Suspects:             answer.Suspects,
 	}, nil
 }
 
@@ -72,10 +73,12 @@
 	n := s.node
 	n.take([]Member{memberFromProto(request.GetFrom())})
 	n.takeLeaving(request.GetLeaving())
+	n.takeSuspects(request.GetSuspects())
 	return &peerpb.SyncResponse{
-		From:    n.table.me().toProto(),
-		Members: membersToProto(n.lacking(request.GetHave())),
-		Leaving: leavingToProto(n.leaving.list(time.Now())),
+		From:     n.table.me().toProto(),
+		Members:  membersToProto(n.lacking(request.GetHave())),
+		Leaving:  leavingToProto(n.leaving.list(time.Now())),
+		Suspects: suspectsToProto(n.options.Suspects.All()),
 	}, nil
 }
 
@@ -116,6 +119,7 @@
 		ConfigurationDigest:  n.options.Configuration.Digest(),
 		Leaving:              n.leaving.news(),
 		MembershipDigest:     digest,
+		Suspects:             suspectsToProto(n.options.Suspects.News()),
 	}
 }
 
@@ -138,6 +142,7 @@
 	GetConfigurationDigest() uint64
 	GetLeaving() []*peerpb.LeavingServer
 	GetMembershipDigest() uint64
+	GetSuspects() []*peerpb.Suspect
 }
 
 // receive takes in a probe or its answer and returns who sent it.
@@ -147,6 +152,7 @@
 	n.table.hearAgain(news)
 	n.take(append(news, from))
 	n.takeLeaving(m.GetLeaving())
+	n.takeSuspects(m.GetSuspects())
 	if n.table.heard(from.Host, from.Incarnation, versionOf(m), time.Now()) {
 		signal(n.notices)
 	}
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -272,7 +272,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	_, hashes := n.table.all()
-	request := &peerpb.SyncRequest{From: n.table.me().toProto(), Have: hashes, Leaving: leavingToProto(n.leaving.list(time.Now()))}
+	request := &peerpb.SyncRequest{From: n.table.me().toProto(), Have: hashes, Leaving: leavingToProto(n.leaving.list(time.Now())), Suspects: suspectsToProto(n.options.Suspects.All())}
 	var response *peerpb.SyncResponse
 	err := n.control.call(address, func(client peerpb.PeerClient) (err error) {
 		response, err = client.Sync(ctx, request)
@@ -286,6 +286,7 @@
 	n.take(members)
 	n.table.quiet(members)
 	n.takeLeaving(response.GetLeaving())
+	n.takeSuspects(response.GetSuspects())
 	n.counters.syncs.WithLabelValues(resultDone).Inc()
 	return true
 }
--- /dev/null
+++ b/peer/suspects.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/papayasail/papayasail/peer/peerpb"
+	"github.com/papayasail/papayasail/quarantine"
+)
+
+// sourceOfSuspects names in logs where a record of a request came from.
+const sourceOfSuspects = "peer"
+
+// takeSuspects takes in records of requests that crash backend servers, and
+// passes on what is news.
+func (n *Node) takeSuspects(list []*peerpb.Suspect) {
+	if len(list) > 0 && n.options.Suspects.Merge(suspectsFromProto(list), sourceOfSuspects) {
+		signal(n.kick)
+	}
+}
+
+func suspectsFromProto(list []*peerpb.Suspect) []quarantine.Record {
+	records := make([]quarantine.Record, 0, len(list))
+	for _, p := range list {
+		records = append(records, quarantine.Record{
+			Fingerprint: p.GetFingerprint(), Epoch: p.GetEpoch(), Crashes: p.GetCrashes(), Left: time.Duration(p.GetLeftMs()) * time.Millisecond,
+		})
+	}
+	return records
+}
+
+func suspectsToProto(records []quarantine.Record) []*peerpb.Suspect {
+	list := make([]*peerpb.Suspect, 0, len(records))
+	for _, r := range records {
+		list = append(list, &peerpb.Suspect{Fingerprint: r.Fingerprint, Epoch: r.Epoch, Crashes: r.Crashes, LeftMs: uint32(r.Left.Milliseconds())})
+	}
+	return list
+}
+
+// noSuspects is known to hosts that do not look for such requests.
+type noSuspects struct{}
+
+func (noSuspects) News() []quarantine.Record              { return nil }
+func (noSuspects) All() []quarantine.Record               { return nil }
+func (noSuspects) Merge([]quarantine.Record, string) bool { return false }
--- /dev/null
+++ b/quarantine/table_test.go
@@ -0,0 +1,158 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+)
+
+const suspect = 7 // a fingerprint
+
+func newTable() *Table { return NewTable(zap.NewNop(), prometheus.NewRegistry()) }
+
+// crash sends the request and has the server crash under it.
+func (t *Table) crash() { t.Crashed(suspect, t.Mark(suspect), true, "r", "i") }
+
+func inBubble(t *testing.T, test func(is *is.I)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(is.New(t)) })
+}
+
+// Guards against a request that crashes one server after the other.
+func TestSecondCrashInARowQuarantines(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		raised := 0
+		table.Raised = func() { raised++ }
+		table.crash()
+		is.Equal(table.Quarantined(suspect), time.Duration(0))
+		table.crash()
+		is.Equal(table.Quarantined(suspect), quarantineFor)
+		is.Equal(raised, 1)
+		is.Equal(table.Quarantined(suspect+1), time.Duration(0))
+		time.Sleep(quarantineFor)
+		is.Equal(table.Quarantined(suspect), time.Duration(0))
+	})
+}
+
+// Guards against blaming a popular request for an outage of all servers at once.
+func TestCrashesAtTheSameTimeCountOnce(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		sent := table.Mark(suspect)
+		for range 5 {
+			table.Crashed(suspect, sent, true, "r", "i")
+		}
+		is.Equal(table.Quarantined(suspect), time.Duration(0))
+	})
+}
+
+// Guards against blaming a request that was on two crashed servers by chance.
+func TestCompletionClears(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table, other := newTable(), newTable()
+		table.crash()
+		other.Merge(table.News(), "peer")
+		sent := table.Mark(suspect)
+		table.Completed(suspect)
+		is.True(other.Merge(table.News(), "peer"))
+		other.crash()
+		is.Equal(other.Quarantined(suspect), time.Duration(0))
+		// The run was sent before the other one ended well.
+		table.Crashed(suspect, sent, true, "r", "i")
+		is.Equal(table.Quarantined(suspect), time.Duration(0))
+	})
+}
+
+func TestOldCrashesAreForgotten(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		table.crash()
+		time.Sleep(suspectFor)
+		table.crash()
+		is.Equal(table.Quarantined(suspect), time.Duration(0))
+	})
+}
+
+// Guards against servers lost to runs that were sent before the quarantine.
+func TestQuarantineEndsRuns(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		ended := 0
+		table.Run(suspect, func() { ended++ })
+		over := table.Run(suspect, func() { ended += 10 })
+		table.Run(suspect+1, func() { ended += 100 })
+		over()
+		is.True(table.Merge([]Record{{Fingerprint: suspect, Crashes: crashesNeeded, Left: time.Minute}}, "peer"))
+		is.Equal(ended, 1)
+		is.True(!table.Merge([]Record{{Fingerprint: suspect, Crashes: crashesNeeded, Left: time.Minute}}, "peer"))
+		is.Equal(ended, 1)
+	})
+}
+
+// Guards against one crashed server whose many old runs flood the news.
+func TestLateCrashIsNoNewsAtFirst(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		table.Crashed(suspect, table.Mark(suspect), false, "r", "i")
+		is.Equal(len(table.News()), 0)
+		table.Crashed(suspect, table.Mark(suspect), false, "r", "i")
+		is.Equal(len(table.News()), 1)
+	})
+}
+
+// Guards against a host that was paused while the news went round.
+func TestQuarantineIsToldAgainAndAgain(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table, late := newTable(), newTable()
+		table.crash()
+		table.crash()
+		for range retransmits {
+			is.Equal(len(table.News()), 1)
+		}
+		is.True(late.Merge(table.News(), "peer"))
+		is.True(late.Quarantined(suspect) > 0)
+		is.Equal(len(table.All()), 1)
+	})
+}
+
+// Guards against memory that grows with the requests that crash servers.
+func TestTableIsBounded(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		for i := range 2 * mostRequests {
+			table.Crashed(uint64(i), Mark{}, true, "r", "i")
+		}
+		is.Equal(len(table.requests), mostRequests)
+		is.Equal(len(table.News()), newsLimit)
+	})
+}
+
+// Guards against hosts that end up with different records after the same news.
+func TestMergeIsOrderFree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
+			return Record{
+				Fingerprint: rapid.Uint64Range(1, 3).Draw(t, "fingerprint"), Epoch: rapid.Uint32Range(0, 2).Draw(t, "epoch"),
+				Crashes: rapid.Uint32Range(0, 3).Draw(t, "crashes"), Left: time.Hour,
+			}
+		}), 1, 8).Draw(t, "records")
+		shuffled := rapid.Permutation(records).Draw(t, "order")
+		one, other := newTable(), newTable()
+		one.Merge(records, "peer")
+		for _, r := range shuffled {
+			other.Merge([]Record{r}, "peer")
+		}
+		for fingerprint := uint64(1); fingerprint <= 3; fingerprint++ {
+			if a, b := one.Mark(fingerprint), other.Mark(fingerprint); a != b {
+				t.Fatal(fmt.Sprintf("%d: %v and %v", fingerprint, a, b))
+			}
+		}
+	})
+}
