The quarantine outlives a kill of all hosts

What callers would see: after all hosts are killed at once, the quarantined request crashes servers again until the hosts have learned it anew; with each such kill it is sent a few times more.

Cause: the quarantine was kept by hosts and their peers only. Class: state that has to last was kept where nothing lasts.

Change: the host that quarantines a request adds it to one bounded object of the store, with a conditional write, as soon as the store takes it; hosts that start read it twice, cheaply. No host watches it, as peers tell each other.

--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -67,7 +67,10 @@
 	// Evacuations is the kind of the operator's orders that no request goes to
 	// the servers of a failure domain, by which they are named. An order holds
 	// for as long as it is there, whatever its content.
-	Evacuations       string
+	Evacuations string
+	// Quarantine is the kind of the one object that holds the quarantined
+	// requests; this system writes it.
+	Quarantine        string
 	ReadConfiguration func(data []byte) (*gateway.Configuration, error)
 	ReadServer        func(id string, data []byte) (fleet.Server, error)
 }
@@ -122,6 +125,7 @@
 	node          atomic.Pointer[peer.Node]
 	fleet         *fleet.Table
 	quarantine    *quarantine.Table
+	quarantined   chan struct{} // holds a token when a quarantined request is to be stored
 	allocator     *allocation.Allocator
 	allocation    *allocation.Client
 	sentinel      *allocation.Sentinel
@@ -138,7 +142,7 @@
 
 // New puts a host together; Run starts it.
 func New(o Options) *Host {
-	h := &Host{options: o, logger: o.Logger}
+	h := &Host{options: o, logger: o.Logger, quarantined: make(chan struct{}, 1)}
 	h.table = replica.New(h.apply)
 	h.watch = &domain.WatchDuty{
 		Host: o.Name, Fleet: h, Check: h.checkStore, Returned: h.relist, Active: func() bool { return !h.booting.Load() },
@@ -153,6 +157,7 @@
 	h.allocator.Revision, h.allocator.Verified, h.allocator.Relayed = h.surelyNewest, h.verified, h.relay
 	h.quarantine = quarantine.NewTable(o.Logger, o.Registerer)
 	h.quarantine.Changed = func() { h.node.Load().Announce() }
+	h.quarantine.Raised = h.noteQuarantined
 	h.node.Store(h.newNode(0, o.Registerer))
 	h.table.Subscribe(func() { h.node.Load().Announce() })
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
@@ -189,7 +194,7 @@
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
 	h.booting.Store(true)
-	for _, run := range []func(context.Context) error{h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run, h.watch.Run} {
+	for _, run := range []func(context.Context) error{h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.keepQuarantine, h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run, h.watch.Run} {
 		group.Go(func() error { return ignoreEnd(run(inner)) })
 	}
 	server := h.serve(inner, group, callers)
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -62,7 +62,7 @@
 
 func objects() Objects {
 	return Objects{
-		Configuration: kindOfConfiguration, ConfigurationName: "main", Servers: kindOfServers, Evacuations: kindOfEvacuations,
+		Configuration: kindOfConfiguration, ConfigurationName: "main", Servers: kindOfServers, Evacuations: kindOfEvacuations, Quarantine: "quarantine",
 		ReadConfiguration: func(data []byte) (*gateway.Configuration, error) {
 			if len(data) == 0 {
 				return nil, errUnreadable
--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -18,6 +18,7 @@
 	"github.com/papayasail/papayasail/fake/network"
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/gateway"
+	"github.com/papayasail/papayasail/quarantine"
 	"github.com/papayasail/papayasail/store"
 )
 
@@ -173,7 +174,7 @@
 	h.booting.Store(true)
 	f.hosts[i] = h
 	ctx, f.ends[i] = context.WithCancel(ctx)
-	for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.evacuations.Run, h.watch.Run} {
+	for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.evacuations.Run, h.keepQuarantine, h.watch.Run} {
 		go func() { _ = run(ctx) }()
 	}
 }
@@ -233,3 +234,49 @@
 		is.Equal(f.serve(ctx, harmlessBody).Status, http.StatusOK)
 	})
 }
+
+// Guards against a quarantine that is lost when all hosts are killed at once.
+func TestQuarantineOutlivesAllHosts(t *testing.T) {
+	withCrashingFleet(t, 7, func(ctx context.Context, is *is.I, f *crashingFleet) {
+		for range 3 {
+			f.pressFor(ctx, 10*time.Second)
+			f.restartAll(ctx)
+		}
+		f.pressFor(ctx, 10*time.Second)
+		is.True(f.servers.retriesAfterThird() <= retriesAllowed)
+		is.Equal(f.serve(ctx, harmlessBody).Status, http.StatusOK)
+	})
+}
+
+// Guards against a quarantine that is never stored, as the store was away when
+// it began.
+func TestQuarantineIsStoredOnceTheStoreIsBack(t *testing.T) {
+	withCrashingFleet(t, 7, func(ctx context.Context, is *is.I, f *crashingFleet) {
+		f.memory.SetFaults(store.Faults{Outage: true})
+		f.pressFor(ctx, 10*time.Second)
+		f.memory.SetFaults(store.Faults{})
+		time.Sleep(5 * time.Second)
+		f.restartAll(ctx)
+		before := len(f.servers.sends)
+		f.pressFor(ctx, 10*time.Second)
+		is.Equal(len(f.servers.sends), before)
+	})
+}
+
+// Guards against a host that stops at what another writer left in the store.
+func TestStoredQuarantineThatCannotBeRead(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "7", "[]", `{"requests":7}`, `{"requests":[{"fingerprint":"not hexadecimal"}]}`} {
+		_, err := decodeQuarantine([]byte(text), time.Now())
+		is.True(err != nil)
+	}
+	now := time.Now()
+	records := []quarantine.Record{{Fingerprint: 1 << 63, Epoch: 3, Crashes: 2, Left: time.Minute}}
+	data, err := encodeQuarantine(records, now)
+	is.NoErr(err)
+	read, err := decodeQuarantine(data, now)
+	is.NoErr(err)
+	is.True(read[0].Left > time.Minute-time.Second && read[0].Left <= time.Minute)
+	read[0].Left = records[0].Left
+	is.Equal(read, records)
+}
