Hosts heed answers that say their server leaves

Cause: that a server leaves was read from its entry and its own report, and from answers only where one refuses a request and closes the connection. The store was away, so that the entry could not say it, and plain servers are not asked for their reports. The class of fault: a fact that reaches a host by a path on which it does not listen.

Evidence: no host logged that it took the server for leaving until the store was back, while 41 answers passed that said so.

Why this works: each answer of a server, to a request, a resumed run and a question for its health, is read for its word in one place, and marks that life of the server. An allocator that has not heard it is told not to choose the server for this host.

--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -160,14 +160,15 @@
 }
 
 // Avoided returns the IDs of the servers of a service that get no work of this
-// host now, as they took no connection of it or failed.
+// host now for reasons that other hosts may not know: they took no connection
+// of it, failed, or told it that they leave.
 func (t *Table) Avoided(service string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ids []string
 	now := time.Now()
 	for _, e := range t.service(service).members {
-		if now.Before(e.unreachable) {
+		if now.Before(e.unreachable) || e.leaving && e.leavingBecause == SourceAnswer {
 			ids = append(ids, e.server.ID)
 		}
 	}
--- a/fleet/evidence_test.go
+++ b/fleet/evidence_test.go
@@ -56,3 +56,13 @@
 	table.Witness("h2", "a", Evidence{Failed: 1}) // this host is the other witness
 	is.Equal(table.Avoided("llm"), []string{"a"})
 }
+
+// Guards against an allocator that places work on a server which has told only
+// the asking host that it leaves.
+func TestServerThatToldThisHostOnlyIsAvoided(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	table.MarkLeaving(Life{ID: "a"}, SourceAnswer)
+	table.MarkLeaving(Life{ID: "b"}, SourceList)
+	is.Equal(table.Avoided("llm"), []string{"a"})
+}
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -42,7 +42,7 @@
 	NotRun bool
 	// WrongServer says that another server has the address; it ran nothing.
 	WrongServer bool
-	// Leaving says that the server closes its connections.
+	// Leaving is the server's word that it takes no new work.
 	Leaving bool
 	// Whole says that the answer carries the server's mark of a complete one.
 	Whole bool
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -106,7 +106,7 @@
 	if reply.Load != nil {
 		work.Says(*reply.Load)
 	}
-	if !t.took(work, reply) {
+	if !took(reply) {
 		return t.notRun(reply)
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
@@ -140,19 +140,22 @@
 	return context.WithTimeout(ctx, time.Until(t.until)/firstTryShare)
 }
 
-// took reports whether the server took the request, and notes it if it takes
-// no more.
-func (t *task) took(work *fleet.Work, reply *Reply) bool {
-	server := work.Server()
+// heed takes in what an answer says of its server besides the answer itself.
+//
+// Failure: a server's entry cannot say that it leaves while the store is away.
+// Its answers do, and hosts that pass them on go on sending to it.
+func (t *task) heed(server fleet.Server, reply *Reply) {
 	switch {
 	case reply.WrongServer:
 		t.gateway.options.Fleet.MarkLeaving(server.Life(), fleet.SourceReplaced)
-	case reply.Leaving && reply.NotRun:
+	case reply.Leaving:
 		t.gateway.options.Fleet.MarkLeaving(server.Life(), fleet.SourceAnswer)
 	}
-	return !reply.NotRun && !reply.WrongServer
 }
 
+// took reports whether the server took the request.
+func took(reply *Reply) bool { return !reply.NotRun && !reply.WrongServer }
+
 // notRun is a try that the server refused as not run.
 func (t *task) notRun(reply *Reply) try {
 	if reply.WrongServer {
--- a/gateway/life.go
+++ b/gateway/life.go
@@ -30,6 +30,7 @@
 		end()
 		return nil, err
 	}
+	t.heed(call.Server, reply)
 	reply.Body = &boundBody{ReadCloser: reply.Body, end: end}
 	return reply, nil
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		t.sends++
-		if !t.took(work, reply) {
+		if !took(reply) {
 			result := t.notRun(reply)
 			reply.Body.Close()
 			work.End()
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -272,3 +272,28 @@
 
 // everywhere says that a host reports of all servers.
 func everywhere(fleet.Server) bool { return true }
+
+// Guards against generations sent on to an engine whose answers say that it
+// leaves, and against a cut of the one that was told so.
+func TestGenerationsHeedAnAnswerThatSaysLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		leaving := ""
+		w.send = func(_ context.Context, call Call) (*Reply, error) {
+			r := newGeneration(1, 3, gap).reply()
+			if leaving == "" {
+				leaving = call.Server.ID
+			}
+			r.Leaving = call.Server.ID == leaving
+			return r, nil
+		}
+		w.copy = func(_, _ fleet.Server, _ bool) (Copied, error) { return Copied{}, errors.New("refused") }
+		for range 4 {
+			is.True(w.serve("/letter/1").Complete)
+		}
+		for _, call := range w.calls[1:] {
+			is.True(call.Server.ID != leaving)
+		}
+		time.Sleep(time.Second)
+	})
+}
