Hosts leave a server alone for as long as it asks them to

What callers would see: a server that is full refuses a request with 503 and says for how long it wants nothing from this host. The host went on sending to it, and each of these requests cost its caller a try.

Class: an answer's word on its server that nobody reads, as with the server that leaves; both are read in one place now.

Change: such a server gets no requests from this host until then, first sends, second tries and moved runs alike, and is not asked about itself. The word holds for this host only: as an allocator it goes on choosing the server for others, and tells the allocators of its own requests not to. Where all servers of a service want nothing for longer than a request may wait, it is refused at once.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -160,7 +160,9 @@
 	if a.ColdShare != nil {
 		share = a.ColdShare(part)
 	}
-	return a.fleet.CandidatesFor(fleet.Query{Service: part.Service, Domain: domain, Among: part.Holds, Except: except, ColdShare: share})
+	return a.fleet.CandidatesFor(fleet.Query{
+		Service: part.Service, Domain: domain, Among: part.Holds, Except: except, ForOthers: true, ColdShare: share,
+	})
 }
 
 // TakeTurn waits until a host's run may move. The turn has to be ended.
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -131,11 +131,11 @@
 
 func (c *Client) placeIn(ctx context.Context, part Part, asked Asked, except []string) Placed {
 	allocator := c.allocator(part)
+	// Other hosts may reach servers that this one does not, and be welcome there.
+	except = append(c.fleet.Avoided(part.Service), except...)
 	if allocator == c.host {
 		return c.placeHere(part, asked, except)
 	}
-	// The allocator may reach a server that this host does not.
-	except = append(c.fleet.Avoided(part.Service), except...)
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var response *allocationpb.PlaceResponse
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -97,13 +97,14 @@
 
 // asked returns the servers of a part that are asked: all by its allocator; by
 // a host that decides for itself those on which it has work, or on a day with
-// many hosts cut off each would ask all.
+// many hosts cut off each would ask all. Those that want nothing from this host
+// now are left alone.
 func (s *Sentinel) asked(part Part) []fleet.Server {
 	servers := s.Fleet.UsableWithWork(part.Service)
 	if s.Client.chosen(part) == s.Host {
 		servers = s.Fleet.Usable(part.Service)
 	}
-	return slices.DeleteFunc(servers, func(server fleet.Server) bool { return !part.Holds(server) })
+	return slices.DeleteFunc(servers, func(server fleet.Server) bool { return !part.Holds(server) || s.Fleet.Resting(server.Life()) })
 }
 
 // heed asks one server, and takes in what it says of itself. One that does not
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -14,6 +14,9 @@
 	// Among says which servers are asked for; nil: all.
 	Among  func(Server) bool
 	Except []string // IDs
+	// ForOthers asks on behalf of other hosts: what servers want of this one
+	// alone does not count.
+	ForOthers bool
 	// ColdShare is the part that the asking host may spend of the requests that
 	// a cold server takes; zero: all of them.
 	ColdShare float64
@@ -38,6 +41,9 @@
 		if !e.takesRequests() || now.Before(e.unreachable) || q.Among != nil && !q.Among(e.server) || slices.Contains(q.Except, e.server.ID) {
 			continue
 		}
+		if e.rests(now) && !q.ForOthers {
+			continue
+		}
 		c := e.candidate(s, q.Domain, now)
 		c.ColdFull = s.coldRate > 0 && c.Slow && e.coldFull(t.host, s.coldRate*q.ColdShare, now)
 		candidates = append(candidates, c)
--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -161,14 +161,14 @@
 
 // Avoided returns the IDs of the servers of a service that get no work of this
 // host now for reasons that other hosts may not know: they took no connection
-// of it, failed, or told it that they leave.
+// of it, failed, or told it that they leave or want nothing from it now.
 func (t *Table) Avoided(service string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ids []string
 	now := time.Now()
 	for _, e := range t.service(service).members {
-		if now.Before(e.unreachable) || t.saysLeaving(e.server.Life()) {
+		if now.Before(e.unreachable) || e.rests(now) || t.saysLeaving(e.server.Life()) {
 			ids = append(ids, e.server.ID)
 		}
 	}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -68,6 +68,7 @@
 	said           saidLoad
 	shunnedUntil   time.Time // until then it gets calls only where no other has a place
 	unreachable    time.Time // until then it gets no work
+	restsUntil     time.Time // until then it wants nothing from this host
 	health         health
 	pace           pace
 	evidence       Evidence             // of this host, since it was told
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -88,17 +88,18 @@
 }
 
 // Begin books a request that is about to be sent to a server. It returns nil if
-// the server takes no new work, or its failure domain is evacuated; resumed
-// says that the request is a run that moves there, which a leaving server may
-// still be given back.
+// the server takes no new work, wants none from this host now, or its failure
+// domain is evacuated; resumed says that the request is a run that goes back to
+// the server that stopped it, which a leaving one may still be given.
 func (t *Table) Begin(server string, work Work, resumed bool) *Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[server]
-	if e == nil || e.evacuated || !e.takesWork() && !resumed {
+	now := time.Now()
+	if e == nil || e.evacuated || !resumed && (!e.takesWork() || e.rests(now)) {
 		return nil
 	}
-	e.noteStart(time.Now())
+	e.noteStart(now)
 	booked := &work
 	booked.table, booked.entry = t, e
 	e.work[booked] = struct{}{}
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -44,6 +44,9 @@
 	WrongServer bool
 	// Leaving is the server's word that it takes no new work.
 	Leaving bool
+	// RestFor is how long the server wants no more requests from this host; zero:
+	// it does not say.
+	RestFor time.Duration
 	// Whole says that the answer carries the server's mark of a complete one.
 	Whole bool
 	// Load is how many requests the server says it has, running and waiting;
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -150,6 +150,8 @@
 		t.gateway.options.Fleet.MarkLeaving(server.Life(), fleet.SourceReplaced)
 	case reply.Leaving:
 		t.gateway.options.Fleet.MarkLeaving(server.Life(), fleet.SourceAnswer)
+	case reply.RestFor > 0:
+		t.gateway.options.Fleet.Rest(server.Life(), reply.RestFor)
 	}
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -32,16 +32,16 @@
 func (t *task) place(ctx context.Context) (*fleet.Work, Reason) {
 	table := t.gateway.options.Fleet
 	need := t.request.Prompt.need(t.route.Kind)
-	giveUp := time.NewTimer(time.Until(t.request.Arrived.Add(t.route.Goal / waitShare)))
+	waitUntil := t.request.Arrived.Add(t.route.Goal / waitShare)
+	giveUp := time.NewTimer(time.Until(waitUntil))
 	defer giveUp.Stop()
 	for {
 		changed := table.Changed()
 		candidates := table.CandidatesFor(t.query())
-		if len(candidates) == 0 && table.EvacuatedOnly(t.service.Name) {
-			return nil, ReasonEvacuated
-		}
 		if len(candidates) == 0 {
-			return nil, ReasonNoServer
+			if reason := t.whyNone(time.Until(waitUntil)); reason != "" {
+				return nil, reason
+			}
 		}
 		if id := t.choose(ctx, need, candidates); id != "" {
 			work := table.Begin(id, fleet.Work{ID: t.request.ID, PromptTokens: need.PromptTokens, OutputTokens: need.OutputTokens}, false)
@@ -61,6 +61,22 @@
 	}
 }
 
+// whyNone says why no server may get the request, or "" if one will within the
+// time for which it may wait.
+func (t *task) whyNone(wait time.Duration) Reason {
+	table := t.gateway.options.Fleet
+	if table.EvacuatedOnly(t.service.Name) {
+		return ReasonEvacuated
+	}
+	switch rest := table.RestLeft(t.service.Name); {
+	case rest == 0:
+		return ReasonNoServer
+	case rest > wait:
+		return ReasonFull
+	}
+	return ""
+}
+
 // query asks for the servers that may get the request. Hosts share evenly what
 // cold servers of plain services bear; generations are placed by an allocator.
 func (t *task) query() fleet.Query {
