--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -228,11 +228,13 @@
 // Guards against a request that crashes one backend server after the other, as
 // its caller repeats it at every host.
 func TestRequestThatCrashesServersIsQuarantined(t *testing.T) {
-	withCrashingFleet(t, 7, func(ctx context.Context, is *is.I, f *crashingFleet) {
-		f.pressFor(ctx, 20*time.Second)
-		is.True(f.servers.retriesAfterThird() <= retriesAllowed)
-		is.Equal(f.serve(ctx, harmlessBody).Status, http.StatusOK)
-	})
+	for _, hosts := range []int{7, 40} {
+		withCrashingFleet(t, hosts, func(ctx context.Context, is *is.I, f *crashingFleet) {
+			f.pressFor(ctx, 20*time.Second)
+			is.True(f.servers.retriesAfterThird() <= retriesAllowed)
+			is.Equal(f.serve(ctx, harmlessBody).Status, http.StatusOK)
+		})
+	}
 }
 
 // Guards against a quarantine that is lost when all hosts are killed at once.
--- /dev/null
+++ b/peer/suspects_test.go
@@ -0,0 +1,30 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/fake/network"
+	"github.com/papayasail/papayasail/peer/peerpb"
+	"github.com/papayasail/papayasail/quarantine"
+)
+
+// Guards against a host that joins and sends on what all others have quarantined.
+func TestHostThatJoinsIsToldOfQuarantinedRequests(t *testing.T) {
+	is := is.New(t)
+	known := quarantine.NewTable(zap.NewNop(), prometheus.NewRegistry())
+	known.Merge([]quarantine.Record{{Fingerprint: 7, Crashes: 2, Left: time.Minute}}, "test")
+	n := New(Options{
+		Self: Member{Host: "a"}, Network: network.New(network.Options{}).Host("10.0.0.1"), Configuration: newTableFake(), Handler: &handlerFake{}, Suspects: known,
+	})
+	brought := suspectsToProto([]quarantine.Record{{Fingerprint: 8, Crashes: 3, Left: time.Hour}})
+	response, err := (&service{node: n}).Sync(t.Context(), &peerpb.SyncRequest{From: Member{Host: "b"}.toProto(), Suspects: brought})
+	is.NoErr(err)
+	told := suspectsFromProto(response.GetSuspects())
+	is.Equal(len(told), 2) // with what the host that joins has brought
+	is.True(known.Quarantined(8) > time.Minute)
+}
