--- a/domain/watchduty.go
+++ b/domain/watchduty.go
@@ -62,9 +62,9 @@
 // Run checks the store while this host watches it, until ctx ends.
 //
 // Failure: the store takes calls and never answers them. A watch that began
-// meanwhile waits for its whole time after the store is back; a host knew
-// nothing of two replaced servers for 15 s, and 8 in 10 requests failed. After
-// a check that failed everything is therefore to be listed anew.
+// meanwhile waits for its whole time after the store is back, and hears nothing
+// of servers that were replaced. After a check that failed everything is
+// therefore to be listed anew.
 //
 // Failure: the store turns this host away and serves others. It is told to the
 // fleet after awayAfter checks in a row, so that another host watches in its
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -8,8 +8,7 @@
 	paceTokens = 32
 	// paceFall and paceRise are the parts by which a server's pace follows a
 	// measurement below and above it. Prompts that are read in between slow
-	// any engine down for a while, so that the lower ones tell more; one that
-	// has turned slow is known for it after some 30 measurements.
+	// any engine down for a while, so that the lower ones tell more.
 	paceFall = 0.3
 	paceRise = 0.05
 )
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -73,10 +73,9 @@
 
 // mayGoOn reports whether the request may be sent to another server after a try.
 //
-// Failure: engines start again behind a cut, and other servers have their
-// addresses. Every host sends to each of them and on to the next: of 706
-// requests 320 arrived once more in ten seconds, 297 were allowed. What a server
-// answers at all counts as an arrival, so that it is taken from the budget.
+// Failure: engines start again behind a cut, other servers have their addresses,
+// and every host sends to each of them and on to the next. What a server answers
+// at all counts as an arrival, so that it is taken from the budget.
 func (t *task) mayGoOn(last *try) bool {
 	switch {
 	case last.sent:
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// endedTimeout bounds the look whether a server has crashed; a connection
-	// takes 1 to 5 ms, and the request's caller waits meanwhile.
+	// endedTimeout bounds the look whether a server has crashed; the request's
+	// caller waits meanwhile.
 	endedTimeout = 100 * time.Millisecond
 	// earlyRun is how long after a generation's first event its run still counts
 	// as just begun.
--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -126,9 +126,8 @@
 // what the store has.
 //
 // Failure: the store answers, but its watches hear nothing for seconds before
-// they are ended with the history. Ten engines with notices of 1.5 s were known
-// to leave after 3.2 s, and all that ran there was lost. A change of a kind
-// that is not followed costs one list of each kind.
+// they are ended with the history, and engines leave meanwhile. A change of a
+// kind that is not followed costs one list of each kind.
 func (h *Host) compare(there seen) {
 	defer h.comparing.Store(false)
 	_ = sleep.For(context.Background(), missedAfter) // never ends early
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -267,9 +267,8 @@
 // helpers chooses hosts to probe target for us: those heard of late first.
 //
 // Failure: most of the fleet is cut off. Helpers chosen from all of it are cut
-// off too and do not answer, so suspicions are confirmed late. It shows as
-// callers who are longer given addresses beyond the cut (of 30 hosts, 3 cut
-// off: 44 to 49 s instead of 35 to 41 s, four trials each).
+// off too and do not answer, so suspicions are confirmed late, and callers are
+// given addresses beyond the cut for longer.
 func (n *Node) helpers(target Member) []Member {
 	heard, others := n.table.reachable(time.Now().Add(-lately * n.options.ProbeInterval))
 	isTarget := func(m Member) bool { return m.Host == target.Host }
