quarantine: quarantined requests are told first; explain counts equal calls each

What callers would see: a crash leaves up to a hundred suspects, each told 12 times, eight a message. News of the quarantine waited behind them, up to seconds, while the request went on crashing servers. Found by reading. Quarantined requests go first now, the newest among them, and suspects are told four times.

papayasail explain took all calls with one fingerprint for one since their lines name it; only generations are merged now, as before (TestEqualCallsCountEach). A quarantined request is no loss that a decision could have saved.

Tests of failures that told stories of three lines and more say in one line what they guard against; no assertion was touched.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -103,10 +103,8 @@
 	is.Equal(client.Place(context.Background(), llm, Asked{Request: "r3", Need: need}, []string{"e1", "e2"}), "") // both tried
 }
 
+// Guards against callers that come back when they were told to and are refused again.
 func TestCallersThatComeBackGoFirst(t *testing.T) {
-	// Engines are full for seconds. A caller is refused, comes back when it
-	// was told to, and met the same full engines as all who came first; it
-	// does not come a third time.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		at := engines("a", "e1")
@@ -161,10 +159,8 @@
 	is.Equal(at.Leaving(llm), []fleet.Life{{ID: "e1"}})
 }
 
+// Guards against calls that fail at each host anew while a plain server goes down and up.
 func TestPlainServerThatFailsSeveralHostsIsShunned(t *testing.T) {
-	// One of three plain servers goes down and up. It refuses at once, so that
-	// its load looks low; each of 72 hosts found out by a call of its own, which
-	// may not be repeated: 113 acknowledgements failed in five seconds.
 	is := is.New(t)
 	at, from := engines("a", "e1"), engines("b", "e1")
 	for _, table := range []*fleet.Table{at, from} {
@@ -274,9 +270,7 @@
 	is.Equal(len(sentinel.asked(Whole(llm))), 1)
 }
 
-// Guards against an allocator that keeps others from an engine which wants
-// nothing from the allocator's host, and against one that sends them where they
-// are not wanted.
+// Guards against an allocator that confuses what servers want of its own host and of the asking one.
 func TestAllocatorPlacesWhereTheAskingHostIsWanted(t *testing.T) {
 	is := is.New(t)
 	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
@@ -287,10 +281,8 @@
 	is.Equal(client.Place(context.Background(), llm, Asked{Request: "r1", Need: need}, nil), "e1")
 }
 
+// Guards against engines reclaimed unnoticed while the store, which would say so, is away.
 func TestEnginesAreAskedWhileTheStoreIsAway(t *testing.T) {
-	// The store is down when an engine is reclaimed; its notice cannot be
-	// written. The engine itself knows. While the store answers, no engine is
-	// asked.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := engines("a", "e1", "e2")
@@ -336,10 +328,8 @@
 	})
 }
 
+// Guards against refusals for want of a place that has come free at another host.
 func TestEndsAreToldAtOnce(t *testing.T) {
-	// Engines are full. A generation ends on one host, and for the allocator
-	// the engine stayed full until that host's next report: callers were
-	// refused for want of a place that was there.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		at, from := engines("a", "e1"), engines("b", "e1")
--- a/allocation/cold_test.go
+++ b/allocation/cold_test.go
@@ -95,11 +95,8 @@
 	})
 }
 
+// Guards against cold engines that crash as all hosts together send them too much.
 func TestDomainThatIsBackColdIsNotOverrun(t *testing.T) {
-	// A failure domain is back with cold engines, the emptiest of all, under
-	// three times the usual load. Each engine got up to a hundred requests in a
-	// second, of all hosts together, and crashed. What is more than the warm engines bear
-	// is refused instead.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newColdFleet()
--- a/allocation/exchange_test.go
+++ b/allocation/exchange_test.go
@@ -17,10 +17,8 @@
 	"github.com/papayasail/papayasail/placement"
 )
 
+// Guards against allocators that do not know what the others offer, and each ask the store.
 func TestAllocatorsTellWhatTheyOffer(t *testing.T) {
-	// Two failure domains have an allocator each. One must hear what the other
-	// offers, and when that one last asked the store for the configuration:
-	// each of them asked, five times what one asks.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		hosts, allocator, client, _ := largePair(t)
@@ -46,11 +44,8 @@
 	})
 }
 
+// Guards against a store that each allocator asks for the same configuration.
 func TestOneAllocatorAsksForTheConfiguration(t *testing.T) {
-	// Five allocators each read the configuration every 0.6 s: 500 of 1,130
-	// calls to the store on a calm day of 150 hosts. One that has just heard of
-	// it from another makes the cheap check alone; while the store is away none
-	// reads it.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := engines("a", "e1")
@@ -87,11 +82,8 @@
 	})
 }
 
+// Guards against reports whose answers list all leaving servers each time.
 func TestLeavingServersAreToldOnce(t *testing.T) {
-	// Each answer to a report listed all servers that leave or left, 430 bytes
-	// in most of 20,000 answers. A host that has the list is not told it again,
-	// until a change, or some seconds later, as an older entry of the store may
-	// have undone a part of it.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
--- a/allocation/part_test.go
+++ b/allocation/part_test.go
@@ -36,10 +36,8 @@
 	return servers
 }
 
+// Guards against one allocator that decides for a whole large fleet.
 func TestLargeFleetsCutAServiceByDomain(t *testing.T) {
-	// One allocator decides for 300 hosts and takes half of a core. Cut by
-	// failure domain each server belongs to one part, and so does each host;
-	// the domain's hosts ask one of their own.
 	is := is.New(t)
 	is.Equal(cutOf(llm, threeDomains, crowd(91)).parts(), []Part{Whole(llm)})
 	for _, hosts := range []int{300, 600} {
@@ -131,10 +129,8 @@
 	}
 }
 
+// Guards against refusals in a full failure domain while others have room.
 func TestFullDomainSendsOnward(t *testing.T) {
-	// The engines of a domain are full, and those of the others have room: all
-	// callers have moved to one domain. They must not be refused for the cut,
-	// and while there is room at home they stay there.
 	is := is.New(t)
 	allocator, client, table := largeFleet(t)
 	need := placement.Need{PromptTokens: 3000, OutputTokens: 400}
@@ -203,10 +199,8 @@
 	other.mustHold(t, table, destination)
 }
 
+// Guards against hosts that each place by themselves while their allocator is too slow to answer.
 func TestNextAllocatorIsAskedWhileTheFirstIsSlow(t *testing.T) {
-	// The allocator's host is too slow to answer, yet held for live, for most
-	// of a day. Each host then placed by itself, and prompts piled up on the
-	// engine that looked emptiest to all of them.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		hosts := &hosts{members: crowd(9)}
--- a/allocation/replay_test.go
+++ b/allocation/replay_test.go
@@ -216,10 +216,8 @@
 	return result
 }
 
+// Guards against generations that cross failure domains on a usual day.
 func TestGenerationsStayInTheirDomain(t *testing.T) {
-	// Bytes between failure domains are dear, and each generation sends 50 KB.
-	// With engines chosen from all domains alike four of five crossed to
-	// another one. On a usual day hardly any does, and none is late for it.
 	is := is.New(t)
 	even := replay(t, 1, [replayDomains]float64{0.2, 0.19, 0.23, 0.19, 0.19})
 	t.Logf("%+v", even)
@@ -228,10 +226,8 @@
 	is.True(even.late*100 < even.placed)
 }
 
+// Guards against refusals where most callers move to one failure domain.
 func TestMovedCallersAreServedElsewhere(t *testing.T) {
-	// Three fifths of all callers move to one failure domain, whose engines can
-	// take a third of them. Its allocator alone would refuse half; the engines
-	// of the other domains take the rest, and nobody waits behind full ones.
 	is := is.New(t)
 	moved := replay(t, 1, [replayDomains]float64{0.6, 0.1, 0.1, 0.1, 0.1})
 	t.Logf("%+v", moved)
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -27,11 +27,12 @@
 	CauseReading      Cause = "full_reading"  // refused: too many prompts to read before it
 	CauseMemory       Cause = "full_memory"   // refused: engines' memory
 	CauseSlots        Cause = "full_slots"
+	CauseQuarantined  Cause = "quarantined" // the request crashes the servers that run it
 )
 
 // unavoidable are the causes that no decision of an entry host could have
 // kept away: what runs on a host that dies is lost with it.
-var unavoidable = map[Cause]bool{CauseHostKilled: true, CauseServerFailed: true}
+var unavoidable = map[Cause]bool{CauseHostKilled: true, CauseServerFailed: true, CauseQuarantined: true}
 
 // Loss is requests of one route that were lost for one cause.
 type Loss struct {
@@ -165,12 +166,14 @@
 	return report
 }
 
-// last returns the ends of requests, without those that came back.
+// last returns the ends of requests, without generations that came back. Calls
+// with one fingerprint may be those of several callers.
 func (l *Log) last() []*record {
 	newest := map[string]*record{}
+	generations := l.generationRoutes()
 	var all []*record
 	for _, r := range l.ended {
-		if r.Fingerprint == "" {
+		if r.Fingerprint == "" || !generations[r.Route] {
 			all = append(all, r)
 			continue
 		}
@@ -181,6 +184,17 @@
 	return slices.AppendSeq(all, maps.Values(newest))
 }
 
+// generationRoutes returns the routes on which generations came.
+func (l *Log) generationRoutes() map[string]bool {
+	routes := map[string]bool{}
+	for id, r := range l.ended {
+		if r.PromptTokens > 0 || l.placed[id] != nil || l.short[id] != nil {
+			routes[r.Route] = true
+		}
+	}
+	return routes
+}
+
 // denied reports whether the configuration does not allow the request.
 func denied(r *record) bool { return r.NotRun && r.Status/100 == 4 }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -60,3 +60,19 @@
 	is.Equal(found[0].Line, 15)
 	is.Equal(found[0].File, "day.log")
 }
+
+// Guards against equal calls of several callers that count as one.
+func TestEqualCallsCountEach(t *testing.T) {
+	is := is.New(t)
+	l := NewLog()
+	is.NoErr(l.Read("day.log", strings.NewReader(`
+  1.00 edge-1 {"level":"warn","ts":"2026-07-04T11:33:01Z","msg":"request","request":"r1","status":503,"reason":"quarantined","not_run":true,"route":"reads","fingerprint":"f"}
+  1.10 edge-1 {"level":"info","ts":"2026-07-04T11:33:01.1Z","msg":"request","request":"r2","status":200,"reason":"","route":"reads","fingerprint":"f"}
+  1.20 edge-1 {"level":"info","ts":"2026-07-04T11:33:01.2Z","msg":"request","request":"r3","status":200,"reason":"","route":"reads","fingerprint":"f"}
+`)))
+	report := l.Report()
+	is.Equal(report.Served, 2)
+	is.Equal(len(report.Losses), 1)
+	is.Equal(report.Losses[0].Cause, CauseQuarantined)
+	is.Equal(report.Ceiling(), 2.0/3)
+}
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -12,10 +12,8 @@
 	"github.com/papayasail/papayasail/placement"
 )
 
+// Guards against a cold server that crashes as hosts which cannot ask each other all choose it.
 func TestHostsShareWhatAColdServerBears(t *testing.T) {
-	// A server has just started and looks like the emptiest of all to each of
-	// 72 hosts, which cannot ask each other. Together they sent it 72 requests
-	// at once; it bears 25 a second and crashed.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const hosts, rate = 72, 25.0
--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -9,10 +9,8 @@
 	"github.com/matryer/is"
 )
 
+// Guards against requests, second tries and moves into a failure domain that is evacuated.
 func TestEvacuatedDomainGetsNothing(t *testing.T) {
-	// An operator evacuates a failure domain before its power is cut. New
-	// requests, second tries and runs that move went on being sent to its
-	// servers, and ended with the power.
 	is := is.New(t)
 	table := newTable()
 	work := table.Begin("a", Work{ID: "1"}, false)
@@ -34,10 +32,8 @@
 	is.Equal(ids(table.Candidates("llm", "d1")), []string{"a", "b", "c"})
 }
 
+// Guards against callers that wait for a place while all failure domains are evacuated.
 func TestAllDomainsEvacuated(t *testing.T) {
-	// Both domains are evacuated. Callers are to hear that at once instead of
-	// waiting for a place; an order for a domain that nobody knows changes
-	// nothing.
 	is := is.New(t)
 	table := newTable()
 	table.SetEvacuated("d1", true)
--- a/fleet/evidence_test.go
+++ b/fleet/evidence_test.go
@@ -8,10 +8,8 @@
 	"github.com/matryer/is"
 )
 
+// Guards against a crashed engine that looks like the emptiest until its entry lapses.
 func TestServerWhereTwoHostsFailedIsAvoided(t *testing.T) {
-	// An engine crashes. All its generations end at once, and to the allocator
-	// it looks like the emptiest engine: it sent the next ones there, one after
-	// the other, until the entry lapsed three seconds later.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := newTable()
--- a/fleet/life_test.go
+++ b/fleet/life_test.go
@@ -12,10 +12,8 @@
 	return Server{ID: "a", Born: born, Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24}
 }
 
+// Guards against what was believed of a server that outlives its crash.
 func TestServerThatStartsAgainUnderItsID(t *testing.T) {
-	// An engine crashes with a letter and is back under its id before its entry
-	// has lapsed. The host went on waiting for the letter, and took the engine
-	// for full, slow and doubtful, as its earlier life had been.
 	is := is.New(t)
 	table := newTable()
 	table.Put(life(100))
@@ -46,10 +44,8 @@
 	is.Equal(len(table.Candidates("llm", "d1")), 2)
 }
 
+// Guards against words of other hosts on an earlier life of a server.
 func TestWordsOfAnEarlierLifeAreNotOfTheLater(t *testing.T) {
-	// Hosts hear of a restart at different moments. What one of them still says
-	// of the life before made the others refuse work to the new one, or count
-	// its failures.
 	is := is.New(t)
 	table := newTable()
 	table.Put(life(200))
@@ -86,10 +82,8 @@
 	is.Equal(len(table.Candidates("llm", "d1")), 2)
 }
 
+// Guards against an entry that puts a living server under another service or address.
 func TestEntryThatMovesAServerNamesNone(t *testing.T) {
-	// Another writer puts an engine under another service, or at another
-	// address. Calls of that service would run on the engine. In one life
-	// neither changes; what is written for a later life may.
 	is := is.New(t)
 	table := newTable()
 	table.Put(life(100))
--- a/fleet/load_fuzz_test.go
+++ b/fleet/load_fuzz_test.go
@@ -66,10 +66,8 @@
 // partOfServer cuts the servers into even and odd ones.
 func partOfServer(server string) int { return int(server[1]-'0') % 2 }
 
+// Guards against sums of loads that are kept too long.
 func TestSumsOfOtherHostsLoads(t *testing.T) {
-	// Sums of what other hosts have on a server are kept between decisions. One
-	// that is kept too long makes an engine look full, or empty, until its
-	// hosts say something else.
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := genLoadSteps().Draw(rt, "steps")
 		broken := ""
--- a/fleet/said_test.go
+++ b/fleet/said_test.go
@@ -135,10 +135,8 @@
 	time.Sleep(time.Second) // the last ones end
 }
 
+// Guards against calls that all come late, at the ends of queues which each host takes for empty.
 func TestCallsKeepOutOfFullQueues(t *testing.T) {
-	// One of three plain servers is away. Every host thinks that the others are
-	// empty, their queues fill up, and nearly every call that is answered is
-	// late. With the servers' own word on their load most are on time.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		heeded, blind := newSaidReplay(true), newSaidReplay(false)
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -17,10 +17,8 @@
 	"github.com/papayasail/papayasail/fleet"
 )
 
+// Guards against a second run of a write whose answer was lost.
 func TestWritesAreNeverSentTwice(t *testing.T) {
-	// The connection breaks after an acknowledgement was sent. It may have
-	// been recorded: the caller hears that nobody knows, and no second server
-	// gets it.
 	for _, evidence := range []backend.Evidence{backend.Broken, backend.Silent, backend.Mismatch} {
 		synctest.Test(t, func(t *testing.T) {
 			is, w := is.New(t), newWorld()
@@ -143,10 +141,8 @@
 	})
 }
 
+// Guards against requests to an address that has another server.
 func TestAddressWithAnotherServer(t *testing.T) {
-	// A server ended, and its address went to a server of another service.
-	// That one says so and runs nothing; the request goes on to a sound one,
-	// and nothing more is sent to the address.
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newWorld()
 		w.send = func(context.Context, Call) (*Reply, error) {
@@ -236,12 +232,8 @@
 	})
 }
 
+// Guards against repeats beyond the budget while servers have changed their addresses.
 func TestMisdirectedSendsKeepToTheBudget(t *testing.T) {
-	// A quarter of the engines start again behind a cut, and other servers have
-	// their addresses. Every host sends a request to each of them, is told that
-	// another server is there, and sends it on. Servers saw more than twice as
-	// many repeats as the operator allows: 320 for 706 requests. What a server
-	// answers at all counts, also that it is not the one that was meant.
 	for _, path := range []string{"/letter/1", "/write/1"} {
 		is, w := is.New(t), newWorld()
 		w.gateway.options.Budget = &Budget{Ratio: 0.2, Allowance: 0, Window: time.Minute, Hosts: func() int { return 1 }}
@@ -262,10 +254,8 @@
 	}
 }
 
+// Guards against callers that are held while no server may get their request.
 func TestEvacuatedServiceRefusesAtOnce(t *testing.T) {
-	// The only failure domain with servers of a service is evacuated. Callers
-	// waited for a place until their time was nearly over; nothing has run, and
-	// they are to come back when the evacuation may be over.
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newWorld()
 		w.fleet.SetEvacuated("d1", true)
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -32,10 +32,8 @@
 	}
 }
 
+// Guards against callers that wait for a run which was lost with an earlier life of its engine.
 func TestRunThatWasLostWithALifeEndsAtOnce(t *testing.T) {
-	// An engine crashes behind a cut and starts again under its id. The stream
-	// stays silent; the caller waited for 39 s for a letter that was lost, and
-	// the host asked the new life to move a run that it does not have.
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newWorld()
 		w.giveBirth(100)
@@ -60,10 +58,8 @@
 	})
 }
 
+// Guards against a second run of a write whose server has started again.
 func TestWriteSentToAnEarlierLifeIsNotRepeated(t *testing.T) {
-	// A plain server takes a write, crashes and starts again under its id. The
-	// write may have run; sent to the later life it could run twice. A read
-	// goes on to the other server at once.
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newWorld()
 		w.giveBirth(100)
@@ -94,10 +90,8 @@
 	})
 }
 
+// Guards against another run's tokens from a copy with the name of an earlier one.
 func TestCopyOfAnEarlierLifeIsNotUsed(t *testing.T) {
-	// The engine that a letter moves to starts again between the copy and the
-	// resumption. It counts its copies from one again: by the name of this one
-	// the caller could get the tokens of another letter.
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newWorld()
 		w.giveBirth(100)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -18,11 +18,8 @@
 
 const gap = 40 * time.Millisecond
 
+// Guards against events lost, doubled or torn as a run moves.
 func TestStreamMovesOffALeavingEngine(t *testing.T) {
-	// An engine is reclaimed with two seconds of notice while it writes a
-	// letter. The caller reads every event once, in order, and no pause shows
-	// that the letter was finished elsewhere. What the engine sent of an event
-	// that it did not finish is not passed on.
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newWorld()
 		first := newGeneration(1, 100, gap)
@@ -56,10 +53,8 @@
 	})
 }
 
+// Guards against places that stay booked for runs whose callers have left.
 func TestMoveOfACallerThatLeftBooksNothing(t *testing.T) {
-	// A caller leaves while the last part of its run's memory is copied. The
-	// destination stayed booked for a run that nobody takes up, and looked
-	// fuller to all hosts with each such move.
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newWorld()
 		first := newGeneration(1, 100, gap)
--- a/gatewayhost/evacuation_test.go
+++ b/gatewayhost/evacuation_test.go
@@ -32,10 +32,8 @@
 	return using
 }
 
+// Guards against hosts that do not watch the store and miss an evacuation or its end.
 func TestEvacuationReachesAllHosts(t *testing.T) {
-	// An operator evacuates a failure domain, and takes it back. Three hosts
-	// watch the store; each other one has to hear of both from its peers, or
-	// goes on sending into a domain whose power is about to be cut.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, stop := context.WithCancel(t.Context())
@@ -78,10 +76,8 @@
 	})
 }
 
+// Guards against an evacuation that is forgotten with the hosts that watched the store.
 func TestEvacuationOutlivesItsWatchers(t *testing.T) {
-	// A failure domain is evacuated and the store goes down. All hosts that
-	// watched it are turned away; those that start now know what their peers
-	// know, before they send anything.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, stop := context.WithCancel(t.Context())
@@ -113,10 +109,8 @@
 	return nil, 0, ctx.Err()
 }
 
+// Guards against an evacuation that is missed as the store drops its history.
 func TestEvacuationMissedWithTheHistory(t *testing.T) {
-	// The store drops its history while an order is written, so that the watch
-	// on evacuations, a kind that never changes otherwise, hears nothing. The
-	// watch on servers is told so, and has the evacuations listed too.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, stop := context.WithCancel(t.Context())
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -112,11 +112,8 @@
 	return []store.Object{{Kind: kindOfServers, Name: "i-1", Version: version, Value: []byte("ready"), Deleted: deleted}}
 }
 
+// Guards against a host that waits for itself for good when an entry goes during a disturbance.
 func TestRemovalsDuringADisturbanceDoNotStopTheHost(t *testing.T) {
-	// The store is cut off from a host, and a peer tells it that a server's
-	// entry is gone. The host asked its membership who watches the store,
-	// while the membership asked for the version of what it has: neither ever
-	// answered, and the host served an old configuration for good.
 	is := is.New(t)
 	h, memory := alone(stays)
 	disturb(h, memory)
@@ -180,10 +177,8 @@
 	})
 }
 
+// Guards against waiting for the entry of an engine that says itself that it leaves.
 func TestServerThatSaysSoLeavesAtOnce(t *testing.T) {
-	// An engine is reclaimed just after a disturbance of the store; its entry
-	// is gone. Waiting whether it comes back cost all its generations. Its
-	// first answer is from before the notice.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		asked := 0
@@ -225,10 +220,8 @@
 	return s.checkedStore.Watch(ctx, kind, after)
 }
 
+// Guards against a watch that began while the store was silent and is never answered.
 func TestWatchThatBeganInSilence(t *testing.T) {
-	// The store is silent for a second and a half. The watch that began then
-	// is never answered; a server that is added after the store's return was
-	// unknown to the hosts for a quarter of a minute.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		h, memory := alone(stays)
@@ -282,11 +275,8 @@
 	is.Equal(h.Gateway().Configuration().Version, uint64(7)) // and it has what the store has
 }
 
+// Guards against a host that is taken for replaced as its clock was set back.
 func TestHostWhoseClockWasSetBackJoins(t *testing.T) {
-	// The time of day is set back while a host restarts. The fleet knows a
-	// life of it that looks newer, and takes the host for replaced. It joins
-	// above that life instead of ending again and again until the clock has
-	// caught up.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fabric := network.New(network.Options{})
@@ -327,10 +317,8 @@
 	return 0
 }
 
+// Guards against leaving engines missed by watches that hear nothing.
 func TestDeafWatchesAreNoticed(t *testing.T) {
-	// The store drops its history: its watches hear nothing for seconds, while
-	// it answers all other calls. Engines with a notice of 1.5 s were known to
-	// leave after 3.2 s, when all that ran there was lost.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		h, memory := alone(stays)
@@ -358,10 +346,8 @@
 	})
 }
 
+// Guards against changes that stay missed, as a later one was found by asking.
 func TestDeafWatchesAreNoticedBesideAConfiguration(t *testing.T) {
-	// All watches are deaf. An engine leaves, and then the configuration changes:
-	// the allocator finds that by asking, and has the store's newest revision by
-	// it. The engine's notice was missed all the same.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		h, memory := alone(stays)
@@ -391,10 +377,8 @@
 	})
 }
 
+// Guards against lists made again and again for changes that nobody follows.
 func TestChangesOfOtherKindsAreListedOnce(t *testing.T) {
-	// Somebody writes objects of a kind that no host follows. The store's
-	// revision is ahead of all that the watches bring; a host that took that for
-	// missed changes for good would list everything again and again.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		h, memory := alone(stays)
--- a/gatewayhost/large_test.go
+++ b/gatewayhost/large_test.go
@@ -103,10 +103,8 @@
 	return watching
 }
 
+// Guards against hosts that start together and all watch the store.
 func TestFleetThatStartsTogetherSparesTheStore(t *testing.T) {
-	// All hosts start at the same moment, and each sees nobody but itself. Each
-	// listed all kinds and waited on a watch of each: 600 of the 1,750 calls that
-	// 150 hosts made in a day. What they need to serve they have all the same.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, stop := context.WithCancel(t.Context())
@@ -147,10 +145,8 @@
 	})
 }
 
+// Guards against a failure domain whose watcher the store turns away.
 func TestWatcherThatIsTurnedAwayHandsOver(t *testing.T) {
-	// The store turns all hosts away that watch it but one. A host that it
-	// serves takes the place of each, and gives it back when the first one is
-	// served again.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, stop := context.WithCancel(t.Context())
--- a/gatewayhost/stop_test.go
+++ b/gatewayhost/stop_test.go
@@ -40,10 +40,8 @@
 func (nobody) Begin(int, http.Header) error { return nil }
 func (nobody) Event([]byte) error           { return nil }
 
+// Guards against seconds in which no host takes connections as all are stopped in turn.
 func TestStoppingHostTakesCallsWhileItsLettersRun(t *testing.T) {
-	// All hosts are stopped in turn, one each second, and letters keep each of
-	// them until the end of its grace. None took a connection any more: for
-	// three seconds callers could reach nobody, although seven hosts ran.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fabric := network.New(network.Options{})
--- a/peer/large_test.go
+++ b/peer/large_test.go
@@ -18,11 +18,8 @@
 	return Scope{Near: []string{self.FailureDomain}}.withDefaults()
 }
 
+// Guards against probes that cross failure domains, and against hosts that nobody probes.
 func TestNearScopeStaysInTheDomain(t *testing.T) {
-	// 295 hosts probe each other whatever their domain: four of five messages
-	// cross between domains, where bytes are dear. Some hosts stand alone in
-	// their domains, and one dies; nobody probed it, and callers went on being
-	// sent there.
 	is := is.New(t)
 	var members []Member
 	for i := range 40 {
@@ -61,10 +58,8 @@
 	return metric.GetCounter().GetValue()
 }
 
+// Guards against pulls that name all objects for one change.
 func TestPullNamesObjectsOnlyForAGap(t *testing.T) {
-	// A host has 400 objects and one of them changes. To fetch it the host named
-	// all 400, 5 KB for a change of 100 bytes. A host that lacks an earlier
-	// change must still get it.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, "a1")
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -230,9 +230,7 @@
 	})
 }
 
-// Callers in a small domain that is cut off are given addresses beyond the cut
-// for good: its three hosts probe few of the others, and most helpers they ask
-// are beyond the cut and confirm nothing.
+// Guards against addresses beyond a cut that a small part names for good.
 func TestSmallPartFindsTheRestGone(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
@@ -255,9 +253,7 @@
 	})
 }
 
-// A domain of three hosts comes back after minutes. Callers elsewhere lose most
-// addresses for a while, because the three hold the others for gone and their
-// news of it is taken; or the three stay gone for minutes more.
+// Guards against hosts held for gone on the word of a part that was cut off.
 func TestReturningPartDoesNotTakeTheRestDown(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -18,10 +18,8 @@
 	return Candidate{ID: id, Slots: 24, MemoryTokens: 34000, Running: running, HeldTokens: held, UnreadTokens: unread, SameDomain: true}
 }
 
+// Guards against all prompts of a burst on the engine with the emptiest memory.
 func TestBacklogOfPromptsWeighsMoreThanMemory(t *testing.T) {
-	// A burst of prompts comes while one engine has just started. Its memory
-	// is empty, so all prompts went there and the last of them waited three
-	// seconds for its first token; the others had nothing to read.
 	is := is.New(t)
 	candidates := []Candidate{engine("new", 4, 10000, 10000), engine("old", 5, 23000, 0)}
 	i := Pick(Need{PromptTokens: 2500, OutputTokens: 200}, candidates, DefaultLimits, noDraw)
@@ -52,10 +50,8 @@
 	is.Equal(Pick(Need{PromptTokens: 9000, OutputTokens: 300}, busy, DefaultLimits, noDraw), 0) // nobody waits
 }
 
+// Guards against brief generations refused for the memory of long ones.
 func TestBriefGenerationsFitBetweenLongOnes(t *testing.T) {
-	// Engines are full of letters of eight seconds. A verdict of a few tokens
-	// gives its memory back at once; refusing it with the letters would keep
-	// the most urgent callers waiting.
 	is := is.New(t)
 	full := []Candidate{engine("a", 8, 31500, 0)}
 	full[0].UsedTokens = 31000
@@ -67,10 +63,8 @@
 	is.Equal(Pick(Need{PromptTokens: 2500, OutputTokens: 16}, full, DefaultLimits, noDraw), -1)
 }
 
+// Guards against brief generations that wait on an engine whose memory is really full.
 func TestBriefGenerationsGoWhereMemoryIsFreeNow(t *testing.T) {
-	// Two engines have promised the same. One is really full, so that a verdict
-	// waited there for four seconds until a letter ended; on the other one
-	// letters have just begun, and there is room until they have grown.
 	is := is.New(t)
 	grown, young := engine("grown", 6, 32500, 0), engine("young", 8, 33500, 0)
 	grown.UsedTokens, young.UsedTokens = 32000, 26000
@@ -94,10 +88,8 @@
 	is.Equal(Pick(Need{PromptTokens: 3000, OutputTokens: 700}, both, DefaultLimits, noDraw), 0)
 }
 
+// Guards against a cold server that crashes as it looks idle.
 func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
-	// A server has just started: it is idle, and the emptiest of all. It has got
-	// as many requests as it bears while it is cold; one more each time that it
-	// is idle would crash it.
 	is := is.New(t)
 	cold := Candidate{ID: "cold", Slots: 6, SameDomain: true, ColdFull: true}
 	warm := Candidate{ID: "warm", Slots: 6, SameDomain: true, Running: 9}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -236,12 +236,8 @@
 	return sum
 }
 
+// Guards against engines that overflow in the middle of streams under overload.
 func TestOverloadKeepsWhatItBegan(t *testing.T) {
-	// Letters come faster than engines have memory for them. With the whole
-	// memory promised their estimates of length, which are off by a factor of
-	// three, let engines overflow in the middle of a stream: callers saw
-	// letters stop for a second and more, and each one that was read again
-	// took the time of another.
 	is := is.New(t)
 	promised := replayAll(overload, Limits{Memory: 1, ReturningMemory: 1.1, UnreadTokens: DefaultLimits.UnreadTokens})
 	kept := replayAll(overload, DefaultLimits)
@@ -253,11 +249,8 @@
 	is.True(kept.briefsOnTime*100 > kept.briefs*98) // verdicts fit in between
 }
 
+// Guards against long generations on slow engines.
 func TestLongGenerationsGoToFastEngines(t *testing.T) {
-	// A third of the engines are slower by a third, and take as many letters as
-	// the others. A letter there runs for 20 s instead of 15, and is lost if
-	// its host or its engine goes meanwhile. Known, they make a token in 97 of
-	// 100 parts of the time.
 	is := is.New(t)
 	paced := halfLoad
 	paced.paceKnown = true
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -1,13 +1,16 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// retransmits is how often one host tells a record as news.
-	retransmits = 12
+	// retransmits is how often one host tells a record as news; fewer where the
+	// request is only suspected, as are all that were on a crashed server.
+	retransmits        = 12
+	suspectRetransmits = 4
 	// newsLimit bounds the news in one message.
 	newsLimit = 8
 	// repeated is how many quarantined requests each message names besides its
@@ -19,17 +22,11 @@
 func (t *Table) News() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var news []Record
 	now := time.Now()
-	for fingerprint, e := range t.requests {
-		if !now.Before(e.expires) {
-			delete(t.requests, fingerprint)
-			continue
-		}
-		if e.passOn > 0 && len(news) < newsLimit {
-			e.passOn--
-			news = append(news, e.told(now))
-		}
+	var news []Record
+	for _, e := range t.untold(now) {
+		e.passOn--
+		news = append(news, e.told(now))
 	}
 	for range repeated {
 		e := t.nextRepeated()
@@ -41,6 +38,24 @@
 	return news
 }
 
+// untold returns what is still to be told, quarantined requests first and among
+// them the newest, newsLimit at most. Called with mu held.
+func (t *Table) untold(now time.Time) []*entry {
+	var untold []*entry
+	for fingerprint, e := range t.requests {
+		switch {
+		case !now.Before(e.expires):
+			delete(t.requests, fingerprint)
+		case e.passOn > 0:
+			untold = append(untold, e)
+		}
+	}
+	slices.SortFunc(untold, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.passOn, a.passOn))
+	})
+	return untold[:min(len(untold), newsLimit)]
+}
+
 // nextRepeated returns the quarantined request whose turn it is, or nil. Called
 // with mu held.
 func (t *Table) nextRepeated() *entry {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -151,7 +151,7 @@
 	var ends []*func()
 	raised, changed := false, known == nil || now.newerThan(known.Record)
 	if changed {
-		ends = t.set(now, lifetime(now), early || now.Quarantined(), "own")
+		ends = t.set(now, lifetime(now), early, "own")
 		raised = now.Quarantined()
 	}
 	t.mu.Unlock()
@@ -201,7 +201,11 @@
 	}
 	known.Record, known.expires = r, time.Now().Add(lasts)
 	known.Left = 0
+	known.passOn = 0
 	if tell {
+		known.passOn = suspectRetransmits
+	}
+	if r.Quarantined() {
 		known.passOn = retransmits
 	}
 	t.changes.WithLabelValues(change(r)).Inc()
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -122,6 +122,21 @@
 	})
 }
 
+// Guards against news of a quarantine that waits behind that of suspects.
+func TestQuarantineIsToldFirst(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		for i := range 100 {
+			table.Crashed(uint64(1000+i), Mark{}, true, "r", "i")
+		}
+		table.crash()
+		table.crash()
+		for range retransmits {
+			is.Equal(table.News()[0].Fingerprint, uint64(suspect))
+		}
+	})
+}
+
 // Guards against memory that grows with the requests that crash servers.
 func TestTableIsBounded(t *testing.T) {
 	inBubble(t, func(is *is.I) {
