quarantine: its end reaches the store and hosts that missed it

What callers would see: a request is quarantined, and a run of it that was under way ends well all the same. It was cleared at the hosts that heard of it within a minute; one that had missed it told the others of the old quarantine again, and hosts that started read it from the store.

Cause: the end was news for a minute only, and was never stored. Class: a fact that is undone by an older one.

Change: who tells what is no more so is told better with the next message, and the stored object is written anew when a quarantine ends. TestEndOfAQuarantineIsToldToWhoMissedIt failed before; TestEndOfAQuarantineIsStored guards the other half.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -45,9 +45,9 @@
 	return refused(ReasonQuarantined, t.gateway.options.Quarantine.Quarantined(t.fingerprint))
 }
 
-// blame takes in that the connection broke on which a server was to answer. If
-// the server has crashed, the request is suspected of it, as are the others
-// that ran there.
+// blame suspects the request of having crashed its server, whose connection
+// broke before the end of the answer. As long as the server takes connections
+// it has not crashed.
 //
 // Failure: a request crashes each server that runs it, and its caller repeats
 // it at one host after the other. Each crash ends all other runs on the server.
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -157,7 +157,7 @@
 	h.allocator.Revision, h.allocator.Verified, h.allocator.Relayed = h.surelyNewest, h.verified, h.relay
 	h.quarantine = quarantine.NewTable(o.Logger, o.Registerer)
 	h.quarantine.Changed = func() { h.node.Load().Announce() }
-	h.quarantine.Raised = h.noteQuarantined
+	h.quarantine.Kept = h.noteQuarantined
 	h.node.Store(h.newNode(0, o.Registerer))
 	h.table.Subscribe(func() { h.node.Load().Announce() })
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -282,3 +282,25 @@
 	read[0].Left = records[0].Left
 	is.Equal(read, records)
 }
+
+// Guards against a quarantine that comes back with the store after it has ended.
+func TestEndOfAQuarantineIsStored(t *testing.T) {
+	is := is.New(t)
+	h, memory := alone(stays)
+	stored := func() []quarantine.Record {
+		is.NoErr(h.storeQuarantine(t.Context()))
+		object, err := memory.Get(t.Context(), h.options.Objects.Quarantine, nameOfQuarantine)
+		is.NoErr(err)
+		records, err := decodeQuarantine(object.Value, time.Now())
+		is.NoErr(err)
+		return records
+	}
+	const request = 7
+	for range 2 {
+		h.quarantine.Crashed(request, h.quarantine.Mark(request), true, "r", "i")
+	}
+	is.Equal(len(stored()), 1)
+	h.quarantine.Completed(request)
+	is.Equal(len(stored()), 0)
+	is.Equal(h.quarantine.Quarantined(request), time.Duration(0))
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -17,6 +17,9 @@
 	msgQuarantined = "request is quarantined: backend servers crash under it"
 	msgCleared     = "request is cleared: it ran to its end"
 
+	// sourceOwn says that this host knows a record by its own requests.
+	sourceOwn = "own"
+
 	// crashesNeeded is how many servers have to crash one after the other: the
 	// second one under a run that was sent when the first crash was known. A
 	// request that was merely on a server that another one crashed is hardly
@@ -61,9 +64,10 @@
 	// Changed is called when there is news for other hosts; nil: with none. It
 	// must not block.
 	Changed func()
-	// Raised is called when this host has quarantined a request by what it saw
-	// itself; nil: with none. It must not block.
-	Raised func()
+	// Kept is called when this host, by what it saw itself, has quarantined a
+	// request or ended a quarantine: what is kept of them is to be written anew;
+	// nil: nothing is kept. It must not block.
+	Kept func()
 
 	logger  *zap.Logger
 	changes *prometheus.CounterVec
@@ -147,15 +151,14 @@
 	if known != nil && known.Epoch > now.Epoch {
 		now.Epoch, now.Crashes = known.Epoch, 1
 	}
-	t.logger.Warn(msgSuspected, zap.String("request", request), name(fingerprint), zap.String("server", server), zap.Uint32("in_a_row", now.Crashes))
+	t.logger.Warn(msgSuspected, zap.String("request", request), fingerprintField(fingerprint), zap.String("server", server), zap.Uint32("in_a_row", now.Crashes))
 	var ends []*func()
-	raised, changed := false, known == nil || now.newerThan(known.Record)
+	changed := known == nil || now.newerThan(known.Record)
 	if changed {
-		ends = t.set(now, lifetime(now), early, "own")
-		raised = now.Quarantined()
+		ends = t.set(now, lifetime(now), early, sourceOwn)
 	}
 	t.mu.Unlock()
-	t.after(ends, changed, raised)
+	t.after(ends, changed, changed && now.Quarantined())
 }
 
 // Completed takes in that a request ran to its end: it does not crash servers.
@@ -163,26 +166,31 @@
 	t.mu.Lock()
 	known := t.get(fingerprint)
 	changed := known != nil && known.Crashes > 0
+	wasQuarantined := changed && known.Quarantined()
 	if changed {
-		t.logger.Info(msgCleared, name(fingerprint), zap.Uint32("in_a_row", known.Crashes))
-		t.set(Record{Fingerprint: fingerprint, Epoch: known.Epoch + 1}, clearedFor, true, "own")
+		t.logger.Info(msgCleared, fingerprintField(fingerprint), zap.Uint32("in_a_row", known.Crashes))
+		t.set(Record{Fingerprint: fingerprint, Epoch: known.Epoch + 1}, clearedFor, true, sourceOwn)
 	}
 	t.mu.Unlock()
-	t.after(nil, changed, false)
+	t.after(nil, changed, wasQuarantined)
 }
 
 // Merge takes in what others know, and reports whether any of it was news.
+// Whoever tells what is no more so is told better with the next message.
 func (t *Table) Merge(records []Record, source string) bool {
 	t.mu.Lock()
 	var ends []*func()
 	changed := false
 	for _, r := range records {
 		known := t.get(r.Fingerprint)
-		if r.Left <= 0 || known != nil && !r.newerThan(known.Record) || known == nil && r.Epoch == 0 && r.Crashes == 0 {
-			continue
+		switch {
+		case r.Left <= 0 || known == nil && r.Epoch == 0 && r.Crashes == 0:
+		case known != nil && known.newerThan(r):
+			known.passOn = max(known.passOn, 1)
+		case known == nil || r.newerThan(known.Record):
+			ends = append(ends, t.set(r, min(r.Left, lifetime(r)), true, source)...)
+			changed = true
 		}
-		ends = append(ends, t.set(r, min(r.Left, lifetime(r)), true, source)...)
-		changed = true
 	}
 	t.mu.Unlock()
 	t.after(ends, false, false) // who told it is told nothing; the caller passes it on
@@ -212,7 +220,7 @@
 	if !r.Quarantined() || wasQuarantined {
 		return nil
 	}
-	t.logger.Warn(msgQuarantined, name(r.Fingerprint), zap.Uint32("in_a_row", r.Crashes), zap.Duration("for", lasts), zap.String("source", source),
+	t.logger.Warn(msgQuarantined, fingerprintField(r.Fingerprint), zap.Uint32("in_a_row", r.Crashes), zap.Duration("for", lasts), zap.String("source", source),
 		zap.Int("own_runs", len(t.runs[r.Fingerprint])))
 	for end := range t.runs[r.Fingerprint] {
 		ends = append(ends, end)
@@ -221,15 +229,15 @@
 }
 
 // after does what must not be done with mu held.
-func (t *Table) after(ends []*func(), changed, raised bool) {
+func (t *Table) after(ends []*func(), changed, kept bool) {
 	for _, end := range ends {
 		(*end)()
 	}
 	if changed && t.Changed != nil {
 		t.Changed()
 	}
-	if raised && t.Raised != nil {
-		t.Raised()
+	if kept && t.Kept != nil {
+		t.Kept()
 	}
 }
 
@@ -278,6 +286,6 @@
 	return "cleared"
 }
 
-func name(fingerprint uint64) zap.Field {
+func fingerprintField(fingerprint uint64) zap.Field {
 	return zap.String("fingerprint", strconv.FormatUint(fingerprint, 16))
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -28,13 +28,13 @@
 func TestSecondCrashInARowQuarantines(t *testing.T) {
 	inBubble(t, func(is *is.I) {
 		table := newTable()
-		raised := 0
-		table.Raised = func() { raised++ }
+		kept := 0
+		table.Kept = func() { kept++ }
 		table.crash()
 		is.Equal(table.Quarantined(suspect), time.Duration(0))
 		table.crash()
 		is.Equal(table.Quarantined(suspect), quarantineFor)
-		is.Equal(raised, 1)
+		is.Equal(kept, 1)
 		is.Equal(table.Quarantined(suspect+1), time.Duration(0))
 		time.Sleep(quarantineFor)
 		is.Equal(table.Quarantined(suspect), time.Duration(0))
@@ -70,6 +70,25 @@
 	})
 }
 
+// Guards against a quarantine that a host which missed its end brings back.
+func TestEndOfAQuarantineIsToldToWhoMissedIt(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table, late := newTable(), newTable()
+		kept := 0
+		table.Kept = func() { kept++ }
+		table.crash()
+		table.crash()
+		late.Merge(table.News(), "peer")
+		table.Completed(suspect)
+		is.Equal(kept, 2) // what is stored has to change, too
+		for len(table.News()) > 0 {
+		}
+		is.True(!table.Merge(late.News(), "peer"))
+		is.True(late.Merge(table.News(), "peer"))
+		is.Equal(late.Quarantined(suspect), time.Duration(0))
+	})
+}
+
 func TestOldCrashesAreForgotten(t *testing.T) {
 	inBubble(t, func(is *is.I) {
 		table := newTable()
