A server's wish to be left alone outlives its life and its entry

What callers would see: a server refuses with 503 and says for how long it wants nothing; it starts again under its id, or its entry lapses and is back, and the host sends it requests before that time is over.

Cause: the wish was kept with what is known of one life. The users' rule names the server, not its life, so the check stays and the wish is kept by id.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -266,7 +266,7 @@
 	is.Equal(asked[0].ID, "e1")
 	sentinel.Host = "a"
 	is.Equal(len(sentinel.asked(Whole(llm))), 2)
-	table.Rest(fleet.Life{ID: "e1"}, time.Second) // it wants nothing from this host
+	table.Rest("e1", time.Second) // it wants nothing from this host
 	is.Equal(len(sentinel.asked(Whole(llm))), 1)
 }
 
@@ -275,8 +275,8 @@
 	is := is.New(t)
 	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
 	_, _, client := pair(t, at, from)
-	at.Rest(fleet.Life{ID: "e1"}, time.Second)
-	from.Rest(fleet.Life{ID: "e2"}, time.Second)
+	at.Rest("e1", time.Second)
+	from.Rest("e2", time.Second)
 	need := placement.Need{PromptTokens: 100}
 	is.Equal(client.Place(context.Background(), llm, Asked{Request: "r1", Need: need}, nil), "e1")
 }
--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -104,7 +104,7 @@
 	if s.Client.chosen(part) == s.Host {
 		servers = s.Fleet.Usable(part.Service)
 	}
-	return slices.DeleteFunc(servers, func(server fleet.Server) bool { return !part.Holds(server) || s.Fleet.Resting(server.Life()) })
+	return slices.DeleteFunc(servers, func(server fleet.Server) bool { return !part.Holds(server) || s.Fleet.Resting(server.ID) })
 }
 
 // heed asks one server, and takes in what it says of itself. One that does not
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -41,7 +41,7 @@
 		if !e.takesRequests() || now.Before(e.unreachable) || q.Among != nil && !q.Among(e.server) || slices.Contains(q.Except, e.server.ID) {
 			continue
 		}
-		if e.rests(now) && !q.ForOthers {
+		if t.resting(e.server.ID, now) && !q.ForOthers {
 			continue
 		}
 		c := e.candidate(s, q.Domain, now)
--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -168,7 +168,7 @@
 	var ids []string
 	now := time.Now()
 	for _, e := range t.service(service).members {
-		if now.Before(e.unreachable) || e.rests(now) || t.saysLeaving(e.server.Life()) {
+		if now.Before(e.unreachable) || t.resting(e.server.ID, now) || t.saysLeaving(e.server.Life()) {
 			ids = append(ids, e.server.ID)
 		}
 	}
--- a/fleet/rest_test.go
+++ b/fleet/rest_test.go
@@ -14,17 +14,38 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := newTable()
-		table.Rest(Life{ID: "a"}, 2*time.Second)
-		table.Rest(Life{ID: "a"}, time.Second) // an earlier word
+		table.Rest("a", 2*time.Second)
+		table.Rest("a", time.Second) // an earlier word
 		is.Equal(len(table.Candidates("llm", "d1")), 1)
 		is.Equal(len(table.CandidatesFor(Query{Service: "llm", ForOthers: true})), 2)
 		is.Equal(table.Avoided("llm"), []string{"a"})
 		is.True(table.Begin("a", Work{ID: "1"}, false) == nil)
 		is.Equal(table.RestLeft("llm"), time.Duration(0)) // b has a place
-		table.Rest(Life{ID: "b"}, time.Second)
+		table.Rest("b", time.Second)
 		is.Equal(table.RestLeft("llm"), time.Second)
 		time.Sleep(2 * time.Second)
 		is.Equal(len(table.Candidates("llm", "d1")), 2)
 		is.True(table.Begin("a", Work{ID: "1"}, false) != nil)
 	})
 }
+
+// Guards against requests pressed on a server that told this host to wait and
+// has started again, or had no entry, since.
+func TestRestOutlivesALifeAndAnEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		for _, born := range []int64{100, 200, 300} {
+			table.Put(Server{ID: "a", Born: born, Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24})
+			if born == 100 {
+				table.Rest("a", 2*time.Second)
+			}
+			is.True(table.Begin("a", Work{ID: "1"}, false) == nil)
+			table.Remove("a") // its entry lapses
+		}
+		table.Put(Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24})
+		is.True(table.Begin("a", Work{ID: "1"}, false) == nil)
+		time.Sleep(2 * time.Second)
+		is.True(table.Begin("a", Work{ID: "1"}, false) != nil)
+	})
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -38,8 +38,10 @@
 	evacuated map[string]bool
 	// saidLeaving holds what servers said of themselves, by ID.
 	saidLeaving map[string]leavingWord
-	own         chan struct{} // holds a token when this host's work on engines has changed
-	changed     chan struct{} // closed and replaced at each change that may free a place
+	// rests holds until when servers want nothing from this host, by ID.
+	rests   map[string]time.Time
+	own     chan struct{} // holds a token when this host's work on engines has changed
+	changed chan struct{} // closed and replaced at each change that may free a place
 }
 
 type service struct {
@@ -68,7 +70,6 @@
 	said           saidLoad
 	shunnedUntil   time.Time // until then it gets calls only where no other has a place
 	unreachable    time.Time // until then it gets no work
-	restsUntil     time.Time // until then it wants nothing from this host
 	health         health
 	pace           pace
 	evidence       Evidence             // of this host, since it was told
@@ -85,7 +86,7 @@
 	return &Table{
 		host: host, logger: logger,
 		servers: map[string]*entry{}, services: map[string]*service{}, evacuated: map[string]bool{},
-		saidLeaving: map[string]leavingWord{}, changed: make(chan struct{}), own: make(chan struct{}, 1),
+		saidLeaving: map[string]leavingWord{}, rests: map[string]time.Time{}, changed: make(chan struct{}), own: make(chan struct{}, 1),
 	}
 }
 
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -96,7 +96,7 @@
 	defer t.mu.Unlock()
 	e := t.servers[server]
 	now := time.Now()
-	if e == nil || e.evacuated || !resumed && (!e.takesWork() || e.rests(now)) {
+	if e == nil || e.evacuated || !resumed && (!e.takesWork() || t.resting(server, now)) {
 		return nil
 	}
 	e.noteStart(now)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -150,7 +150,7 @@
 	case reply.Leaving:
 		t.gateway.options.Fleet.MarkLeaving(server.Life(), fleet.SourceAnswer)
 	case reply.RestFor > 0:
-		t.gateway.options.Fleet.Rest(server.Life(), reply.RestFor)
+		t.gateway.options.Fleet.Rest(server.ID, reply.RestFor)
 	}
 }
 
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/papayasail/papayasail/fleet"
 )
 
 // Guards against callers that are held until a server's word on when it wants
@@ -20,7 +18,7 @@
 		w.send = func(context.Context, Call) (*Reply, error) { return answer(http.StatusOK, "ok"), nil }
 		rest := func(d time.Duration) {
 			for _, id := range []string{"p1", "p2", "e1", "e2"} {
-				w.fleet.Rest(fleet.Life{ID: id}, d)
+				w.fleet.Rest(id, d)
 			}
 		}
 		rest(3 * time.Second)
