--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -168,7 +168,8 @@
 		Logger: o.Logger,
 	}
 	h.gateway = gateway.New(gateway.Options{
-		Domain: o.Domain, Fleet: h.fleet, Backend: o.Backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger, Limits: placement.DefaultLimits,
+		Domain: o.Domain, Fleet: h.fleet, Backend: o.Backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger,
+		Limits:  placement.DefaultLimits,
 		Budget:  &gateway.Budget{Ratio: o.RepeatRatio, Allowance: o.RepeatAllowance, Window: o.RepeatWindow, Hosts: h.liveHosts},
 		Confirm: h.confirm, Others: h.othersLive, Metrics: gateway.NewMetrics(o.Registerer),
 	})
@@ -194,7 +195,7 @@
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
 	h.booting.Store(true)
-	for _, run := range []func(context.Context) error{h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.keepQuarantine, h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run, h.watch.Run} {
+	for _, run := range h.background() {
 		group.Go(func() error { return ignoreEnd(run(inner)) })
 	}
 	server := h.serve(inner, group, callers)
@@ -215,6 +216,14 @@
 	return err
 }
 
+// background returns what runs beside the servers, each until its context ends.
+func (h *Host) background() []func(context.Context) error {
+	return []func(context.Context) error{
+		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.watch.Run, h.keepQuarantine,
+		h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run,
+	}
+}
+
 func ignoreEnd(err error) error {
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/gatewayhost/quarantine.go
+++ b/gatewayhost/quarantine.go
@@ -18,6 +18,7 @@
 
 const (
 	msgQuarantineStored     = "quarantined requests stored"
+	msgQuarantineNotStored  = "quarantined requests not stored; tried again"
 	msgQuarantineUnreadable = "stored quarantined requests cannot be read"
 
 	// nameOfQuarantine is the one object of its kind.
@@ -99,6 +100,7 @@
 			backoff.Reset()
 			continue
 		}
+		h.logger.Warn(msgQuarantineNotStored, zap.Error(err))
 		h.noteQuarantined()
 		if err := sleep.For(ctx, backoff.Next()); err != nil {
 			return err
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -272,7 +272,10 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	_, hashes := n.table.all()
-	request := &peerpb.SyncRequest{From: n.table.me().toProto(), Have: hashes, Leaving: leavingToProto(n.leaving.list(time.Now())), Suspects: suspectsToProto(n.options.Suspects.All())}
+	request := &peerpb.SyncRequest{
+		From: n.table.me().toProto(), Have: hashes, Leaving: leavingToProto(n.leaving.list(time.Now())),
+		Suspects: suspectsToProto(n.options.Suspects.All()),
+	}
 	var response *peerpb.SyncResponse
 	err := n.control.call(address, func(client peerpb.PeerClient) (err error) {
 		response, err = client.Sync(ctx, request)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -151,7 +151,8 @@
 	if known != nil && known.Epoch > now.Epoch {
 		now.Epoch, now.Crashes = known.Epoch, 1
 	}
-	t.logger.Warn(msgSuspected, zap.String("request", request), fingerprintField(fingerprint), zap.String("server", server), zap.Uint32("in_a_row", now.Crashes))
+	t.logger.Warn(msgSuspected, zap.String("request", request), fingerprintField(fingerprint), zap.String("server", server),
+		zap.Uint32("in_a_row", now.Crashes))
 	var ends []*func()
 	changed := known == nil || now.newerThan(known.Record)
 	if changed {
@@ -220,8 +221,8 @@
 	if !r.Quarantined() || wasQuarantined {
 		return nil
 	}
-	t.logger.Warn(msgQuarantined, fingerprintField(r.Fingerprint), zap.Uint32("in_a_row", r.Crashes), zap.Duration("for", lasts), zap.String("source", source),
-		zap.Int("own_runs", len(t.runs[r.Fingerprint])))
+	t.logger.Warn(msgQuarantined, fingerprintField(r.Fingerprint), zap.Uint32("in_a_row", r.Crashes), zap.Duration("for", lasts),
+		zap.String("source", source), zap.Int("own_runs", len(t.runs[r.Fingerprint])))
 	for end := range t.runs[r.Fingerprint] {
 		ends = append(ends, end)
 	}
