Our own interface quarantines requests that crash backend servers, too

What callers would see: one call to a plain service, or one generation, ends one server after the other. The host's own tries take the next server at once, and a repeat of the caller does the same at another host; what others run there is lost.

What is learned of a broken answer is kept for the server only.

Change: relay asks the quarantine before each send and tells it of connections that broke where nothing listens any more; peers tell each other as there. It is refused as not run (reason quarantined), with when it may come again.

--- a/backend/client.go
+++ b/backend/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,6 +74,17 @@
 // Close closes the unused connections. Calls that run go on.
 func (c *Client) Close() { c.idle.closeAll() }
 
+// Ended reports whether nothing listens at a server's address any more, as
+// after a crash. One that cannot be reached has not ended, as far as is known.
+func (c *Client) Ended(ctx context.Context, address string) bool {
+	conn, err := c.dialer.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
+
 // Start starts a generation on an engine and returns its stream from offset
 // zero. It sends over a fresh connection, since a generation must not be lost
 // to a connection that went silent while unused.
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -48,6 +48,7 @@
 	ReasonAnswerMismatch  Reason = "answer_mismatch"
 	ReasonHostLeaving     Reason = "entry_host_leaving"
 	ReasonRecordsFull     Reason = "records_full"
+	ReasonQuarantined     Reason = "quarantined" // backend servers crash under the request
 	ReasonCallerGone      Reason = "caller_gone"
 )
 
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -17,6 +17,7 @@
 	"github.com/papayasail/papayasail/domain"
 	"github.com/papayasail/papayasail/order"
 	"github.com/papayasail/papayasail/peer"
+	"github.com/papayasail/papayasail/quarantine"
 	"github.com/papayasail/papayasail/record"
 	"github.com/papayasail/papayasail/relay"
 	"github.com/papayasail/papayasail/replica"
@@ -37,26 +38,27 @@
 
 // Host is one entry host.
 type Host struct {
-	options   Options
-	settings  *settings.Settings
-	tokens    *settings.Tokens
-	logger    *zap.Logger
-	table     *configuration.Table
-	watcher   *replica.Follower
-	watch     *domain.WatchDuty
-	hostList  *hostList
-	duty      *order.Duty
-	acceptor  *configuration.Acceptor
-	node      *peer.Node
-	distances *domain.Distances
-	pool      *backend.Pool
-	poller    *backend.Poller
-	client    *backend.Client
-	scheduler *routing.Dispatcher
-	ledger    *record.Ledger
-	relay     *relay.Relay
-	server    *http.Server
-	inFlight  *gauge
+	options    Options
+	settings   *settings.Settings
+	tokens     *settings.Tokens
+	logger     *zap.Logger
+	table      *configuration.Table
+	watcher    *replica.Follower
+	watch      *domain.WatchDuty
+	hostList   *hostList
+	duty       *order.Duty
+	acceptor   *configuration.Acceptor
+	node       *peer.Node
+	distances  *domain.Distances
+	pool       *backend.Pool
+	poller     *backend.Poller
+	client     *backend.Client
+	scheduler  *routing.Dispatcher
+	ledger     *record.Ledger
+	quarantine *quarantine.Table
+	relay      *relay.Relay
+	server     *http.Server
+	inFlight   *gauge
 
 	live     atomic.Int64 // entry hosts, as far as this one knows
 	refusing atomic.Bool  // no new work
@@ -91,6 +93,8 @@
 		Host: o.Settings.Host, Seed: h.ledger.Home().Incarnation,
 		PerSecond: h.pollsPerSecond,
 	})
+	h.quarantine = quarantine.NewTable(o.Logger, o.Registry)
+	h.quarantine.Changed = func() { h.node.Announce() }
 	h.relay = h.newRelay()
 	homes := &homes{self: o.Settings.Host, ledger: h.ledger, local: h.relay}
 	h.node = h.newNode(homes)
@@ -145,7 +149,7 @@
 	limits := h.settings.Limits
 	return relay.New(relay.Options{
 		Configuration: h.table, Scheduler: h.scheduler, Backend: h.client, Organisations: h.organisations(),
-		Signer: h.signer(), Ledger: h.ledger, Metrics: relay.NewMetrics(h.options.Registry),
+		Signer: h.signer(), Ledger: h.ledger, Quarantine: h.quarantine, Metrics: relay.NewMetrics(h.options.Registry),
 		MaxBodyBytes: int64(limits.BodyBytes), WriteTimeout: limits.WriteDeadline, KeepAlive: limits.KeepAlive,
 		Accepting: func() bool { return !h.refusing.Load() }, Closing: h.closing.Load,
 		OnLoad:    func(address string, report backend.LoadReport) { h.pool.StreamReport(address, report, time.Now()) },
@@ -167,7 +171,7 @@
 			Host: s.Host, Incarnation: h.ledger.Home().Incarnation, FailureDomain: s.FailureDomain,
 			PeerAddress: s.PeerAddress, CallerAddress: scheme + s.CallerAddress,
 		},
-		Network: h.options.Network, Seeds: s.Peers, Configuration: peerTable{h.table}, Handler: handler,
+		Network: h.options.Network, Seeds: s.Peers, Configuration: peerTable{h.table}, Handler: handler, Suspects: h.quarantine,
 		Logger: h.logger, Registerer: h.options.Registry, ProbeInterval: h.options.ProbeInterval,
 		Scope: peer.Scope{Near: h.distances.Near(s.FailureDomain, s.FailureDomains(), regionRadius)},
 	})
--- /dev/null
+++ b/entryhost/quarantine_test.go
@@ -0,0 +1,105 @@
+package entryhost
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/papayasail/papayasail/backend"
+)
+
+const riskyServers = 9
+
+// crashingServers are servers that each end under a call to /crash, or under a
+// generation whose prompt is "crash".
+type crashingServers struct {
+	mu    sync.Mutex // guards below
+	ended int
+}
+
+// serveRisky adds the service risky, which has such servers.
+func (s *site) serveRisky(kind string) *crashingServers {
+	c := &crashingServers{}
+	document := "service: risky\nowner: hydrology\n" + kind + "\nbackend_servers:\n"
+	for i := range riskyServers {
+		address := fmt.Sprintf("10.0.4.%d:9000", i+1)
+		document += fmt.Sprintf("  - {name: risky-%d, address: %q, failure_domain: ankara}\n", i+1, address)
+		server := &http.Server{}
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(backend.HeaderRequestID, r.Header.Get(backend.HeaderRequestID))
+			body, _ := io.ReadAll(r.Body) // what cannot be read crashes nothing
+			if r.URL.Path != "/crash" && !strings.Contains(string(body), `"prompt":"crash"`) {
+				_, _ = io.WriteString(w, "{}") // a caller that is gone shows in the next read
+				return
+			}
+			c.mu.Lock()
+			c.ended++
+			c.mu.Unlock()
+			_ = server.Close()
+			panic(http.ErrAbortHandler)
+		})
+		s.serve(address, server.Serve, server.Close)
+	}
+	s.accept("risky", document)
+	time.Sleep(2 * time.Second)
+	return c
+}
+
+func (c *crashingServers) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// askRisky sends a request to one host and returns status and body.
+func (s *site) askRisky(i int, method, path, content string) (int, string) {
+	request, err := http.NewRequest(method, "http://"+hostIP(i)+":7480/v1/services/risky/"+path, strings.NewReader(content))
+	s.is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	response, body := s.do(request)
+	return response.StatusCode, body
+}
+
+// Guards against a call that ends one server after the other, as its caller
+// repeats it at each host.
+func TestCallThatCrashesServersIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3)
+		defer s.close()
+		servers := s.serveRisky("kind: plain")
+		for i := range 9 {
+			s.askRisky(i%3, http.MethodGet, "call/crash", "")
+			time.Sleep(time.Second)
+		}
+		s.is.True(servers.count() <= 3)
+		status, body := s.askRisky(0, http.MethodGet, "call/crash", "")
+		s.is.Equal(status, http.StatusServiceUnavailable)
+		s.is.True(strings.Contains(body, `"outcome":"not_run"`) && strings.Contains(body, `"reason":"quarantined"`))
+		status, _ = s.askRisky(1, http.MethodGet, "call/harmless", "")
+		s.is.Equal(status, http.StatusOK)
+	})
+}
+
+// Guards against a generation that ends one engine after the other, by tries of
+// the entry host and repeats of the caller.
+func TestGenerationThatCrashesEnginesIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3)
+		defer s.close()
+		servers := s.serveRisky(`kind: model
+model: {name: basin, version: "3", max_tokens: 4096, idempotent: true}`)
+		body := ""
+		for i := range 9 {
+			_, body = s.askRisky(i%3, http.MethodPost, "generations", `{"prompt":"crash"}`)
+			time.Sleep(time.Second)
+		}
+		s.is.True(servers.count() > 0)
+		s.is.True(servers.count() <= 3)
+		s.is.True(strings.Contains(body, `"reason":"quarantined"`))
+	})
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/internal/sleep"
+	"github.com/papayasail/papayasail/peer/peerpb"
 	"github.com/papayasail/papayasail/retry"
 	"github.com/papayasail/papayasail/routing"
 )
@@ -82,17 +83,18 @@
 	state     retry.Attempts
 	servers   int      // backend servers of the service
 	exclude   []string // those that failed this request
+	crashes   *crashes
 	// mayHaveRun is set as soon as one try may have run, in part or whole.
 	mayHaveRun bool
 }
 
 // attempts begins the tries of one request.
-func (r *Relay) attempts(document *contract.Document, organisation string, idempotent bool) *attempts {
+func (r *Relay) attempts(document *contract.Document, request *peerpb.ForwardRequest, idempotent bool) *attempts {
 	evaluator := r.evaluators.of(document)
-	evaluator.Request(organisation)
+	evaluator.Request(request.GetOrganisation())
 	return &attempts{
-		evaluator: evaluator, servers: len(document.BackendServers),
-		subject: retry.Subject{Organisation: organisation, Idempotent: idempotent},
+		evaluator: evaluator, servers: len(document.BackendServers), crashes: r.crashesOf(request),
+		subject: retry.Subject{Organisation: request.GetOrganisation(), Idempotent: idempotent},
 	}
 }
 
@@ -116,12 +118,15 @@
 }
 
 // acquire asks routing for a server that has not failed this request, and for
-// any where there is no other.
+// any where there is no other. A request that crashes servers gets none.
 //
 // Guards against a refusal too early: all servers but one are leaving, and that
 // one refuses a burst for the moment. It shows as "no backend server" within
 // milliseconds although the request could wait for seconds.
 func (r *Relay) acquire(ctx context.Context, tries *attempts, request routing.Request) (routing.Grant, error) {
+	if refusal := tries.crashes.refusal(); refusal != nil {
+		return nil, refusal
+	}
 	request.Exclude = tries.exclude
 	grant, err := r.Scheduler.Acquire(ctx, request)
 	if err == nil || len(tries.exclude) == 0 || asRefusal(err).Reason != contract.ReasonNoBackendServer {
--- a/relay/call.go
+++ b/relay/call.go
@@ -100,7 +100,7 @@
 func (r *Relay) tryCall(ctx context.Context, document *contract.Document, request *peerpb.ForwardRequest, idempotent bool) record.Answer {
 	ctx, stop := context.WithTimeout(ctx, document.Deadlines.Queue+document.Deadlines.Total)
 	defer stop()
-	tries := r.attempts(document, request.GetOrganisation(), idempotent)
+	tries := r.attempts(document, request, idempotent)
 	for {
 		grant, err := r.acquire(ctx, tries, routing.Request{
 			Service: document.Service, Organisation: request.GetOrganisation(),
@@ -113,8 +113,12 @@
 		r.OnBackend(grant.Address(), err)
 		grant.Done(routing.Result{Failed: err != nil, NotRun: err != nil && ranNothing(err), Complete: err == nil})
 		if err == nil {
+			tries.crashes.completed()
 			return record.Answer{Status: answer.Status, Header: answerHeader(answer.Header), Body: answer.Body}
 		}
+		if evidenceOf(err) == backend.Broken && ctx.Err() == nil {
+			tries.crashes.broke(grant.Address(), true)
+		}
 		if !tries.again(ctx, grant.Server(), err) {
 			return record.Answer{Refusal: tries.refusal(err)}
 		}
--- /dev/null
+++ b/relay/crashes.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/contract"
+	"github.com/papayasail/papayasail/peer/peerpb"
+	"github.com/papayasail/papayasail/quarantine"
+)
+
+// endedTimeout bounds the look whether a server has crashed.
+const endedTimeout = 100 * time.Millisecond
+
+// crashes follows whether backend servers crash under one request.
+//
+// Failure: a request crashes each server that runs it. Tries of this host and
+// repeats of its caller take one server after the other.
+type crashes struct {
+	table       *quarantine.Table // nil: nothing is followed
+	backend     *backend.Client
+	fingerprint uint64
+	sent        quarantine.Mark // what was known when it was sent last
+}
+
+func (r *Relay) crashesOf(request *peerpb.ForwardRequest) *crashes {
+	hash := fingerprintOf(request)
+	return &crashes{table: r.Quarantine, backend: r.Backend, fingerprint: binary.BigEndian.Uint64(hash[:])}
+}
+
+// refusal is the answer while the request is quarantined, else nil. It is to be
+// asked before each send.
+func (c *crashes) refusal() *contract.Refusal {
+	if c.table == nil {
+		return nil
+	}
+	if left := c.table.Quarantined(c.fingerprint); left > 0 {
+		return contract.NotRun(contract.ReasonQuarantined, left, "backend servers crash under this request")
+	}
+	c.sent = c.table.Mark(c.fingerprint)
+	return nil
+}
+
+// broke takes in that the connection to a server broke before the end of the
+// answer; early says that nothing of the answer had come. As long as the server
+// takes connections it has not crashed.
+func (c *crashes) broke(address string, early bool) {
+	if c.table == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+	defer cancel()
+	if c.backend.Ended(ctx, address) {
+		c.table.Crashed(c.fingerprint, c.sent, early, "", address)
+	}
+}
+
+// completed takes in that the request ran to its end.
+func (c *crashes) completed() {
+	if c.table != nil {
+		c.table.Completed(c.fingerprint)
+	}
+}
+
+// ended takes in how the reading of a generation ended.
+func (c *crashes) ended(s *stream, err error) {
+	if errors.Is(err, io.EOF) {
+		c.completed()
+		return
+	}
+	c.broke(s.place.Server, s.next == 0)
+}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -55,7 +55,12 @@
 	if !r.Accepting() {
 		return leaving()
 	}
-	return r.generateIdempotent(req.Context(), organisation, document, request, out)
+	return r.generateIdempotent(req.Context(), document, generation(organisation, document, body), request, out)
+}
+
+// generation is a generation as it is passed between entry hosts.
+func generation(organisation string, document *contract.Document, body []byte) *peerpb.ForwardRequest {
+	return &peerpb.ForwardRequest{Organisation: organisation, Service: document.Service, Method: http.MethodPost, Body: body}
 }
 
 func parseGenerate(body []byte, document *contract.Document) (*GenerateRequest, *contract.Refusal) {
@@ -104,9 +109,9 @@
 	}
 	ctx, stop := context.WithTimeout(req.Context(), document.Deadlines.Queue+document.Deadlines.FirstToken)
 	defer stop()
-	answer := r.homes.Run(ctx, parsed, &peerpb.ForwardRequest{
-		Key: parsed.String(), Organisation: organisation, Service: document.Service, Method: http.MethodPost, Body: body,
-	})
+	request := generation(organisation, document, body)
+	request.Key = parsed.String()
+	answer := r.homes.Run(ctx, parsed, request)
 	if answer.Refusal != nil {
 		return answer.Refusal
 	}
@@ -119,10 +124,10 @@
 
 // generateIdempotent starts a generation and delivers it. As long as no token
 // of it was delivered, it may be started again elsewhere.
-func (r *Relay) generateIdempotent(ctx context.Context, organisation string, document *contract.Document, request *GenerateRequest, out *eventWriter) *contract.Refusal {
-	tries := r.attempts(document, organisation, true)
+func (r *Relay) generateIdempotent(ctx context.Context, document *contract.Document, sent *peerpb.ForwardRequest, request *GenerateRequest, out *eventWriter) *contract.Refusal {
+	tries := r.attempts(document, sent, true)
 	for {
-		server, delivered, refusal := r.generateOn(ctx, organisation, document, request, tries, out)
+		server, delivered, refusal := r.generateOn(ctx, sent.GetOrganisation(), document, request, tries, out)
 		if refusal == nil || delivered > 0 || server == "" || ctx.Err() != nil {
 			return refusal
 		}
@@ -144,6 +149,12 @@
 	tries.mayHaveRun = true
 	refusal := r.deliver(ctx, stop, started.stream, out, started)
 	started.finish(refusal)
+	switch {
+	case refusal == nil:
+		tries.crashes.completed()
+	case refusal.Reason == contract.ReasonBackendFailed:
+		tries.crashes.broke(started.stream.place.Server, started.stream.next == 0)
+	}
 	if refusal != nil && started.stream.next == 0 {
 		r.cancel(started.stream.place)
 	}
--- a/relay/once.go
+++ b/relay/once.go
@@ -60,7 +60,8 @@
 		entry.Finish(record.Answer{Refusal: refusal})
 		return
 	}
-	started, err := r.start(ctx, request.GetOrganisation(), document, parsed, r.attempts(document, request.GetOrganisation(), false))
+	tries := r.attempts(document, request, false)
+	started, err := r.start(ctx, request.GetOrganisation(), document, parsed, tries)
 	if err != nil {
 		entry.Finish(recorded(record.Answer{Refusal: asRefusal(err)}))
 		return
@@ -70,6 +71,7 @@
 	for {
 		chunk, err := started.stream.Next(ctx)
 		if err != nil {
+			tries.crashes.ended(started.stream, err)
 			started.finish(nil)
 			return
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/contract"
 	"github.com/papayasail/papayasail/peer/peerpb"
+	"github.com/papayasail/papayasail/quarantine"
 	"github.com/papayasail/papayasail/record"
 	"github.com/papayasail/papayasail/routing"
 	"github.com/papayasail/papayasail/store"
@@ -58,6 +59,7 @@
 	Organisations Organisations
 	Signer        *Signer
 	Ledger        *record.Ledger
+	Quarantine    *quarantine.Table // nil: no request is quarantined
 	Metrics       *Metrics
 	MaxBodyBytes  int64         // of a caller's request
 	WriteTimeout  time.Duration // for one write to a caller
