A crash is seen where the server's port closes after its connections

Each crash ends all other runs on its server.

Cause: when the connection to a server broke, the host looked once, at that moment, whether the server still takes connections. A server that crashes may close its connections some milliseconds before its port; the look's own connection was taken, and no crash was counted, at any host, each time.

Ruled out: a quarantine that was cleared (nothing runs to its end there), one that was lost (the finding counts servers that crash without one).

A crash that is found later counts for the run as it was sent, so the second in a row still quarantines.

TestCrashIsSeenWhenThePortClosesLater failed before (answer_broken instead of quarantined).

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -9,23 +9,19 @@
 
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/quarantine"
 )
 
-const (
-	// endedTimeout bounds the look whether a server has crashed; the request's
-	// caller waits meanwhile.
-	endedTimeout = 100 * time.Millisecond
-	// earlyRun is how long after a generation's first event its run still counts
-	// as just begun.
-	earlyRun = time.Second
-)
+// earlyRun is how long after a generation's first event its run still counts as
+// just begun.
+const earlyRun = time.Second
 
 var errQuarantined = errors.New("gateway: request was quarantined while it ran")
 
 // quarantinable returns a context that ends when the request is quarantined.
 func (t *task) quarantinable(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	over := t.gateway.options.Quarantine.Run(t.fingerprint, func() { cancel(errQuarantined) })
+	over := t.gateway.options.Quarantine.NoteRun(t.fingerprint, func() { cancel(errQuarantined) })
 	return ctx, func() {
 		over()
 		cancel(nil)
@@ -46,22 +42,19 @@
 }
 
 // blame suspects the request of having crashed its server, whose connection
-// broke before the end of the answer. As long as the server takes connections
-// it has not crashed.
+// broke before the end of the answer.
 //
 // Failure: a request crashes each server that runs it, and its caller repeats
 // it at one host after the other. Each crash ends all other runs on the server.
 func (t *task) blame(work *fleet.Work) {
-	server := work.Server()
-	if work.Life().Err() == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
-		defer cancel()
-		if !t.gateway.options.Backend.Ended(ctx, server) {
-			return
-		}
+	server, life, backend := work.Server(), work.Life(), t.gateway.options.Backend
+	run := quarantine.Run{
+		Fingerprint: t.fingerprint, Sent: t.sent, Request: t.request.ID, Server: server.ID,
+		Early: t.firstEvent == 0 || time.Since(t.request.Arrived) < t.firstEvent+earlyRun,
 	}
-	early := t.firstEvent == 0 || time.Since(t.request.Arrived) < t.firstEvent+earlyRun
-	t.gateway.options.Quarantine.Crashed(t.fingerprint, t.sent, early, t.request.ID, server.ID)
+	t.gateway.options.Quarantine.Broken(run, func(ctx context.Context) bool {
+		return life.Err() != nil || backend.Ended(ctx, server)
+	})
 }
 
 // blameIfBroken is blame for an exchange that ended with an error.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -69,6 +69,25 @@
 	})
 }
 
+// Guards against crashes that are not seen as the server's port outlives its
+// connections.
+func TestCrashIsSeenWhenThePortClosesLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.put("p3", "plain")
+		w.send = func(_ context.Context, call Call) (*Reply, error) {
+			time.AfterFunc(200*time.Millisecond, func() { w.crash(call) })
+			return nil, broken(backend.Broken)
+		}
+		for range 2 {
+			w.serve("/write/1")
+			time.Sleep(2 * time.Second)
+		}
+		is.Equal(w.serve("/write/1").Reason, ReasonQuarantined)
+		is.Equal(len(w.calls), 2)
+	})
+}
+
 // Guards against a quarantine for answers that live servers break off.
 func TestBrokenAnswersOfLiveServersAreNoCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -26,10 +26,10 @@
 	gateway *Gateway
 	fleet   *fleet.Table
 	sure    bool
-	alone   bool            // no other host takes requests
-	ended   map[string]bool // servers that take no connection any more
+	alone   bool // no other host takes requests
 
-	mu    sync.Mutex // guards all below
+	mu    sync.Mutex      // guards all below
+	ended map[string]bool // servers that take no connection any more
 	calls []Call
 	send  func(ctx context.Context, call Call) (*Reply, error)
 	copy  func(source, destination fleet.Server, last bool) (Copied, error)
@@ -86,7 +86,11 @@
 	return w.copy(source, destination, last)
 }
 
-func (w *world) Ended(_ context.Context, server fleet.Server) bool { return w.ended[server.ID] }
+func (w *world) Ended(_ context.Context, server fleet.Server) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ended[server.ID]
+}
 
 func (w *world) Discard(context.Context, fleet.Server, string) error { return nil }
 
--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -297,7 +297,7 @@
 	}
 	const request = 7
 	for range 2 {
-		h.quarantine.Crashed(request, h.quarantine.Mark(request), true, "r", "i")
+		h.quarantine.Crashed(quarantine.Run{Fingerprint: request, Sent: h.quarantine.Mark(request), Early: true, Request: "r", Server: "i"})
 	}
 	is.Equal(len(stored()), 1)
 	h.quarantine.Completed(request)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -71,6 +71,7 @@
 
 	logger  *zap.Logger
 	changes *prometheus.CounterVec
+	watched chan struct{} // holds a token for each broken run that is watched
 
 	mu       sync.Mutex // guards all below
 	requests map[uint64]*entry
@@ -88,6 +89,7 @@
 func NewTable(logger *zap.Logger, registerer prometheus.Registerer) *Table {
 	t := &Table{
 		logger: logger, requests: map[uint64]*entry{}, runs: map[uint64]map[*func()]struct{}{},
+		watched: make(chan struct{}, mostWatched),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayasail_quarantine_changes_total",
 			Help: "Requests that were suspected of crashing backend servers, quarantined or cleared, as known on this host.",
@@ -118,9 +120,9 @@
 	return 0
 }
 
-// Run notes a run of a request, which end has to stop if the request is
+// NoteRun notes a run of a request, which end has to stop if the request is
 // quarantined meanwhile. The returned function ends the note.
-func (t *Table) Run(fingerprint uint64, end func()) (over func()) {
+func (t *Table) NoteRun(fingerprint uint64, end func()) (over func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := &end
@@ -138,25 +140,24 @@
 	}
 }
 
-// Crashed takes in that a server crashed under a run of a request. Early says
-// that the run had just begun; a later crash is told to other hosts only if it
-// is not the first one.
+// Crashed takes in that a server crashed under a run. If the run had not just
+// begun, the crash is told to other hosts only if it is not the first one.
 //
 // A crash adds to those that were known when the run was sent, so that servers
 // which fall at the same time count as one.
-func (t *Table) Crashed(fingerprint uint64, sent Mark, early bool, request, server string) {
+func (t *Table) Crashed(run Run) {
 	t.mu.Lock()
-	now := Record{Fingerprint: fingerprint, Epoch: sent.epoch, Crashes: sent.crashes + 1}
-	known := t.get(fingerprint)
+	now := Record{Fingerprint: run.Fingerprint, Epoch: run.Sent.epoch, Crashes: run.Sent.crashes + 1}
+	known := t.get(run.Fingerprint)
 	if known != nil && known.Epoch > now.Epoch {
 		now.Epoch, now.Crashes = known.Epoch, 1
 	}
-	t.logger.Warn(msgSuspected, zap.String("request", request), fingerprintField(fingerprint), zap.String("server", server),
+	t.logger.Warn(msgSuspected, zap.String("request", run.Request), fingerprintField(run.Fingerprint), zap.String("server", run.Server),
 		zap.Uint32("in_a_row", now.Crashes))
 	var ends []*func()
 	changed := known == nil || now.newerThan(known.Record)
 	if changed {
-		ends = t.set(now, lifetime(now), early, sourceOwn)
+		ends = t.set(now, lifetime(now), run.Early, sourceOwn)
 	}
 	t.mu.Unlock()
 	t.after(ends, changed, changed && now.Quarantined())
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -16,8 +16,12 @@
 
 func newTable() *Table { return NewTable(zap.NewNop(), prometheus.NewRegistry()) }
 
+func run(fingerprint uint64, sent Mark, early bool) Run {
+	return Run{Fingerprint: fingerprint, Sent: sent, Early: early, Request: "r", Server: "i"}
+}
+
 // crash sends the request and has the server crash under it.
-func (t *Table) crash() { t.Crashed(suspect, t.Mark(suspect), true, "r", "i") }
+func (t *Table) crash() { t.Crashed(run(suspect, t.Mark(suspect), true)) }
 
 func inBubble(t *testing.T, test func(is *is.I)) {
 	t.Helper()
@@ -47,7 +51,7 @@
 		table := newTable()
 		sent := table.Mark(suspect)
 		for range 5 {
-			table.Crashed(suspect, sent, true, "r", "i")
+			table.Crashed(run(suspect, sent, true))
 		}
 		is.Equal(table.Quarantined(suspect), time.Duration(0))
 	})
@@ -65,7 +69,7 @@
 		other.crash()
 		is.Equal(other.Quarantined(suspect), time.Duration(0))
 		// The run was sent before the other one ended well.
-		table.Crashed(suspect, sent, true, "r", "i")
+		table.Crashed(run(suspect, sent, true))
 		is.Equal(table.Quarantined(suspect), time.Duration(0))
 	})
 }
@@ -104,9 +108,9 @@
 	inBubble(t, func(is *is.I) {
 		table := newTable()
 		ended := 0
-		table.Run(suspect, func() { ended++ })
-		over := table.Run(suspect, func() { ended += 10 })
-		table.Run(suspect+1, func() { ended += 100 })
+		table.NoteRun(suspect, func() { ended++ })
+		over := table.NoteRun(suspect, func() { ended += 10 })
+		table.NoteRun(suspect+1, func() { ended += 100 })
 		over()
 		is.True(table.Merge([]Record{{Fingerprint: suspect, Crashes: crashesNeeded, Left: time.Minute}}, "peer"))
 		is.Equal(ended, 1)
@@ -119,9 +123,9 @@
 func TestLateCrashIsNoNewsAtFirst(t *testing.T) {
 	inBubble(t, func(is *is.I) {
 		table := newTable()
-		table.Crashed(suspect, table.Mark(suspect), false, "r", "i")
+		table.Crashed(run(suspect, table.Mark(suspect), false))
 		is.Equal(len(table.News()), 0)
-		table.Crashed(suspect, table.Mark(suspect), false, "r", "i")
+		table.Crashed(run(suspect, table.Mark(suspect), false))
 		is.Equal(len(table.News()), 1)
 	})
 }
@@ -146,7 +150,7 @@
 	inBubble(t, func(is *is.I) {
 		table := newTable()
 		for i := range 100 {
-			table.Crashed(uint64(1000+i), Mark{}, true, "r", "i")
+			table.Crashed(run(uint64(1000+i), Mark{}, true))
 		}
 		table.crash()
 		table.crash()
@@ -161,7 +165,7 @@
 	inBubble(t, func(is *is.I) {
 		table := newTable()
 		for i := range 2 * mostRequests {
-			table.Crashed(uint64(i), Mark{}, true, "r", "i")
+			table.Crashed(run(uint64(i), Mark{}, true))
 		}
 		is.Equal(len(table.requests), mostRequests)
 		is.Equal(len(table.News()), newsLimit)
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"io"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,9 +13,6 @@
 	"github.com/papayasail/papayasail/quarantine"
 )
 
-// endedTimeout bounds the look whether a server has crashed.
-const endedTimeout = 100 * time.Millisecond
-
 // crashes follows whether backend servers crash under one request.
 //
 // Failure: a request crashes each server that runs it. Tries of this host and
@@ -47,17 +43,13 @@
 }
 
 // broke takes in that the connection to a server broke before the end of the
-// answer; early says that nothing of the answer had come. As long as the server
-// takes connections it has not crashed.
+// answer; early says that nothing of the answer had come.
 func (c *crashes) broke(address string, early bool) {
 	if c.table == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
-	defer cancel()
-	if c.backend.Ended(ctx, address) {
-		c.table.Crashed(c.fingerprint, c.sent, early, "", address)
-	}
+	run := quarantine.Run{Fingerprint: c.fingerprint, Sent: c.sent, Early: early, Server: address}
+	c.table.Broken(run, func(ctx context.Context) bool { return c.backend.Ended(ctx, address) })
 }
 
 // completed takes in that the request ran to its end.
