A request that times out is no evidence where its server has answered since

Connections to an engine had gone silent; generations that were sent over them ended at their deadlines ten seconds later, and within a second of two such ends all hosts avoided the engine for three seconds, while the other failure domain was evacuated.

Change: Work.TimedOut. Where the server has answered anybody since the request was sent, nothing is told to others; it still counts for the server's rate of failures. Ruled out: forgetting ends at deadlines altogether, as a frozen server is known by nothing else.

TestLateTimeoutsAreNoEvidence and TestGenerationThatTimesOutOnASilentConnection- IsNoEvidence fail with Outcome in place of TimedOut.

--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -129,11 +129,12 @@
 // avoided once requests of two hosts failed there without an answer to anybody
 // between.
 func (t *Table) witness(e *entry, host string, failed bool) {
+	now := time.Now()
 	if !failed {
 		clear(e.witnesses)
+		e.answered = now
 		return
 	}
-	now := time.Now()
 	e.witnesses[host] = now
 	for other, at := range e.witnesses {
 		if now.Sub(at) > witnessWindow {
--- a/fleet/evidence_test.go
+++ b/fleet/evidence_test.go
@@ -39,6 +39,27 @@
 	})
 }
 
+// Guards against an engine that all hosts avoid, as generations whose connections
+// went silent end at their deadlines.
+func TestLateTimeoutsAreNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		silent := table.Begin("a", Work{ID: "1"}, false)
+		time.Sleep(time.Second)
+		table.Witness("h2", "a", Evidence{Answered: 1})
+		frozen := table.Begin("a", Work{ID: "2"}, false)
+		time.Sleep(time.Second)
+		table.Witness("h2", "a", Evidence{Failed: 1})
+		silent.TimedOut()
+		is.Equal(len(table.TakeEvidence("llm")), 0)
+		is.Equal(len(table.Avoided("llm")), 0)
+		frozen.TimedOut() // nobody was answered since it was sent
+		is.Equal(table.TakeEvidence("llm"), map[string]Evidence{"a": {Failed: 1}})
+		is.Equal(table.Avoided("llm"), []string{"a"})
+	})
+}
+
 func TestOwnOutcomesAreToldOnce(t *testing.T) {
 	is := is.New(t)
 	table := newTable()
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -74,6 +74,7 @@
 	pace           pace
 	evidence       Evidence             // of this host, since it was told
 	witnesses      map[string]time.Time // entry hosts whose requests failed there, and when; an answer clears it
+	answered       time.Time            // when it answered a request of any host last
 	work           map[*Work]struct{}
 	others         map[string]Load // by entry host
 	sum            loadSum         // of others
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -13,9 +13,10 @@
 	entry        *entry
 	ID           string // of the request
 	PromptTokens int
-	OutputTokens int        // expected
-	produced     int        // tokens; guarded by Table.mu
-	window       paceWindow // guarded by Table.mu
+	OutputTokens int       // expected
+	began        time.Time // guarded by Table.mu, as all below
+	produced     int       // tokens
+	window       paceWindow
 }
 
 // Load is what one entry host has on a server; its fields are those of
@@ -101,7 +102,7 @@
 	}
 	e.noteStart(now)
 	booked := &work
-	booked.table, booked.entry = t, e
+	booked.table, booked.entry, booked.began = t, e, now
 	e.work[booked] = struct{}{}
 	return booked
 }
@@ -163,6 +164,21 @@
 	w.table.noteOwn(w.entry, failed)
 }
 
+// TimedOut takes in that the time of a request was over before its answer came.
+// Where the server has answered others meanwhile that says nothing of it but
+// for its health.
+//
+// Failure: connections to an engine have gone silent. Their generations end at
+// their deadlines, seconds later, and all hosts avoid an engine that is well.
+func (w *Work) TimedOut() {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.table.judge(w.entry, true)
+	if !w.entry.answered.After(w.began) {
+		w.table.noteOwn(w.entry, true)
+	}
+}
+
 // AnsweredBadly takes in that the server answered a request with a failure of
 // its own. Its health is the worse for it, but the server is there.
 func (w *Work) AnsweredBadly() {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -177,8 +177,11 @@
 		return try{outcome: t.unreached(ctx), again: true}
 	}
 	t.sends++
-	if ctx.Err() != context.Canceled {
+	switch ctx.Err() {
+	case nil:
 		work.Outcome(true)
+	case context.DeadlineExceeded:
+		work.TimedOut()
 	}
 	t.blameIfBroken(ctx, work, err)
 	return t.mayHaveRun(ctx, ReasonBroken)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -77,6 +77,20 @@
 	})
 }
 
+// Guards against failures that are told to others seconds after what they show.
+func TestGenerationThatTimesOutOnASilentConnectionIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(ctx context.Context, call Call) (*Reply, error) {
+			time.AfterFunc(time.Second, func() { w.fleet.Witness("other", call.Server.ID, fleet.Evidence{Answered: 1}) })
+			<-ctx.Done()
+			return nil, broken(backend.Broken)
+		}
+		is.Equal(w.serve("/letter/1").Reason, ReasonTimeout)
+		is.Equal(len(w.fleet.TakeEvidence("llm")), 0)
+	})
+}
+
 func TestRefusedCopyGoesOnAtItsSource(t *testing.T) {
 	// The last part of a move finds no room: the engine has stopped the run
 	// and keeps its memory. The letter goes on there rather than be lost.
