Generations that their engine has no more give their places back

Cause: connections to an engine go silent, and what it sends over them is lost. The generations end there; here they stay booked until their deadlines, and an engine looks full that has free slots, while half of the engines are evacuated.

Change: where a generation has made no progress for two seconds, its host asks the engine's report, once a second, which ones it has. Those that are not in it give up their places; where any wait there, or the report does not say, nothing is given up, and a place that a run is being copied to is kept. The generation itself goes on waiting for what was sent: silence ends no answer.

--- /dev/null
+++ b/fleet/silent_test.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against bookings of runs that are ended although their engine has them,
+// may have them, or is about to have them.
+func TestOnlyLostGenerationsAreReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		begin := func(id string, copied bool) *Work { return table.Begin("a", Work{ID: id, Copied: copied}, false) }
+		begin("lost", false)
+		begin("runs", false)
+		begin("copied", true)
+		flows, moved := begin("flows", false), begin("moved", true)
+		time.Sleep(silentAfter - time.Second)
+		is.Equal(len(table.Silent()), 0)
+		flows.Produced(1)
+		time.Sleep(time.Second)
+		is.Equal(len(table.Silent()), 1)
+		held := Held{Running: []string{"runs"}, Waiting: 1}
+		is.Equal(len(table.Release(Life{ID: "a"}, held)), 0) // it may be the one that waits
+		held.Waiting = 0
+		is.Equal(len(table.Release(Life{ID: "b"}, held)), 0)
+		is.Equal(table.Release(Life{ID: "a"}, held), []string{"lost"})
+		is.Equal(len(table.Release(Life{ID: "a"}, held)), 0)
+		moved.Produced(4) // it goes on here
+		time.Sleep(silentAfter)
+		is.Equal(len(table.Release(Life{ID: "a"}, held)), 2) // flows and moved
+		is.Equal(table.OwnGenerations()["llm"]["a"].Requests, 2)
+	})
+}
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -14,7 +14,9 @@
 	ID           string // of the request
 	PromptTokens int
 	OutputTokens int       // expected
+	Copied       bool      // its memory is copied there; until it makes tokens there it runs elsewhere
 	began        time.Time // guarded by Table.mu, as all below
+	progress     time.Time // when it began or made tokens last
 	produced     int       // tokens
 	window       paceWindow
 }
@@ -102,7 +104,7 @@
 	}
 	e.noteStart(now)
 	booked := &work
-	booked.table, booked.entry, booked.began = t, e, now
+	booked.table, booked.entry, booked.began, booked.progress = t, e, now, now
 	e.work[booked] = struct{}{}
 	return booked
 }
@@ -114,8 +116,8 @@
 	if w.produced == 0 && tokens > 0 {
 		w.table.ownChanged(w.entry)
 	}
-	w.produced = max(w.produced, tokens)
-	w.entry.pace.observe(w.window.next(w.produced, time.Now()))
+	w.produced, w.progress = max(w.produced, tokens), time.Now()
+	w.entry.pace.observe(w.window.next(w.produced, w.progress))
 }
 
 // End takes the request off its server. It may be called again.
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -62,7 +62,7 @@
 	if run.over() || run.lost() {
 		return
 	}
-	booked := g.options.Fleet.Begin(destination, fleet.Work{ID: id, PromptTokens: move.Need.PromptTokens, OutputTokens: move.Need.OutputTokens}, false)
+	booked := g.options.Fleet.Begin(destination, fleet.Work{ID: id, PromptTokens: move.Need.PromptTokens, OutputTokens: move.Need.OutputTokens, Copied: true}, false)
 	if booked == nil {
 		g.moved(run, source, "no_destination", nil)
 		return
@@ -113,7 +113,7 @@
 	}
 	if !last.Done && !run.lost() {
 		// The source has stopped the run and keeps its memory: it may go on there.
-		if back := g.options.Fleet.Begin(source.ID, fleet.Work{ID: id, PromptTokens: run.tokens()}, true); back != nil {
+		if back := g.options.Fleet.Begin(source.ID, fleet.Work{ID: id, PromptTokens: run.tokens(), Copied: true}, true); back != nil {
 			to.works = append(to.works, back)
 		}
 	}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -77,6 +77,24 @@
 	})
 }
 
+// Guards against a destination whose place is freed while a run's memory is
+// still on its way there.
+func TestSlowCopyKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.send = func(context.Context, Call) (*Reply, error) { return newGeneration(1, 100, gap).reply(), nil }
+		w.copy = func(_, destination fleet.Server, last bool) (Copied, error) {
+			time.Sleep(3 * time.Second)
+			is.Equal(len(w.fleet.Release(destination.Life(), fleet.Held{})), 0)
+			return Copied{}, nil
+		}
+		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Life(), fleet.SourceList) })
+		w.serve("/letter/1")
+		synctest.Wait()
+		is.Equal(w.turns, 0)
+	})
+}
+
 // Guards against failures that are told to others seconds after what they show.
 func TestGenerationThatTimesOutOnASilentConnectionIsNoEvidence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -81,6 +81,9 @@
 	// Ask asks a server what it says of itself. HealthPath is where its
 	// service's servers tell their health; "": nowhere.
 	Ask(ctx context.Context, server fleet.Server, healthPath string) (fleet.OwnWord, error)
+	// Held asks an engine which generations it has. It is an error if it does
+	// not say, or another life of the server answers.
+	Held(ctx context.Context, server fleet.Server) (fleet.Held, error)
 }
 
 // Server is an HTTP server of the host, at an IP:port.
@@ -219,7 +222,7 @@
 // background returns what runs beside the servers, each until its context ends.
 func (h *Host) background() []func(context.Context) error {
 	return []func(context.Context) error{
-		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.watch.Run, h.keepQuarantine,
+		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.watch.Run, h.keepQuarantine, h.releaseLost,
 		h.runNode, h.allocation.Run, h.allocation.Exchange, h.sentinel.Run,
 	}
 }
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -47,12 +47,15 @@
 	return s.List(ctx, kind)
 }
 
-// servers is a Backend of which only Ask is used.
+// servers is a Backend of which only what hosts ask is used.
 type servers struct {
 	gateway.Backend
 	departs func(id string) (bool, error)
+	held    fleet.Held
 }
 
+func (s servers) Held(context.Context, fleet.Server) (fleet.Held, error) { return s.held, nil }
+
 func (s servers) Ask(_ context.Context, server fleet.Server, _ string) (fleet.OwnWord, error) {
 	leaves, err := s.departs(server.ID)
 	return fleet.OwnWord{Leaves: leaves}, err
--- /dev/null
+++ b/gatewayhost/release.go
@@ -0,0 +1,48 @@
+package gatewayhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/internal/sleep"
+)
+
+const (
+	msgReleased    = "backend server has no more what was sent to it; its places are free"
+	msgHeldNotSaid = "backend server does not say what it has"
+
+	// releaseInterval spaces the questions to one engine.
+	releaseInterval = time.Second
+	releaseTimeout  = 500 * time.Millisecond
+)
+
+// releaseLost asks engines at which generations make no progress which ones they
+// have, and ends the bookings of all others, until ctx ends. The generations
+// themselves go on waiting: what an engine has sent may yet come.
+func (h *Host) releaseLost(ctx context.Context) error {
+	for sleep.For(ctx, releaseInterval) == nil {
+		var group sync.WaitGroup
+		for _, server := range h.fleet.Silent() {
+			group.Go(func() { h.releaseAt(ctx, server) })
+		}
+		group.Wait()
+	}
+	return ctx.Err()
+}
+
+func (h *Host) releaseAt(ctx context.Context, server fleet.Server) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	held, err := h.options.Backend.Held(ctx, server)
+	if err != nil {
+		h.logger.Debug(msgHeldNotSaid, zap.String("server", server.ID), zap.Error(err))
+		return
+	}
+	if released := h.fleet.Release(server.Life(), held); len(released) > 0 {
+		h.logger.Warn(msgReleased, zap.String("server", server.ID), zap.Strings("requests", released))
+	}
+}
