Half of an answer does not clear a request that crashes servers

What callers saw: nothing yet; found by reading. An answer without its server's mark of a whole one counted as a run to the end before the mark was looked at. Between two crashes it cleared the request, and two more servers were needed.

Change: a call is cleared once its answer is known to be whole. TestAnswerThatIsNotWholeClearsNothing failed before (a fourth server was sent the request). Generations are cleared by the end of their stream, as before.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -116,7 +116,6 @@
 		}
 		return t.mayHaveRun(ctx, ReasonBroken)
 	}
-	t.gateway.options.Quarantine.Completed(t.fingerprint)
 	failing := reply.Status >= http.StatusInternalServerError
 	if failing {
 		work.AnsweredBadly()
@@ -127,6 +126,7 @@
 	if reply.Status < http.StatusMultipleChoices && !reply.Whole {
 		return t.mayHaveRun(ctx, ReasonBroken)
 	}
+	t.gateway.options.Quarantine.Completed(t.fingerprint)
 	return try{outcome: answer, again: failing && t.route.Kind == Idempotent, sent: true}
 }
 
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -69,6 +69,28 @@
 	})
 }
 
+// Guards against a request that is cleared by half of an answer.
+func TestAnswerThatIsNotWholeClearsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newWorld()
+		w.put("p3", "plain")
+		crash := func(_ context.Context, call Call) (*Reply, error) {
+			w.crash(call)
+			return nil, broken(backend.Broken)
+		}
+		half := func(context.Context, Call) (*Reply, error) {
+			r := answer(http.StatusOK, "ha")
+			r.Whole = false
+			return r, nil
+		}
+		for _, w.send = range []func(context.Context, Call) (*Reply, error){crash, half, crash} {
+			w.serve("/write/1")
+			time.Sleep(2 * time.Second)
+		}
+		is.True(w.serve("/write/1").NotRun)
+	})
+}
+
 // Guards against crashes that are not seen as the server's port outlives its
 // connections.
 func TestCrashIsSeenWhenThePortClosesLater(t *testing.T) {
