--- a/backend/client.go
+++ b/backend/client.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -77,12 +76,7 @@
 // Ended reports whether nothing listens at a server's address any more, as
 // after a crash. One that cannot be reached has not ended, as far as is known.
 func (c *Client) Ended(ctx context.Context, address string) bool {
-	conn, err := c.dialer.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	conn.Close()
-	return false
+	return link.Refused(c.dialer.dial(ctx, address))
 }
 
 // Start starts a generation on an engine and returns its stream from offset
--- a/link/network.go
+++ b/link/network.go
@@ -4,6 +4,9 @@
 import (
 	"context"
 	"net"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Network opens connections and listeners. TCP is the real one; tests use an
@@ -15,6 +18,16 @@
 	Listen(address string) (net.Listener, error)
 }
 
+// Refused reports whether a dial found that nothing listens there. A connection
+// that it made is closed.
+func Refused(conn net.Conn, err error) bool {
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
+
 // TCP is the Network of the operating system.
 type TCP struct {
 	Dialer net.Dialer
