Places are freed only where an engine names all that it has

An engine may have taken a generation that it has not begun: it is neither in the list of runs nor among those that wait. The report's count of active ones tells; where it exceeds the list, nothing is released, as while any wait.

TestServerSaysWhatItHas has the case.

--- a/fleet/silent.go
+++ b/fleet/silent.go
@@ -12,7 +12,7 @@
 // Held is what an engine says of the generations that it has.
 type Held struct {
 	Running []string // IDs of their requests
-	Waiting int      // generations that wait, whose IDs it does not say
+	Unnamed int      // those that wait or have not begun, whose IDs it does not say
 }
 
 // Silent returns the engines at which a generation of this host makes no
@@ -44,8 +44,8 @@
 }
 
 // Release ends the bookings of generations that make no progress and that their
-// engine has no more, and returns their IDs. While generations wait there,
-// nobody knows which ones, and nothing is released.
+// engine has no more, and returns their IDs. While the engine has generations
+// that it does not name, nothing is released.
 //
 // Failure: connections to an engine go silent. Its generations end there, and
 // their bookings keep others from its places until their deadlines.
@@ -53,7 +53,7 @@
 	t.mu.Lock()
 	e := t.entryOf(life)
 	var lost []*Work
-	if e != nil && held.Waiting == 0 {
+	if e != nil && held.Unnamed == 0 {
 		lost = slices.DeleteFunc(e.silent(time.Now()), func(w *Work) bool { return slices.Contains(held.Running, w.ID) })
 	}
 	t.mu.Unlock()
--- a/fleet/silent_test.go
+++ b/fleet/silent_test.go
@@ -24,9 +24,9 @@
 		flows.Produced(1)
 		time.Sleep(time.Second)
 		is.Equal(len(table.Silent()), 1)
-		held := Held{Running: []string{"runs"}, Waiting: 1}
-		is.Equal(len(table.Release(Life{ID: "a"}, held)), 0) // it may be the one that waits
-		held.Waiting = 0
+		held := Held{Running: []string{"runs"}, Unnamed: 1}
+		is.Equal(len(table.Release(Life{ID: "a"}, held)), 0) // it may be the one that is not named
+		held.Unnamed = 0
 		is.Equal(len(table.Release(Life{ID: "b"}, held)), 0)
 		is.Equal(table.Release(Life{ID: "a"}, held), []string{"lost"})
 		is.Equal(len(table.Release(Life{ID: "a"}, held)), 0)
