Engines that get no work are not asked what they have

An engine that leaves, whose failure domain is evacuated or that wants nothing from this host now gets no work of it, so that places there need not be freed; nor should it be asked. The question left out entries that lapsed, and asked these; found on reading the change. TestServersThatGetNoWorkAreNotAsked failed before.

--- a/fleet/silent.go
+++ b/fleet/silent.go
@@ -15,15 +15,16 @@
 	Unnamed int      // those that wait or have not begun, whose IDs it does not say
 }
 
-// Silent returns the engines at which a generation of this host makes no
-// progress.
+// Silent returns the engines that may get work of this host and at which one of
+// its generations makes no progress.
 func (t *Table) Silent() []Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var servers []Server
 	now := time.Now()
 	for _, e := range t.servers {
-		if t.isEngine(e) && len(e.silent(now)) > 0 {
+		mayGetWork := e.takesWork() && !e.evacuated && !t.resting(e.server.ID, now)
+		if t.isEngine(e) && mayGetWork && len(e.silent(now)) > 0 {
 			servers = append(servers, e.server)
 		}
 	}
--- a/fleet/silent_test.go
+++ b/fleet/silent_test.go
@@ -36,3 +36,24 @@
 		is.Equal(table.OwnGenerations()["llm"]["a"].Requests, 2)
 	})
 }
+
+// Guards against questions to servers that are to be left alone.
+func TestServersThatGetNoWorkAreNotAsked(t *testing.T) {
+	for name, leaveAlone := range map[string]func(*Table){
+		"leaves":        func(table *Table) { table.MarkLeaving(Life{ID: "a"}, SourceList) },
+		"evacuated":     func(table *Table) { table.SetEvacuated("d1", true) },
+		"wants nothing": func(table *Table) { table.Rest("a", time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				table := newTable()
+				table.Begin("a", Work{ID: "lost"}, false)
+				time.Sleep(silentAfter)
+				is.Equal(len(table.Silent()), 1)
+				leaveAlone(table)
+				is.Equal(len(table.Silent()), 0)
+			})
+		})
+	}
+}
