--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -185,11 +185,8 @@
 	})
 }
 
+// Guards against a call that is sent again when its reused connection breaks after it ran.
 func TestBrokenReusedConnectionIsNotSentAgain(t *testing.T) {
-	// An alarm acknowledgement goes out on a connection that was used before;
-	// the server runs it and dies before it answers. net/http would send it
-	// again on a new connection, since it has an Idempotency-Key, and the
-	// alarm would be acknowledged twice.
 	for _, key := range []string{"", "home.1"} {
 		inBubble(t, func(is *is.I, fabric *network.Fabric, c *Client) {
 			server := serve(is, fabric, wholeAnswer, "")
@@ -273,10 +270,8 @@
 	}
 }
 
+// Guards against streams that stay frozen on a silent connection.
 func TestSilentStreamEndsAfterItsDeadline(t *testing.T) {
-	// The connection of a narrative goes silent in the middle and stays open.
-	// Without a progress deadline its caller would look at a frozen text for
-	// good.
 	inBubble(t, func(is *is.I, fabric *network.Fabric, c *Client) {
 		serve(is, fabric, streamHead+chunked(token0), "")
 		s, err := c.Start(context.Background(), serverAddress, CompletionRequest{GenerationID: "g"})
--- a/backend/clientstall_test.go
+++ b/backend/clientstall_test.go
@@ -15,9 +15,7 @@
 	"github.com/papayasail/papayasail/fake/network"
 )
 
-// An engine's process is frozen while a desk sends a letter with a long
-// history. The prompt does not fit into the buffers of the connection, so the
-// write never ends; the desk would wait for as long as the engine is frozen.
+// Guards against a write that never ends as a frozen engine reads nothing.
 func TestStartGivesUpOnAnEngineThatReadsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/backend/pool_leaving_test.go
+++ b/backend/pool_leaving_test.go
@@ -10,9 +10,7 @@
 	"github.com/papayasail/papayasail/contract"
 )
 
-// An engine dies with work on it and starts again, idle: its report repeats one
-// low sequence. The pool has to take it within two reports, or hosts go on to
-// see the dead engine's load and place nothing on the new one.
+// Guards against the load of a dead engine kept for the one that started in its place.
 func TestIdleServerThatStartedAgainIsHeard(t *testing.T) {
 	is := is.New(t)
 	pool := NewPool(PoolOptions{})
@@ -24,9 +22,7 @@
 	is.Equal(pool.Snapshot("a").Servers[0].Load.Running, 0)
 }
 
-// A team changes its document and every server of it drops to a tenth of its
-// work for seconds: with each document the entry host takes back marks of
-// leaving that were never set, and that started a slow start.
+// Guards against a slow start of servers that were never marked as leaving.
 func TestClearLeavingWithoutMarkStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -27,9 +27,7 @@
 
 func stateOf(pool *Pool, i int) State { return pool.Snapshot("letters").Servers[i].State }
 
-// An engine that is being reclaimed says so in its report. An older answer of
-// the same engine, overtaken on its way, arrives behind it and says that it
-// stays. New letters then went to an engine about to vanish.
+// Guards against an overtaken report that takes back that an engine leaves.
 func TestLateReportDoesNotUndoLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -160,9 +160,7 @@
 	})
 }
 
-// Something between desk and entry host forgets the connection: nothing comes
-// any more, and no error either, while new connections work. The stream must
-// not stay frozen.
+// Guards against streams that stay frozen on a silent connection.
 func TestStreamLeavesSilentConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -243,9 +241,7 @@
 
 const lostEvent = "event: error\ndata: {\"outcome\":\"unknown\",\"reason\":\"generation_lost\"}\n\n"
 
-// An alarm acknowledgement runs, and its answer is lost on the way back. The
-// desk repeats it at the other entry host: with the same key, since a new one
-// would acknowledge twice.
+// Guards against a second run when the answer of a call is lost.
 func TestCallRepeatsWithSameKeyAfterLostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -290,9 +286,7 @@
 	})
 }
 
-// The plain service breaks off after it ran the call. The home's record says
-// "unknown" and will go on saying so; the desk should hear it after one
-// repeat, not after minutes.
+// Guards against callers that repeat for minutes what stays unknown.
 func TestCallEndsWhenTheRecordSaysUnknownAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/configuration/acceptor_test.go
+++ b/configuration/acceptor_test.go
@@ -70,10 +70,8 @@
 	})
 }
 
+// Guards against changes reported wrongly when the store goes away before or after the write.
 func TestStoreAway(t *testing.T) {
-	// The store goes away before a change: it is refused. It goes away after
-	// the write took effect and before the answer: "unknown", and Settle says
-	// "accepted" once it is back.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
 		memory := store.NewMemory()
@@ -103,10 +101,8 @@
 	})
 }
 
+// Guards against a change that takes effect after it was settled as not accepted.
 func TestSettledAsNotAcceptedIsFinal(t *testing.T) {
-	// A change is on its way to a slow store when its operator asks what
-	// became of it and hears "not accepted". When it arrives at last, it must
-	// not take effect.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
 		memory := store.NewMemory()
--- a/configuration/organisation_test.go
+++ b/configuration/organisation_test.go
@@ -59,11 +59,8 @@
 	return fmt.Sprintf("token %d", rapid.IntRange(0, fuzzTokens-1).Draw(t, "token"))
 }
 
+// Guards against hosts that go back, or disagree on whose a token is.
 func TestFuzzOrganisations(t *testing.T) {
-	// Operators put, rotate and remove organisations of one shard and of
-	// others, some over a version that is not current, some with a token that
-	// another one holds. Hosts learn of it late and out of order. No host goes
-	// back, and in the end each token is whose the map says.
 	rapid.Check(t, func(rt *rapid.T) {
 		d := &directories{memory: store.NewMemory(), oracle: map[string]Organisation{}, names: append(namesOfOneShard(3), "x", "y")}
 		d.acceptor = NewAcceptor(d.memory, parseTest)
@@ -204,10 +201,8 @@
 	}
 }
 
+// Guards against a change reported twice or wrongly when its answer is lost.
 func TestLostAnswerOfAnOrganisationIsSettled(t *testing.T) {
-	// The store takes the change and its answer is lost. The operator hears
-	// "accepted" once; the same id with another token is refused; a change that
-	// never was made is settled as not accepted, for good.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
 		memory := store.NewMemory()
@@ -241,10 +236,8 @@
 	})
 }
 
+// Guards against lost updates of one organisation, and conflicts with its neighbours.
 func TestRacingOperatorsOfOneOrganisation(t *testing.T) {
-	// Two operators rotate the token of one organisation over the same
-	// version, while a third changes its neighbour in the shard. One of the
-	// two loses and sees to whom; the neighbour is nobody's conflict.
 	is, ctx := is.New(t), t.Context()
 	acceptor := NewAcceptor(store.NewMemory(), parseTest)
 	names := namesOfOneShard(2)
--- a/configuration/table_test.go
+++ b/configuration/table_test.go
@@ -8,10 +8,8 @@
 	"github.com/papayasail/papayasail/store"
 )
 
+// Guards against an older version taken from a peer that was cut off.
 func TestTableNeverGoesBack(t *testing.T) {
-	// A team's accepted change is in force, then reverts on one host: a peer
-	// that was cut off offers the version before it, after the host took the
-	// newer one.
 	is := is.New(t)
 	table := NewTable(parseTest)
 	changed, _ := table.Adopt([]store.Object{object("service/a", "a new", 7)})
--- a/configuration/watcher_test.go
+++ b/configuration/watcher_test.go
@@ -12,10 +12,8 @@
 	"github.com/papayasail/papayasail/store"
 )
 
+// Guards against lost documents, and a store asked too often, through a long outage.
 func TestWatcherThroughTwoHourOutage(t *testing.T) {
-	// The store is away for two hours. The documents stay in force, the store
-	// is not asked more than a few times a minute, and when it is back, a
-	// change is in force within seconds of its acceptance.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
--- a/entryhost/eventkeys_test.go
+++ b/entryhost/eventkeys_test.go
@@ -25,10 +25,7 @@
 	return response.StatusCode, body
 }
 
-// The event key is replaced host by host while narratives stream. A caller's
-// event id of the old key has to resume at a host with the new one, and one of
-// the new key at a host that still signs with the old one. A host that never
-// heard of the key refuses it.
+// Guards against streams that cannot be taken up while the event key is replaced host by host.
 func TestEventKeyIsRotatedWithoutAFlagDay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1)
--- a/entryhost/host_test.go
+++ b/entryhost/host_test.go
@@ -48,9 +48,7 @@
 	})
 }
 
-// A narrative streams through an entry host that dies in the middle. The
-// caller takes it up at another host, which has never heard of it, and must
-// get each token once, in order, from the same generation.
+// Guards against tokens lost, doubled or made anew when an entry host dies in a stream.
 func TestEntryHostDiesMidStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 3)
@@ -113,9 +111,7 @@
 	})
 }
 
-// The platform's list says that an engine's host is leaving, although the
-// engine itself still takes work. Only some entry hosts watch the list; within
-// 3 s none of them may place new work there, and what runs there goes on.
+// Guards against work placed on a server that only the host list says is leaving.
 func TestHostListTakesServerOutEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 4)
@@ -147,10 +143,7 @@
 	})
 }
 
-// The connection between an entry host and an engine goes silent for good in
-// the middle of a narrative, while new connections work. The engineer must see
-// a pause of no more than the document's gap and then the rest of the same
-// narrative, not an error and not another generation.
+// Guards against streams that freeze on a silent connection to a live engine.
 func TestSilentConnectionToEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1)
@@ -172,10 +165,7 @@
 	})
 }
 
-// All entry hosts are restarted one after another while a desk repeats the
-// same alarm acknowledgement at whatever host is up. The acknowledgement must
-// run once, and the desk must hear the same answer each time: the record moves
-// from host to host.
+// Guards against second runs when all entry hosts are restarted one after another.
 func TestRollingRestartKeepsRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 4)
@@ -194,10 +184,7 @@
 	})
 }
 
-// A caller asks for a long narrative and then reads nothing, but keeps its
-// connection open. Its stream must not hold the entry host's memory nor the
-// engine's for good: the write times out, and the engine ends a generation
-// that nobody reads.
+// Guards against memory held for good by callers that read nothing.
 func TestCallerThatReadsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1)
@@ -216,9 +203,7 @@
 	})
 }
 
-// The engine that a narrative was placed on freezes before its first token,
-// but still takes connections. No token was delivered, so the narrative has to
-// start again on the other engine once the first token is overdue.
+// Guards against generations lost to an engine that freezes before their first token.
 func TestEngineFreezesBeforeFirstToken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1)
@@ -242,9 +227,7 @@
 	})
 }
 
-// Two engines come up without the model that a document asks for on one of
-// them. One entry host, and only one, must order it loaded; when that engine
-// dies, the other one must get it, and narratives run again.
+// Guards against a model that several hosts order, or none once its engine has died.
 func TestModelIsPlacedAndMovesWhenItsEngineDies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSiteOf(t, 3, engine.Config{})
@@ -273,10 +256,7 @@
 	})
 }
 
-// A desk sends acknowledgements to a host that passes them to their home. The
-// connection between the two hosts goes silent for good, while new ones work.
-// The next acknowledgement must be answered after one fresh connection, and run
-// once, although nobody can tell whether the first try arrived.
+// Guards against second runs and long waits when a connection between hosts goes silent.
 func TestSilentConnectionBetweenHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 2)
@@ -305,9 +285,7 @@
 	})
 }
 
-// A host stops gracefully after its connection to the successor of its records
-// has gone silent. The records must still get there, over a fresh one, and the
-// desk that repeats its acknowledgement hears the answer again.
+// Guards against records lost when the connection to their successor is silent.
 func TestHandOverOverSilentConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 2)
@@ -322,9 +300,7 @@
 	})
 }
 
-// The store goes away in the moment after it took a change. The operator was
-// told "accepted", so the change must be in force on every host all the same:
-// the accepting host has it and its peers learn it from there.
+// Guards against accepted changes that wait for the store to come back.
 func TestAcceptedChangeSpreadsWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 4)
@@ -363,9 +339,7 @@
 	})
 }
 
-// An operator evacuates the failure domain of an engine and ends that. New work
-// must stay away from it within 3 s on every host, and come back within 3 s of
-// the end. A misspelt name is refused.
+// Guards against hosts that miss the begin or the end of an evacuation.
 func TestEvacuationBeginsAndEndsEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 4)
@@ -387,9 +361,7 @@
 	})
 }
 
-// The connection to the plain service breaks after it ran an acknowledgement.
-// Nobody can tell whether it ran, and no repeat will: the desk hears "unknown"
-// without a time to come back, and a repeat hears the same and runs nothing.
+// Guards against repeats of a call that nobody can tell whether it ran.
 func TestUnknownStaysUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1)
@@ -404,9 +376,7 @@
 	})
 }
 
-// A team rolls its model to a new version. For some seconds the new document
-// is in force and no engine has the new version yet; the engines that have the
-// old one must go on serving, and no narrative may be refused.
+// Guards against refusals while no engine has the new version of a model yet.
 func TestModelRollRefusesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSiteOf(t, 2, engine.Config{Models: []string{"basin@3"}, LoadTime: 5 * time.Second})
@@ -429,9 +399,7 @@
 	})
 }
 
-// A desk repeats an acknowledgement at an entry host that has just come up
-// while the store and its peers are out of reach, so it knows no service. The
-// acknowledgement ran at its home: the new host must not say that it did not.
+// Guards against "not run" from a host that knows no service yet.
 func TestRepeatAtHostWithoutConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 2)
@@ -449,9 +417,7 @@
 	})
 }
 
-// A host is cut off from its peers and replaced by another one of its name,
-// while a narrative streams through it. When it hears of the replacement it
-// must take no new work, but the narrative must run to its end through it.
+// Guards against streams cut off at a host that hears it was replaced.
 func TestReplacedHostFinishesWhatRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 3)
@@ -480,9 +446,7 @@
 	})
 }
 
-// A fleet is so large that a host may ask each engine for its load once in
-// minutes only. An engine says in the streams that the host reads that it is
-// leaving; the host must hear it there and place nothing new on it.
+// Guards against leaving engines unseen by hosts that rarely ask for load.
 func TestLoadReportsComeWithStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSiteWith(t, 1, engine.Config{Models: []string{"basin@3"}, StreamReports: 8}, 0.001)
--- a/entryhost/organisations_test.go
+++ b/entryhost/organisations_test.go
@@ -55,9 +55,7 @@
 	others  = "200 404 200 404 200 404 " // may call, but not this service
 )
 
-// A cooperative joins, replaces its token with an overlap, loses a service and
-// leaves, each change made at another host. Within seconds every host takes
-// exactly the tokens that are in force, and the old one nowhere.
+// Guards against tokens that some hosts take and others do not.
 func TestOrganisationIsTheSameOnEveryHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 3)
@@ -86,9 +84,7 @@
 	})
 }
 
-// The store goes away. Organisations in force go on calling at every host, a
-// change is refused as one that changed nothing, and when the store is back
-// nothing has reverted.
+// Guards against organisations lost, or changes half made, while the store is away.
 func TestOrganisationsGoOnWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 3)
@@ -107,10 +103,7 @@
 	})
 }
 
-// A host starts while the store is away and its peers cannot be reached: it
-// knows no organisation of the configuration. A caller whom it turned away
-// with 401 would give up; it has to hear that nothing ran and come back. Once
-// a peer is reached, a wrong token is a wrong token again.
+// Guards against 401 for valid tokens from a host that knows no organisations yet.
 func TestStartingHostDoesNotCallTokensWrong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 2)
@@ -132,9 +125,7 @@
 	})
 }
 
-// An organisation is put with the name or the token of one in the settings, or
-// the token of another one or of an operator. Two holders of one token could
-// not be told apart, so each is refused with the name of the holder.
+// Guards against two holders of one token.
 func TestOrganisationThatClashesIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1)
--- a/entryhost/site_test.go
+++ b/entryhost/site_test.go
@@ -163,10 +163,7 @@
 	time.Sleep(recordedRunsEnd)
 }
 
-// recordedRunsEnd is, in virtual time, how long a generation that runs for its
-// record goes on after its host was closed: where the network went before it
-// had read the end, it tries to reconnect until it gives up. A test that
-// returned before failed with a goroutine left, when the machine was busy.
+// recordedRunsEnd is how long a generation that runs for its record may go on after its host was closed.
 const recordedRunsEnd = time.Minute
 
 func (s *site) caller(seeds ...string) *caller.Client {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -42,10 +42,8 @@
 	})
 }
 
+// Guards against two holders when one is paused past its lease.
 func TestHolderPausedPastItsLease(t *testing.T) {
-	// A model is unloaded right after it was loaded: host a is paused in the
-	// middle of its duty, b takes over, a wakes and goes on as if no time had
-	// passed. So a's lease must be over for a before b can have one.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
 		memory := store.NewMemory()
@@ -87,10 +85,8 @@
 	})
 }
 
+// Guards against a lease given up because its own renewal took effect unanswered.
 func TestEarlierRenewalTookEffect(t *testing.T) {
-	// The store goes away right after it took a renewal, for longer than the
-	// call waits. The next renewal meets the holder's own write and must not
-	// take it for another host's.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
 		memory := store.NewMemory()
--- a/record/ledger_test.go
+++ b/record/ledger_test.go
@@ -23,9 +23,7 @@
 	return l.Begin("akarsu", parsed, Fingerprint{body})
 }
 
-// A duty officer's acknowledgement is repeated because the answer was lost.
-// The first send runs, the repeat must get the first one's answer, and the
-// same key for another acknowledgement must run nothing.
+// Guards against a second run when a call is repeated, and against one key for two calls.
 func TestRepeatGetsTheFirstAnswer(t *testing.T) {
 	is := is.New(t)
 	l := newTestLedger("h1")
@@ -83,9 +81,7 @@
 	})
 }
 
-// An entry host stops gracefully while the caller waits to repeat. The record
-// moves to another host, which answers the repeat and runs nothing itself;
-// a key that the stopped host never saw truly did not run.
+// Guards against a second run at the successor of a host that stops.
 func TestSuccessorAnswersAndNeverRuns(t *testing.T) {
 	is := is.New(t)
 	l, successor := newTestLedger("h1"), newTestLedger("h2")
@@ -146,9 +142,7 @@
 	is.True(!first && refusal == nil)
 }
 
-// Two entry hosts stop at the same moment and one chooses the other as its
-// successor. The second has made its own pages already: what it took in now
-// would be lost with it, so it has to refuse.
+// Guards against records handed to a host that stops itself.
 func TestClosedLedgerRefusesHandOver(t *testing.T) {
 	is := is.New(t)
 	l, successor := newTestLedger("h1"), newTestLedger("h2")
@@ -169,9 +163,7 @@
 	})
 }
 
-// A letter ran and its service's document is taken away. Its caller repeats it,
-// and the host, which now refuses the service, must not say "not run". Only a
-// key of this life that has no record, and could still start, cannot have run.
+// Guards against "not run" for a call that ran before its service was removed.
 func TestKeyMayHaveRunUnlessItsLifeHasNoRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/replica/follower_test.go
+++ b/replica/follower_test.go
@@ -36,11 +36,8 @@
 	s.deaf = kind
 }
 
+// Guards against a watch that misses a change before the history was dropped.
 func TestQuietKindIsListedAgainAfterACompaction(t *testing.T) {
-	// The store's watches hear nothing while a configuration is accepted, and
-	// then its history is dropped. The follower of the servers, which go on
-	// changing, is told so; that of the configuration waited on a watch that
-	// had missed the change, and the host refused what was just allowed.
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
 		memory := &deafStore{Memory: store.NewMemory(), deaf: "configuration"}
--- a/routing/policy_forecast_test.go
+++ b/routing/policy_forecast_test.go
@@ -98,9 +98,7 @@
 	return chosen
 }
 
-// Long letters are placed on an engine that has room now; minutes later all of
-// them have grown, memory is full and streams freeze. What is placed must leave
-// room for what it grows to, by the risk that the document accepts.
+// Guards against engines that run out of memory as placed generations grow.
 func TestPlacedWorkKeepsWithinTheForecast(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		prompts := rapid.SliceOfN(rapid.IntRange(1, 3000), 1, 200).Draw(r, "prompts")
@@ -124,10 +122,7 @@
 	})
 }
 
-// Every engine is full and all seven entry hosts have queues. One engine's
-// report shows room for one more, all hosts see it in the same second, and all
-// seven place on it: six generations are preempted. Found as ten times the
-// preemptions of a single host.
+// Guards against all hosts placing on the same free place at once.
 func TestHostsDoNotAllTakeTheSamePlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -163,9 +158,7 @@
 	return err == nil
 }
 
-// An engine's report is wrong: it shows ten times its memory in use, or less
-// than nothing. Work goes on at the other engines, and the lie alone must not
-// stop all work.
+// Guards against a wrong report that stops all work.
 func TestWrongReportsCostOneServerAtMost(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		running, held := rapid.Int().Draw(r, "running"), rapid.Int().Draw(r, "held")
@@ -384,9 +377,7 @@
 	})
 }
 
-// Reports are two seconds old and do not say so. Engines that were free two
-// seconds ago drew everybody's work, which cost more preemptions than placing
-// without reports. Their age shows in the host's own work.
+// Guards against placing by reports that are seconds old and do not say so.
 func TestAgeOfReportsIsLearned(t *testing.T) {
 	for _, age := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
 		is := is.New(t)
@@ -409,9 +400,7 @@
 	}
 }
 
-// Engines are small, or generations may grow long: a single one might outgrow
-// an empty engine. Callers must be served all the same, one at a time, and not
-// be refused beside idle engines.
+// Guards against refusals beside idle engines that a generation may outgrow.
 func TestIdleEngineTakesWhatMayOutgrowIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
