Our own interface: answers go out before their host ends

For a short answer it is the whole answer that is lost, after the call has run.

Cause: a request left the count of those in flight when its handler returned. What the HTTP server still has in its buffer, all of a short answer and the last chunk of a stream, goes out after that. A host that stops, or that was replaced, closed its connections as soon as the count was zero. The class: the end of the work taken for the end of the answer. Looked for elsewhere: the users' platform's host shuts its server down and waits (gatewayhost/stop.go).

Change: the host shuts its server down, which waits for open answers, for five seconds at most, before it ends.

Ruled out: the move to another host, the replacement itself (the stream has all its tokens at that moment).

The test that hung now fails where its caller does.

--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -34,6 +34,7 @@
 
 	msgSuperseded    = "replaced by another host of this name"
 	msgNotHandedOver = "records not handed over"
+	msgAnswersCutOff = "answers cut off at the end of the host"
 )
 
 // Host is one entry host.
@@ -322,6 +323,7 @@
 	bounded, stop := context.WithTimeout(ctx, h.settings.Limits.StopBound)
 	defer stop()
 	h.awaitWork(bounded)
+	h.finishAnswers(bounded)
 	return err
 }
 
--- a/entryhost/host_test.go
+++ b/entryhost/host_test.go
@@ -1,8 +1,10 @@
 package entryhost
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -430,6 +432,7 @@
 		request.Header.Set("Authorization", "Bearer "+testToken)
 		streamed := make(chan string)
 		go func() {
+			defer close(streamed) // also where it fails
 			_, body := s.do(request)
 			streamed <- body
 		}()
@@ -446,6 +449,44 @@
 	})
 }
 
+// Guards against answers that are cut off as the host that has made them ends.
+func TestAnswersGoOutBeforeTheHostEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		defer s.close()
+		conn, err := s.fabric.Host(callerIP).Dial(t.Context(), hostIP(0)+":7480")
+		s.is.NoErr(err)
+		defer conn.Close()
+		go func() {
+			home, body := s.hosts[0].ledger.Home().String(), strings.Repeat("x", 1000)
+			for i := 0; ; i++ { // until answers that nobody reads fill the connection
+				if _, err := fmt.Fprintf(conn, "POST /v1/services/gauges/call/alarms/7/ack HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s.ack-%d\r\nContent-Length: %d\r\n\r\n%s", testToken, home, i, len(body), body); err != nil {
+					return
+				}
+			}
+		}()
+		time.Sleep(time.Second)
+		s.is.Equal(s.inFlight(s.hosts[0]), 0) // the last answer is made, and not out
+		go func() { _ = s.hosts[0].Stop(context.Background()) }()
+		time.Sleep(s.hosts[0].options.AnnounceDelay + time.Second)
+		whole, reader := 0, bufio.NewReader(conn)
+		for {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				break
+			}
+			if _, err := io.ReadAll(response.Body); err != nil {
+				break
+			}
+			if response.StatusCode == http.StatusOK {
+				whole++
+			}
+		}
+		s.is.True(whole > 20)
+		s.is.Equal(whole, len(s.plain.Runs()))
+	})
+}
+
 // Guards against leaving engines unseen by hosts that rarely ask for load.
 func TestLoadReportsComeWithStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entryhost/stop.go
+++ b/entryhost/stop.go
@@ -28,6 +28,7 @@
 	// later ones are sent elsewhere.
 	h.closing.Store(true)
 	h.awaitWork(ctx)
+	h.finishAnswers(ctx)
 	h.stop()
 	<-h.stopped
 	h.logger.Info(msgStopped)
@@ -46,7 +47,21 @@
 	}
 }
 
+// finishAnswers takes no connection any more and waits until all answers are
+// out. A request is no longer in flight once its answer is made, of which a part
+// may still be in the server's buffer.
+func (h *Host) finishAnswers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, answersTimeout)
+	defer cancel()
+	if err := h.server.Shutdown(ctx); err != nil {
+		h.logger.Warn(msgAnswersCutOff, zap.Error(err))
+	}
+}
+
 const (
+	// answersTimeout bounds the wait for callers that are slow to read.
+	answersTimeout = 5 * time.Second
+
 	handOverTimeout = 8 * time.Second // for all lives
 	pageTimeout     = time.Second     // for one page
 	pageTries       = 2
