A server whose connections break is asked whether it is cold

Cause: that a server is cold was known by its entry only, which it could not write, and, while the store is away, by the questions of the allocators, who ask engines.

Only services with a bound on cold servers are asked. Ruled out: taking each broken connection for a cold start (links are reset, and the server would get a sixth of its requests for seconds); asking plain servers all the time while the store is away (hosts times servers).

The stand-in answers on its health how long it stays cold.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -31,6 +31,22 @@
 	}
 }
 
+// BoundWhenCold returns the servers at an address whose service has a bound on
+// the requests that a cold one takes.
+func (t *Table) BoundWhenCold(address string) []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var servers []Server
+	for _, s := range t.services {
+		for _, e := range s.members {
+			if s.coldRate > 0 && e.server.Address == address && e.takesWork() && !e.evacuated {
+				servers = append(servers, e.server)
+			}
+		}
+	}
+	return servers
+}
+
 // coldFor makes the server count as cold for so long at least, whatever its
 // entry says, which may be older.
 func (e *entry) coldFor(left time.Duration) {
--- /dev/null
+++ b/gatewayhost/broken.go
@@ -0,0 +1,86 @@
+package gatewayhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/internal/sleep"
+)
+
+const (
+	msgColdAsked = "backend server was asked whether it is cold: a connection to it broke"
+
+	// coldAskInterval spaces the questions to one server, which is asked until it
+	// answers, coldAskTries times at most: a crashed one is back after seconds.
+	coldAskInterval = 500 * time.Millisecond
+	coldAskTries    = 10
+	coldAskTimeout  = 200 * time.Millisecond
+)
+
+// asked holds the addresses whose servers are being asked.
+type asked struct {
+	mu        sync.Mutex // guards addresses
+	addresses map[string]bool
+}
+
+// begin reports whether nobody is asked at an address yet, and notes it.
+func (a *asked) begin(address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.addresses[address] {
+		return false
+	}
+	if a.addresses == nil {
+		a.addresses = map[string]bool{}
+	}
+	a.addresses[address] = true
+	return true
+}
+
+func (a *asked) end(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.addresses, address)
+}
+
+// connectionBroke asks the servers at an address whether they are cold, where
+// that bounds what they take.
+//
+// Failure: a server starts again under its id while the store is away. Its entry
+// cannot say that it is cold, and hosts send it what it took before.
+func (h *Host) connectionBroke(address string) {
+	servers := h.fleet.BoundWhenCold(address)
+	if len(servers) == 0 || !h.askedCold.begin(address) {
+		return
+	}
+	go func() {
+		defer h.askedCold.end(address)
+		for _, server := range servers {
+			h.askCold(server)
+		}
+	}()
+}
+
+// askCold asks a server until it answers or is no more known.
+func (h *Host) askCold(server fleet.Server) {
+	for range coldAskTries {
+		word, err := h.askOnce(server)
+		h.fleet.NoteCold(server.Life(), word.ColdFor)
+		_ = sleep.For(context.Background(), coldAskInterval) // never ends early
+		known, _ := h.fleet.Get(server.ID)
+		if err == nil || !known.Life().Is(server.Life()) {
+			h.logger.Info(msgColdAsked, zap.String("server", server.ID), zap.Duration("cold_for", word.ColdFor), zap.Error(err))
+			return
+		}
+	}
+}
+
+func (h *Host) askOnce(server fleet.Server) (fleet.OwnWord, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), coldAskTimeout)
+	defer cancel()
+	return h.ask(ctx, server)
+}
--- /dev/null
+++ b/gatewayhost/broken_test.go
@@ -0,0 +1,46 @@
+package gatewayhost
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/fake/network"
+	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/store"
+)
+
+// Guards against a server that gets more than it bears, as it started again and
+// its entry cannot say that it is cold.
+func TestServerWhoseConnectionBrokeIsAskedWhetherItIsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var broke func(string)
+		var asked atomic.Int32
+		answers := func(string) (bool, error) {
+			if asked.Add(1) == 1 {
+				return false, errors.New("it is not up yet")
+			}
+			return false, nil
+		}
+		backend := servers{departs: answers, coldFor: 10 * time.Second, broke: &broke}
+		h := newHostWith(backend, "a", network.New(network.Options{}).Host("10.0.0.1"), "10.0.0.1", store.NewMemory())
+		h.fleet.Put(fleet.Server{ID: "i-1", Service: "s", Address: "10.9.9.9:1", Domain: "d", Slots: 2})
+		full := func() bool {
+			return h.fleet.CandidatesFor(fleet.Query{Service: "s", Domain: "d", ColdShare: 0.001})[0].ColdFull
+		}
+		broke("10.9.9.9:1")
+		time.Sleep(time.Second)
+		is.Equal(asked.Load(), int32(0)) // nothing bounds what it takes
+		h.fleet.SetColdRate("s", 1)
+		broke("10.9.9.9:1")
+		broke("10.9.9.9:1")
+		time.Sleep(2 * time.Second)
+		is.Equal(asked.Load(), int32(2))
+		is.True(full())
+	})
+}
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -84,6 +84,9 @@
 	// Held asks an engine which generations it has. It is an error if it does
 	// not say, or another life of the server answers.
 	Held(ctx context.Context, server fleet.Server) (fleet.Held, error)
+	// OnBroken sets what is called when a connection to an address breaks, also
+	// an unused one; it must not block.
+	OnBroken(broke func(address string))
 }
 
 // Server is an HTTP server of the host, at an IP:port.
@@ -129,6 +132,7 @@
 	fleet         *fleet.Table
 	quarantine    *quarantine.Table
 	quarantined   chan struct{} // holds a token when a quarantined request is to be stored
+	askedCold     asked
 	allocator     *allocation.Allocator
 	allocation    *allocation.Client
 	sentinel      *allocation.Sentinel
@@ -163,6 +167,7 @@
 	h.quarantine.Kept = h.noteQuarantined
 	h.node.Store(h.newNode(0, o.Registerer))
 	h.table.Subscribe(func() { h.node.Load().Announce() })
+	o.Backend.OnBroken(h.connectionBroke)
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
 	h.allocator.Evacuated = h.evacuated.Load
 	h.allocation.Told, h.allocation.ToldEvacuated = h.catchUp, h.catchUpEvacuations
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -52,13 +52,21 @@
 	gateway.Backend
 	departs func(id string) (bool, error)
 	held    fleet.Held
+	coldFor time.Duration
+	broke   *func(address string) // what the host is told of; nil: not kept
+}
+
+func (s servers) OnBroken(broke func(string)) {
+	if s.broke != nil {
+		*s.broke = broke
+	}
 }
 
 func (s servers) Held(context.Context, fleet.Server) (fleet.Held, error) { return s.held, nil }
 
 func (s servers) Ask(_ context.Context, server fleet.Server, _ string) (fleet.OwnWord, error) {
 	leaves, err := s.departs(server.ID)
-	return fleet.OwnWord{Leaves: leaves}, err
+	return fleet.OwnWord{Leaves: leaves, ColdFor: s.coldFor}, err
 }
 
 var errUnreadable = errors.New("unreadable")
--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -103,6 +103,8 @@
 	return fleet.OwnWord{}, nil
 }
 
+func (c *crashing) OnBroken(func(string)) {}
+
 func (c *crashing) Held(context.Context, fleet.Server) (fleet.Held, error) { return fleet.Held{}, nil }
 
 func (c *crashing) Send(ctx context.Context, call gateway.Call) (*gateway.Reply, error) {
--- a/link/pool.go
+++ b/link/pool.go
@@ -48,6 +48,10 @@
 // answer for its own. Idle connections are therefore read all the time, and
 // closed at the first byte or end.
 type Pool struct {
+	// Broke is called when the other end of an idle connection has closed or
+	// broken it before its time; nil: nobody is told. It must not block.
+	Broke func(to Endpoint)
+
 	network Network
 	timeout time.Duration // of opening a connection
 	most    int           // idle ones kept for an endpoint
@@ -143,8 +147,12 @@
 	silent, watched := errors.Is(err, os.ErrDeadlineExceeded), conn.watched
 	conn.silent = silent
 	close(watched) // from here on the connection may be in use again
-	if !silent {
-		p.remove(conn)
+	if silent {
+		return
+	}
+	p.remove(conn)
+	if err != nil && !errors.Is(err, net.ErrClosed) && p.Broke != nil {
+		p.Broke(conn.to)
 	}
 }
 
