--- a/gatewayhost/broken.go
+++ b/gatewayhost/broken.go
@@ -67,16 +67,17 @@
 
 // askCold asks a server until it answers or is no more known.
 func (h *Host) askCold(server fleet.Server) {
+	var word fleet.OwnWord
+	var err error
 	for range coldAskTries {
-		word, err := h.askOnce(server)
+		word, err = h.askOnce(server)
 		h.fleet.NoteCold(server.Life(), word.ColdFor)
 		_ = sleep.For(context.Background(), coldAskInterval) // never ends early
-		known, _ := h.fleet.Get(server.ID)
-		if err == nil || !known.Life().Is(server.Life()) {
-			h.logger.Info(msgColdAsked, zap.String("server", server.ID), zap.Duration("cold_for", word.ColdFor), zap.Error(err))
-			return
+		if known, _ := h.fleet.Get(server.ID); err == nil || !known.Life().Is(server.Life()) {
+			break
 		}
 	}
+	h.logger.Info(msgColdAsked, zap.String("server", server.ID), zap.Duration("cold_for", word.ColdFor), zap.Error(err))
 }
 
 func (h *Host) askOnce(server fleet.Server) (fleet.OwnWord, error) {
