An allocator that says the time is over is not silent

Cause: a host waits for its run's turn until its time is over. The allocator ends the wait at the same moment, and its answer 'deadline exceeded' may come before the host's own clock says so. It was noted as the allocator's silence: for a second and longer the host placed by its own view. Ruled out: the 80 ms for a question (with ten seconds it failed as often).

Change: the status DeadlineExceeded of a call that waits says nothing of the allocator.

--- a/allocation/client.go
+++ b/allocation/client.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/papayasail/papayasail/allocation/allocationpb"
 	"github.com/papayasail/papayasail/fleet"
@@ -238,10 +240,12 @@
 }
 
 // callWaiting calls an allocator whose answer may take longer than this host
-// waits: the end of ctx says nothing of it.
+// waits: the end of ctx says nothing of it, nor does its word that the time is
+// over, which may come before ctx ends here.
 func (c *Client) callWaiting(ctx context.Context, host string, f func(allocationpb.AllocationClient) error) error {
 	err := c.peers.Call(host, func(conn grpc.ClientConnInterface) error { return f(allocationpb.NewAllocationClient(conn)) })
-	c.note(host, err, err != nil && ctx.Err() == nil)
+	timeOver := status.Code(err) == codes.DeadlineExceeded
+	c.note(host, err, err != nil && ctx.Err() == nil && !timeOver)
 	return err
 }
 
