fleet: takesRequests where it was written out again

Silent and BoundWhenCold wrote takesWork and not evacuated, which is takesRequests. No change of behaviour; tests of fleet and gatewayhost pass.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -39,7 +39,7 @@
 	var servers []Server
 	for _, s := range t.services {
 		for _, e := range s.members {
-			if s.coldRate > 0 && e.server.Address == address && e.takesWork() && !e.evacuated {
+			if s.coldRate > 0 && e.server.Address == address && e.takesRequests() {
 				servers = append(servers, e.server)
 			}
 		}
--- a/fleet/silent.go
+++ b/fleet/silent.go
@@ -23,7 +23,7 @@
 	var servers []Server
 	now := time.Now()
 	for _, e := range t.servers {
-		mayGetWork := e.takesWork() && !e.evacuated && !t.resting(e.server.ID, now)
+		mayGetWork := e.takesRequests() && !t.resting(e.server.ID, now)
 		if t.isEngine(e) && mayGetWork && len(e.silent(now)) > 0 {
 			servers = append(servers, e.server)
 		}
