gatewayhost: one reading of a stale list

The reading of the stored quarantine repeated that of the start: bound, call and log line. Both call listStale.

--- a/gatewayhost/boot.go
+++ b/gatewayhost/boot.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayasail/papayasail/internal/sleep"
+	"github.com/papayasail/papayasail/store"
 )
 
 const (
@@ -68,12 +69,21 @@
 	return nil
 }
 
-func (h *Host) readStale(ctx context.Context, kind string) {
+// listStale returns the objects of a kind as of some seconds ago, and whether the
+// store answered.
+func (h *Host) listStale(ctx context.Context, kind string) ([]store.Object, store.Version, bool) {
 	ctx, cancel := context.WithTimeout(ctx, bootTimeout)
 	defer cancel()
 	objects, revision, err := h.options.Store.ListStale(ctx, kind)
 	if err != nil {
 		h.logger.Warn(msgNotRead, zap.String("kind", kind), zap.Error(err))
+	}
+	return objects, revision, err == nil
+}
+
+func (h *Host) readStale(ctx context.Context, kind string) {
+	objects, revision, answered := h.listStale(ctx, kind)
+	if !answered {
 		return
 	}
 	_, findings := h.table.AdoptList(kind, objects, revision)
--- a/gatewayhost/quarantine.go
+++ b/gatewayhost/quarantine.go
@@ -119,18 +119,11 @@
 // readQuarantine takes in what the store has, which may be some seconds old,
 // and reports whether the store answered.
 func (h *Host) readQuarantine(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, bootTimeout)
-	defer cancel()
-	kind := h.options.Objects.Quarantine
-	objects, _, err := h.options.Store.ListStale(ctx, kind)
-	if err != nil {
-		h.logger.Warn(msgNotRead, zap.String("kind", kind), zap.Error(err))
-		return false
-	}
+	objects, _, answered := h.listStale(ctx, h.options.Objects.Quarantine)
 	for _, object := range objects {
 		h.adoptQuarantine(object)
 	}
-	return true
+	return answered
 }
 
 // adoptQuarantine takes in a stored object. One that cannot be read says
