gatewayhost: a sync.Map for the addresses that are being asked

A type with a lock, a map and two methods did what LoadOrStore and Delete do. No change of behaviour; tests pass, also under the race detector.

--- a/gatewayhost/broken.go
+++ b/gatewayhost/broken.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,32 +20,6 @@
 	coldAskTimeout  = 200 * time.Millisecond
 )
 
-// asked holds the addresses whose servers are being asked.
-type asked struct {
-	mu        sync.Mutex // guards addresses
-	addresses map[string]bool
-}
-
-// begin reports whether nobody is asked at an address yet, and notes it.
-func (a *asked) begin(address string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.addresses[address] {
-		return false
-	}
-	if a.addresses == nil {
-		a.addresses = map[string]bool{}
-	}
-	a.addresses[address] = true
-	return true
-}
-
-func (a *asked) end(address string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.addresses, address)
-}
-
 // connectionBroke asks the servers at an address whether they are cold, where
 // that bounds what they take.
 //
@@ -54,11 +27,14 @@
 // cannot say that it is cold, and hosts send it what it took before.
 func (h *Host) connectionBroke(address string) {
 	servers := h.fleet.BoundWhenCold(address)
-	if len(servers) == 0 || !h.askedCold.begin(address) {
+	if len(servers) == 0 {
+		return
+	}
+	if _, asking := h.askingCold.LoadOrStore(address, true); asking {
 		return
 	}
 	go func() {
-		defer h.askedCold.end(address)
+		defer h.askingCold.Delete(address)
 		for _, server := range servers {
 			h.askCold(server)
 		}
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -132,7 +133,7 @@
 	fleet         *fleet.Table
 	quarantine    *quarantine.Table
 	quarantined   chan struct{} // holds a token when a quarantined request is to be stored
-	askedCold     asked
+	askingCold    sync.Map // addresses whose servers are being asked whether they are cold
 	allocator     *allocation.Allocator
 	allocation    *allocation.Client
 	sentinel      *allocation.Sentinel
