--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -133,7 +133,7 @@
 	fleet         *fleet.Table
 	quarantine    *quarantine.Table
 	quarantined   chan struct{} // holds a token when a quarantined request is to be stored
-	askingCold    sync.Map // addresses whose servers are being asked whether they are cold
+	askingCold    sync.Map      // addresses whose servers are being asked whether they are cold
 	allocator     *allocation.Allocator
 	allocation    *allocation.Client
 	sentinel      *allocation.Sentinel
