quarantine: a request is checked and noted in one step

The gateway asked whether a request is quarantined and then noted its run: two locks a request, and a quarantine between the two ended nothing, as the run was noted after it. Admit does both under one lock.

TestQuarantinedRequestIsNotAdmitted holds what the two calls could not; the gap itself is too small for a test. Answers stay as they were; the tests of quarantine, gateway and gatewayhost pass, also under the race detector.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,11 +157,11 @@
 	ctx, cancel := context.WithDeadline(ctx, t.until)
 	defer cancel()
 	t.fingerprint = t.request.fingerprint(t.organisation)
-	if left := t.gateway.options.Quarantine.Quarantined(t.fingerprint); left > 0 {
+	ctx, over, left := t.untilQuarantined(ctx)
+	defer over()
+	if left > 0 {
 		return refused(ReasonQuarantined, left)
 	}
-	ctx, over := t.quarantinable(ctx)
-	defer over()
 	outcome := t.run(ctx, sink)
 	if context.Cause(ctx) == errQuarantined && !outcome.Complete {
 		return t.quarantined(outcome)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -18,14 +18,15 @@
 
 var errQuarantined = errors.New("gateway: request was quarantined while it ran")
 
-// quarantinable returns a context that ends when the request is quarantined.
-func (t *task) quarantinable(ctx context.Context) (context.Context, func()) {
+// untilQuarantined returns a context that ends when the request is quarantined,
+// or with over. Left says for how much longer the request is quarantined already.
+func (t *task) untilQuarantined(ctx context.Context) (bounded context.Context, over func(), left time.Duration) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	over := t.gateway.options.Quarantine.NoteRun(t.fingerprint, func() { cancel(errQuarantined) })
+	end, left := t.gateway.options.Quarantine.Admit(t.fingerprint, func() { cancel(errQuarantined) })
 	return ctx, func() {
-		over()
+		end()
 		cancel(nil)
-	}
+	}, left
 }
 
 // quarantined is the answer to a request that was quarantined while it waited
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -114,17 +114,26 @@
 func (t *Table) Quarantined(fingerprint uint64) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.quarantinedFor(fingerprint)
+}
+
+// quarantinedFor is called with mu held.
+func (t *Table) quarantinedFor(fingerprint uint64) time.Duration {
 	if e := t.get(fingerprint); e != nil && e.Quarantined() {
 		return time.Until(e.expires)
 	}
 	return 0
 }
 
-// NoteRun notes a run of a request, which end has to stop if the request is
-// quarantined meanwhile. The returned function ends the note.
-func (t *Table) NoteRun(fingerprint uint64, end func()) (over func()) {
+// Admit notes a run of a request, which end has to stop if the request is
+// quarantined meanwhile; over ends the note. Of a request that is quarantined
+// already nothing is noted, and left says for how much longer it is.
+func (t *Table) Admit(fingerprint uint64, end func()) (over func(), left time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if left := t.quarantinedFor(fingerprint); left > 0 {
+		return func() {}, left
+	}
 	key := &end
 	if t.runs[fingerprint] == nil {
 		t.runs[fingerprint] = map[*func()]struct{}{}
@@ -137,7 +146,7 @@
 		if len(t.runs[fingerprint]) == 0 {
 			delete(t.runs, fingerprint)
 		}
-	}
+	}, 0
 }
 
 // Crashed takes in that a server crashed under a run. If the run had not just
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -108,9 +108,9 @@
 	inBubble(t, func(is *is.I) {
 		table := newTable()
 		ended := 0
-		table.NoteRun(suspect, func() { ended++ })
-		over := table.NoteRun(suspect, func() { ended += 10 })
-		table.NoteRun(suspect+1, func() { ended += 100 })
+		table.Admit(suspect, func() { ended++ })
+		over, _ := table.Admit(suspect, func() { ended += 10 })
+		table.Admit(suspect+1, func() { ended += 100 })
 		over()
 		is.True(table.Merge([]Record{{Fingerprint: suspect, Crashes: crashesNeeded, Left: time.Minute}}, "peer"))
 		is.Equal(ended, 1)
@@ -119,6 +119,21 @@
 	})
 }
 
+// Guards against a run that is noted after its request was quarantined, and that
+// nothing ends.
+func TestQuarantinedRequestIsNotAdmitted(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		table.crash()
+		_, left := table.Admit(suspect, func() {})
+		is.Equal(left, time.Duration(0))
+		table.crash()
+		_, left = table.Admit(suspect, func() { is.Fail() })
+		is.Equal(left, quarantineFor)
+		table.crash()
+	})
+}
+
 // Guards against one crashed server whose many old runs flood the news.
 func TestLateCrashIsNoNewsAtFirst(t *testing.T) {
 	inBubble(t, func(is *is.I) {
