--- a/relay/call.go
+++ b/relay/call.go
@@ -116,9 +116,7 @@
 			tries.crashes.completed()
 			return record.Answer{Status: answer.Status, Header: answerHeader(answer.Header), Body: answer.Body}
 		}
-		if evidenceOf(err) == backend.Broken && ctx.Err() == nil {
-			tries.crashes.broke(grant.Address(), true)
-		}
+		tries.crashes.failed(ctx, grant.Address(), err)
 		if !tries.again(ctx, grant.Server(), err) {
 			return record.Answer{Refusal: tries.refusal(err)}
 		}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -52,6 +52,13 @@
 	c.table.Broken(run, func(ctx context.Context) bool { return c.backend.Ended(ctx, address) })
 }
 
+// failed takes in that a send ended without an answer.
+func (c *crashes) failed(ctx context.Context, address string, err error) {
+	if evidenceOf(err) == backend.Broken && ctx.Err() == nil {
+		c.broke(address, true)
+	}
+}
+
 // completed takes in that the request ran to its end.
 func (c *crashes) completed() {
 	if c.table != nil {
--- a/relay/running.go
+++ b/relay/running.go
@@ -85,9 +85,7 @@
 			return &running{grant: grant, stream: source}, nil
 		}
 		grant.Done(routing.Result{Failed: true, NotRun: ranNothing(err)})
-		if evidenceOf(err) == backend.Broken && ctx.Err() == nil {
-			tries.crashes.broke(place.Server, true)
-		}
+		tries.crashes.failed(ctx, place.Server, err)
 		if !ranNothing(err) {
 			r.cancel(place) // it may be running unread
 		}
