fleet: what a server says of itself is taken in by Heed

The allocators' questions and those after a broken connection each took an answer apart, and the second dropped that the server leaves. Both call Heed.

TestServerWhoseConnectionBrokeIsAskedWhetherItIsCold asks for it, and failed before at the new line.

--- a/allocation/sentinel.go
+++ b/allocation/sentinel.go
@@ -114,10 +114,7 @@
 	if err != nil {
 		return
 	}
-	if word.Leaves {
-		s.Fleet.MarkLeaving(server.Life(), fleet.SourceAnswer)
-	}
-	s.Fleet.NoteCold(server.Life(), word.ColdFor)
+	s.Fleet.Heed(server.Life(), word)
 }
 
 // ask asks the servers of the parts at once.
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -22,6 +22,14 @@
 	t.service(name).coldRate = perSecond
 }
 
+// Heed takes in what a server says of itself.
+func (t *Table) Heed(life Life, word OwnWord) {
+	if word.Leaves {
+		t.MarkLeaving(life, SourceAnswer)
+	}
+	t.NoteCold(life, word.ColdFor)
+}
+
 // NoteCold takes in a server's own word that it stays cold for so long.
 func (t *Table) NoteCold(life Life, left time.Duration) {
 	t.mu.Lock()
--- a/gatewayhost/broken.go
+++ b/gatewayhost/broken.go
@@ -47,7 +47,7 @@
 	var err error
 	for range coldAskTries {
 		word, err = h.askOnce(server)
-		h.fleet.NoteCold(server.Life(), word.ColdFor)
+		h.fleet.Heed(server.Life(), word)
 		_ = sleep.For(context.Background(), coldAskInterval) // never ends early
 		if known, _ := h.fleet.Get(server.ID); err == nil || !known.Life().Is(server.Life()) {
 			break
--- a/gatewayhost/broken_test.go
+++ b/gatewayhost/broken_test.go
@@ -21,11 +21,12 @@
 		is := is.New(t)
 		var broke func(string)
 		var asked atomic.Int32
+		leaves := false
 		answers := func(string) (bool, error) {
 			if asked.Add(1) == 1 {
 				return false, errors.New("it is not up yet")
 			}
-			return false, nil
+			return leaves, nil
 		}
 		backend := servers{departs: answers, coldFor: 10 * time.Second, broke: &broke}
 		h := newHostWith(backend, "a", network.New(network.Options{}).Host("10.0.0.1"), "10.0.0.1", store.NewMemory())
@@ -42,5 +43,10 @@
 		time.Sleep(2 * time.Second)
 		is.Equal(asked.Load(), int32(2))
 		is.True(full())
+		leaves = true
+		broke("10.9.9.9:1")
+		time.Sleep(time.Second)
+		_, usable := h.fleet.Get("i-1")
+		is.True(!usable) // it said so in the same answer
 	})
 }
