--- /dev/null
+++ b/entryhost/stop_test.go
@@ -0,0 +1,115 @@
+package entryhost
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against second runs when all entry hosts are restarted one after another.
+func TestRollingRestartKeepsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4)
+		defer s.close()
+		ctx := context.Background()
+		key := s.hosts[0].ledger.Home().String() + ".ack-1"
+		for i, host := range s.hosts {
+			s.is.Equal(s.acknowledge(i, key), "200 POST /alarms/7/ack: seen")
+			s.is.NoErr(host.Stop(ctx))
+			time.Sleep(time.Second)
+			s.start(i, 4)
+			time.Sleep(3 * time.Second)
+		}
+		s.is.Equal(s.acknowledge(2, key), "200 POST /alarms/7/ack: seen")
+		s.is.Equal(s.plain.RunsByKey()[key], 1)
+	})
+}
+
+// Guards against records lost when the connection to their successor is silent.
+func TestHandOverOverSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2)
+		defer s.close()
+		key := s.hosts[0].ledger.Home().String() + ".ack-1"
+		s.is.Equal(s.acknowledge(0, key), "200 POST /alarms/7/ack: seen")
+		// Opens the connection for data from the first host to the second.
+		s.is.Equal(s.acknowledge(0, s.hosts[1].ledger.Home().String()+".ack-2"), "200 POST /alarms/7/ack: seen")
+		s.fabric.SilenceOpen(hostIP(0), hostIP(1))
+		s.is.NoErr(s.hosts[0].Stop(context.Background()))
+		s.is.Equal(s.acknowledge(1, key), "200 POST /alarms/7/ack: seen")
+	})
+}
+
+// Guards against streams cut off at a host that hears it was replaced.
+func TestReplacedHostFinishesWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3)
+		defer s.close()
+		for _, other := range []string{hostIP(1), hostIP(2), "10.0.0.9"} {
+			s.fabric.Cut(hostIP(0), other)
+		}
+		request, err := http.NewRequest(http.MethodPost, "http://"+hostIP(0)+":7480/v1/services/outlook/generations", strings.NewReader(`{"x_stop_after":3000}`))
+		s.is.NoErr(err)
+		request.Header.Set("Authorization", "Bearer "+testToken)
+		streamed := make(chan string)
+		go func() {
+			defer close(streamed) // also where it fails
+			_, body := s.do(request)
+			streamed <- body
+		}()
+		time.Sleep(time.Second)
+		s.killed[0] = true // its Run ends with an error
+		s.startAt(0, 3, "10.0.0.9")
+		time.Sleep(3 * time.Second)
+		for _, other := range []string{hostIP(1), hostIP(2), "10.0.0.9"} {
+			s.fabric.Heal(hostIP(0), other)
+		}
+		body := <-streamed
+		s.is.Equal(strings.Count(body, "event: token"), 3000)
+		s.is.Equal(strings.Count(body, "event: end"), 1)
+	})
+}
+
+// Guards against answers that are cut off as the host that has made them ends.
+func TestAnswersGoOutBeforeTheHostEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		defer s.close()
+		conn, err := s.fabric.Host(callerIP).Dial(t.Context(), hostIP(0)+":7480")
+		s.is.NoErr(err)
+		defer conn.Close()
+		go func() {
+			home, body := s.hosts[0].ledger.Home().String(), strings.Repeat("x", 1000)
+			for i := 0; ; i++ { // until answers that nobody reads fill the connection
+				if _, err := fmt.Fprintf(conn, "POST /v1/services/gauges/call/alarms/7/ack HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s.ack-%d\r\nContent-Length: %d\r\n\r\n%s", testToken, home, i, len(body), body); err != nil {
+					return
+				}
+			}
+		}()
+		time.Sleep(time.Second)
+		s.is.Equal(s.inFlight(s.hosts[0]), 0) // the last answer is made, and not out
+		go func() { _ = s.hosts[0].Stop(context.Background()) }()
+		time.Sleep(s.hosts[0].options.AnnounceDelay + time.Second)
+		whole, reader := 0, bufio.NewReader(conn)
+		for {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				break
+			}
+			if _, err := io.ReadAll(response.Body); err != nil {
+				break
+			}
+			if response.StatusCode == http.StatusOK {
+				whole++
+			}
+		}
+		s.is.True(whole > 20)
+		s.is.Equal(whole, len(s.plain.Runs()))
+	})
+}
