--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -328,6 +328,13 @@
 	return 0
 }
 
+// follow has a host follow the store until ctx ends.
+func follow(ctx context.Context, h *Host) {
+	for _, run := range []func(context.Context) error{h.servers.Run, h.evacuations.Run, h.configuration.Run} {
+		go func() { _ = run(ctx) }()
+	}
+}
+
 // Guards against leaving engines missed by watches that hear nothing.
 func TestDeafWatchesAreNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -335,9 +342,7 @@
 		h, memory := alone(stays)
 		h.servers.Store = deafStore{checkedStore{memory}}
 		ctx, stop := context.WithCancel(t.Context())
-		for _, run := range []func(context.Context) error{h.servers.Run, h.evacuations.Run, h.configuration.Run} {
-			go func() { _ = run(ctx) }()
-		}
+		follow(ctx, h)
 		_, err := memory.Put(ctx, kindOfConfiguration, "main", []byte{7}, 0)
 		is.NoErr(err)
 		version, err := memory.Put(ctx, kindOfServers, "i-1", []byte("ready"), 0)
@@ -364,9 +369,7 @@
 		h, memory := alone(stays)
 		h.servers.Store, h.configuration.Store = deafStore{checkedStore{memory}}, deafStore{checkedStore{memory}}
 		ctx, stop := context.WithCancel(t.Context())
-		for _, run := range []func(context.Context) error{h.servers.Run, h.evacuations.Run, h.configuration.Run} {
-			go func() { _ = run(ctx) }()
-		}
+		follow(ctx, h)
 		configuration, err := memory.Put(ctx, kindOfConfiguration, "main", []byte{7}, 0)
 		is.NoErr(err)
 		server, err := memory.Put(ctx, kindOfServers, "i-1", []byte("ready"), 0)
@@ -394,9 +397,7 @@
 		is := is.New(t)
 		h, memory := alone(stays)
 		ctx, stop := context.WithCancel(t.Context())
-		for _, run := range []func(context.Context) error{h.servers.Run, h.evacuations.Run, h.configuration.Run} {
-			go func() { _ = run(ctx) }()
-		}
+		follow(ctx, h)
 		_, err := memory.Put(ctx, kindOfConfiguration, "main", []byte{7}, 0)
 		is.NoErr(err)
 		time.Sleep(time.Second)
