fleet, gateway, platform: log the request rate that a server names

Hosts now read Server-Limit and log when a server begins and ceases to name one. Nothing depends on it yet.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -42,8 +42,9 @@
 	leavingReports map[string]leavingReport
 	// backoffs maps a server ID to the time until which the server accepts nothing from this host.
 	backoffs   map[string]time.Time
-	ownChanges chan struct{} // receives a token when this host's work on engines has changed
-	changed    chan struct{} // closed and replaced on each change that may free capacity
+	rateLimits map[string]float64 // by server ID: requests per second that the server accepts from all hosts
+	ownChanges chan struct{}      // receives a token when this host's work on engines has changed
+	changed    chan struct{}      // closed and replaced on each change that may free capacity
 
 	// The sets below are indexes of servers, so that reports and placements cost
 	// nothing for servers without work, evidence or restrictions.
@@ -103,7 +104,7 @@
 	return &Table{
 		host: host, logger: logger,
 		servers: map[string]*entry{}, services: map[string]*service{}, evacuated: map[string]bool{},
-		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
+		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, rateLimits: map[string]float64{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
 		working: map[*entry]struct{}{}, evident: map[*entry]struct{}{}, restricted: map[*entry]struct{}{}, othersLoads: map[string]map[*entry]struct{}{},
 	}
 }
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -49,6 +49,9 @@
 	// BackoffFor is how long the server asks this host to send it no requests; zero:
 	// not reported.
 	BackoffFor time.Duration
+	// RateLimit is the number of requests per second that the server accepts from
+	// all hosts together; zero: it names no limit; nil: not known.
+	RateLimit *float64
 	// Complete is set if the head of the answer carries the header with which the
 	// server marks its complete answers. Without it, the answer may come from
 	// something else or be partial.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -149,6 +149,9 @@
 // as leaving, but its answers report it. Hosts that ignore them keep sending
 // requests to it.
 func (t *task) recordServerState(server fleet.Server, reply *Reply) {
+	if reply.RateLimit != nil && !reply.WrongServer {
+		t.gateway.options.Fleet.SetRateLimit(server.ID, *reply.RateLimit)
+	}
 	switch {
 	case reply.WrongServer:
 		t.gateway.options.Fleet.MarkLeaving(server.Incarnation(), fleet.SourceReplaced)
