fleet, gateway, peer: hosts share the request rate that a server accepts

Change: a host keeps a server's limit by its ID, until an answer to a request sent later names none. Table.Begin, through which every send passes (calls, second attempts, generations, moves), counts against this host's share; candidates and the list that hosts send to allocators leave out servers whose share is used up. About as many hosts share a limit as it allows requests in a second (limit + 3); with all of 390 hosts, single requests of each would exceed a limit of 2.9 a second 20 times over. The others may use an eighth of it, all together. Hosts gossip limits, so that those without a share learn of the end; hosts that are gone keep their share for a minute, as they may be behind a partition. What all servers' limits exclude is refused at once, with the time at which this host may send again as Retry-After.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -153,9 +153,10 @@
 	return a.offerTable.takeCheapest(part, brief, limit)
 }
 
-// offers returns the costs at which a part offers places to generations of other parts.
+// offers returns the costs at which a part offers places to generations of other
+// parts. Servers with a rate limit take requests of few hosts only.
 func (a *Allocator) offers(part Part) (brief, long []float64) {
-	candidates := a.candidates(part, part.Domain)
+	candidates := a.candidates(part, part.Domain, a.fleet.RateLimited(part.Service)...)
 	return placement.Costs(a.offerTable.typical(true), candidates, a.limits, offersPerPart),
 		placement.Costs(a.offerTable.typical(false), candidates, a.limits, offersPerPart)
 }
--- a/fleet/backoff.go
+++ b/fleet/backoff.go
@@ -36,10 +36,10 @@
 // inBackoff requires mu.
 func (t *Table) inBackoff(id string, now time.Time) bool { return now.Before(t.backoffs[id]) }
 
-// BackoffLeft returns the shortest remaining backoff among the servers of a
-// service that otherwise accept requests. It returns zero if one of them has no
-// backoff, or if there are none.
-func (t *Table) BackoffLeft(name string) time.Duration {
+// AcceptsIn returns the time until a server of a service takes a request of this
+// host, as far as backoffs and rate limits decide. It returns zero if one of the
+// servers takes requests now, or if there are none.
+func (t *Table) AcceptsIn(name string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, least := time.Now(), time.Duration(0)
@@ -47,7 +47,7 @@
 		if !e.acceptsRequests() {
 			continue
 		}
-		left := t.backoffs[e.server.ID].Sub(now)
+		left := max(t.backoffs[e.server.ID].Sub(now), t.rateLimitWait(e.server.ID, now))
 		if left <= 0 {
 			return 0
 		}
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -14,7 +14,8 @@
 	Share   Share    // servers to choose from
 	Except  []string // IDs of servers to leave out
 	// ForOthers is set if the query is on behalf of other hosts. Backoffs that
-	// servers requested from this host are then ignored.
+	// servers requested from this host, and this host's shares of rate limits, are
+	// then ignored.
 	ForOthers bool
 	// ColdShare is the share of a cold server's request rate that this host may
 	// use; zero: all of it.
@@ -41,7 +42,7 @@
 		if !e.acceptsRequests() || now.Before(e.unavailableUntil) || slices.Contains(q.Except, e.server.ID) {
 			continue
 		}
-		if !q.ForOthers && t.inBackoff(e.server.ID, now) {
+		if !q.ForOthers && (t.inBackoff(e.server.ID, now) || t.rateLimitWait(e.server.ID, now) > 0) {
 			continue
 		}
 		c := t.candidate(e, s, q.Domain, now)
--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -171,7 +171,8 @@
 // Avoided returns the IDs of a service's servers that currently get no work
 // from this host for reasons that other hosts may not have observed: the server
 // is unreachable, is an engine at which requests of several hosts failed,
-// requested a backoff from this host, or reported to it that it is leaving.
+// requested a backoff from this host, limits its request rate and gets no request
+// of this host now, or reported to it that it is leaving.
 func (t *Table) Avoided(service string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -183,6 +184,9 @@
 	for id, until := range t.backoffs {
 		avoided[id] = avoided[id] || now.Before(until)
 	}
+	for id := range t.rateLimits {
+		avoided[id] = avoided[id] || t.rateLimitWait(id, now) > 0
+	}
 	for id, report := range t.leavingReports {
 		avoided[id] = avoided[id] || t.entryOf(report.incarnation) != nil
 	}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -31,6 +31,9 @@
 type Table struct {
 	host   string // name of this entry host
 	logger *zap.Logger
+	// OnRateLimitChanged is called when an answer has shown that a server's rate limit
+	// has begun or ended; nil: no call. It must not block.
+	OnRateLimitChanged func()
 
 	mu       sync.Mutex // guards all fields below
 	servers  map[string]*entry
@@ -41,10 +44,15 @@
 	// leavingReports records, by server ID, the servers that reported themselves as leaving.
 	leavingReports map[string]leavingReport
 	// backoffs maps a server ID to the time until which the server accepts nothing from this host.
-	backoffs   map[string]time.Time
-	rateLimits map[string]float64 // by server ID: requests per second that the server accepts from all hosts
-	ownChanges chan struct{}      // receives a token when this host's work on engines has changed
-	changed    chan struct{}      // closed and replaced on each change that may free capacity
+	backoffs map[string]time.Time
+	// hosts are the entry hosts that share rate limits, with the time since when each
+	// is absent; zero: it is live.
+	hosts            map[string]time.Time
+	rateLimits       map[string]*rateLimit // by server ID
+	rateLimitsPruned time.Time
+	gossipTurn       []string      // servers whose rate limits are still to be gossiped in this round
+	ownChanges       chan struct{} // receives a token when this host's work on engines has changed
+	changed          chan struct{} // closed and replaced on each change that may free capacity
 
 	// The sets below are indexes of servers, so that reports and placements cost
 	// nothing for servers without work, evidence or restrictions.
@@ -104,7 +112,7 @@
 	return &Table{
 		host: host, logger: logger,
 		servers: map[string]*entry{}, services: map[string]*service{}, evacuated: map[string]bool{},
-		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, rateLimits: map[string]float64{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
+		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, hosts: map[string]time.Time{}, rateLimits: map[string]*rateLimit{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
 		working: map[*entry]struct{}{}, evident: map[*entry]struct{}{}, restricted: map[*entry]struct{}{}, othersLoads: map[string]map[*entry]struct{}{},
 	}
 }
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -94,17 +94,21 @@
 
 // Begin reserves capacity for a request that is about to be sent to a server.
 // It returns nil if the server accepts no new work, requested a backoff from
-// this host, or is in an evacuated failure domain. With resumed set, the
-// request is a run that returns to the server that stopped it; a server that is
-// leaving or in backoff still accepts it.
+// this host, is in an evacuated failure domain, or its rate limit allows no request
+// of this host now. With resumed set, the request is a run that returns to the
+// server that stopped it; a server that is leaving, in backoff or at its rate limit
+// still accepts it.
 func (t *Table) Begin(server string, work Work, resumed bool) *Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[server]
 	now := time.Now()
-	if e == nil || e.evacuated || !resumed && (!e.acceptsWork() || t.inBackoff(server, now)) {
+	if e == nil || e.evacuated || !resumed && (!e.acceptsWork() || t.inBackoff(server, now) || !t.takeRate(server, now)) {
 		return nil
 	}
+	if resumed {
+		t.overdrawRate(server, now)
+	}
 	e.recordStart(now)
 	reserved := &work
 	reserved.table, reserved.entry, reserved.began, reserved.progress = t, e, now, now
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -143,14 +143,15 @@
 	return context.WithTimeout(ctx, time.Until(t.deadline)/firstAttemptDivisor)
 }
 
-// recordServerState records the state that a server reports with its answer.
+// recordServerState records the state that a server reports with its answer to a
+// request that was sent at the given time.
 //
 // While the store is unavailable, the entry of a leaving server cannot be marked
 // as leaving, but its answers report it. Hosts that ignore them keep sending
 // requests to it.
-func (t *task) recordServerState(server fleet.Server, reply *Reply) {
+func (t *task) recordServerState(server fleet.Server, reply *Reply, sent time.Time) {
 	if reply.RateLimit != nil && !reply.WrongServer {
-		t.gateway.options.Fleet.SetRateLimit(server.ID, *reply.RateLimit)
+		t.gateway.options.Fleet.SetRateLimit(server.ID, *reply.RateLimit, sent)
 	}
 	switch {
 	case reply.WrongServer:
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,12 +26,13 @@
 		unbind()
 		cancel()
 	}
+	sent := time.Now()
 	reply, err := t.gateway.options.Backend.Send(ctx, call)
 	if err != nil {
 		end()
 		return nil, err
 	}
-	t.recordServerState(call.Server, reply)
+	t.recordServerState(call.Server, reply, sent)
 	reply.Body = &boundBody{ReadCloser: reply.Body, end: end}
 	return reply, nil
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -23,6 +23,9 @@
 	// request. On one service, a short generation ends every 50 to 100 ms, and
 	// the interval is a little shorter.
 	placementInterval = 40 * time.Millisecond
+	// retryFullMax bounds the retry delay while all servers want no requests of this
+	// host: other hosts may be able to send one.
+	retryFullMax = 2 * time.Second
 	// retryEvacuated is the retry delay while all servers are in evacuated failure
 	// domains; evacuations last several seconds.
 	retryEvacuated = 2 * time.Second
@@ -69,7 +72,7 @@
 	if table.EvacuatedOnly(t.service.Name) {
 		return ReasonEvacuated
 	}
-	switch rest := table.BackoffLeft(t.service.Name); {
+	switch rest := table.AcceptsIn(t.service.Name); {
 	case rest == 0:
 		return ReasonNoServer
 	case rest > wait:
@@ -110,7 +113,8 @@
 	}
 	switch reason {
 	case ReasonFull:
-		return refused(reason, retryFull+rand.N(retryFull))
+		wait := min(t.gateway.options.Fleet.AcceptsIn(t.service.Name), retryFullMax)
+		return refused(reason, max(retryFull, wait)+rand.N(retryFull))
 	case ReasonEvacuated:
 		return refused(reason, retryEvacuated)
 	}
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -35,12 +35,13 @@
 // determines the incarnation.
 func (h *Host) newNode(incarnation uint64, registerer prometheus.Registerer) *peer.Node {
 	o := h.options
-	return peer.New(peer.Options{
+	node := peer.New(peer.Options{
 		Self: peer.Member{
 			Host: o.Name, Incarnation: incarnation, FailureDomain: o.Domain, PeerAddress: o.PeerAddress, CallerAddress: o.CallerAddress,
 			Capacity: o.Capacity,
 		},
 		Network: o.Network, Seeds: o.Seeds, Configuration: gossipedTable{h.table}, Handler: noForwarding{}, Quarantine: h.quarantine,
+		RateLimits: h.fleet,
 		Logger:     o.Logger,
 		Register:   func(registrar grpc.ServiceRegistrar) { allocation.Register(registrar, h.allocator) },
 		Registerer: registerer, ProbeInterval: probeInterval, SuspicionTimeout: suspicionTimeout,
@@ -50,6 +51,29 @@
 		// The hosts that watch the store are the first to have a change.
 		Distribution: peer.Distribution{Distributes: h.watch.Watches, Distributors: h.watch.Watchers},
 	})
+	h.shareRateLimits(node)
+	return node
+}
+
+// shareRateLimits keeps the hosts that share servers' rate limits up to date.
+func (h *Host) shareRateLimits(node *peer.Node) {
+	known := node.Generation()
+	node.Watch(func() {
+		if generation := node.Generation(); generation != known {
+			known = generation
+			h.fleet.SetHosts(liveNames(node.Members()))
+		}
+	})
+}
+
+// liveNames returns the names of the members that are alive.
+func liveNames(members []peer.Member) (names []string) {
+	for _, m := range members {
+		if m.State == peer.StateAlive {
+			names = append(names, m.Host)
+		}
+	}
+	return names
 }
 
 // runNode runs the membership.
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -101,9 +101,9 @@
 	return nil
 }
 
-// fleet runs nodes in one synctest bubble. The first letter of a host's name
+// testFleet runs nodes in one synctest bubble. The first letter of a host's name
 // is its failure domain.
-type fleet struct {
+type testFleet struct {
 	t      testing.TB
 	fabric *network.Fabric
 	seeds  []string // peer addresses
@@ -118,8 +118,8 @@
 	done   chan error
 }
 
-func newFleet(t testing.TB, seeds ...string) *fleet {
-	f := &fleet{t: t, fabric: network.New(network.Options{}), ips: make(map[string]string), hosts: make(map[string]*fleetHost)}
+func newFleet(t testing.TB, seeds ...string) *testFleet {
+	f := &testFleet{t: t, fabric: network.New(network.Options{}), ips: make(map[string]string), hosts: make(map[string]*fleetHost)}
 	for _, seed := range seeds {
 		f.seeds = append(f.seeds, f.address(seed))
 	}
@@ -127,16 +127,16 @@
 }
 
 // ip returns the IP address of a host; each host name has its own.
-func (f *fleet) ip(host string) string {
+func (f *testFleet) ip(host string) string {
 	if f.ips[host] == "" {
 		f.ips[host] = fmt.Sprintf("10.0.0.%d", len(f.ips)+1)
 	}
 	return f.ips[host]
 }
 
-func (f *fleet) address(host string) string { return f.ip(host) + ":" + testPort }
+func (f *testFleet) address(host string) string { return f.ip(host) + ":" + testPort }
 
-func (f *fleet) start(hosts ...string) {
+func (f *testFleet) start(hosts ...string) {
 	for _, host := range hosts {
 		ctx, cancel := context.WithCancel(context.Background())
 		table := newTableFake()
@@ -155,7 +155,7 @@
 }
 
 // end stops a host's node; after Leave it announces that it is gone.
-func (f *fleet) end(host string) {
+func (f *testFleet) end(host string) {
 	f.hosts[host].cancel()
 	if err := <-f.hosts[host].done; err != nil {
 		f.t.Errorf("%s: %v", host, err)
@@ -165,14 +165,14 @@
 
 // kill stops a host without an announcement; its node fails on the closed
 // listener.
-func (f *fleet) kill(host string) {
+func (f *testFleet) kill(host string) {
 	f.fabric.Kill(f.ip(host))
 	f.hosts[host].cancel()
 	<-f.hosts[host].done
 	delete(f.hosts, host)
 }
 
-func (f *fleet) stop() {
+func (f *testFleet) stop() {
 	f.fabric.HealAll()
 	for _, host := range f.names() {
 		f.end(host)
@@ -181,7 +181,7 @@
 	synctest.Wait()
 }
 
-func (f *fleet) names() []string {
+func (f *testFleet) names() []string {
 	var names []string
 	for host := range f.hosts {
 		names = append(names, host)
@@ -191,7 +191,7 @@
 }
 
 // states returns the states of all members in the view of a host.
-func (f *fleet) states(host string) map[string]State {
+func (f *testFleet) states(host string) map[string]State {
 	states := make(map[string]State)
 	for _, m := range f.hosts[host].Members() {
 		states[m.Host] = m.State
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -72,7 +72,7 @@
 	f.checkAgreement(t)
 }
 
-func (f *fleet) fault(s step) {
+func (f *testFleet) fault(s step) {
 	a, b := f.ip(s.host), f.ip(s.other)
 	switch s.kind {
 	case "silence":
@@ -93,7 +93,7 @@
 	}
 }
 
-func (f *fleet) checkVersions(t *testing.T, highest map[string]store.Version) {
+func (f *testFleet) checkVersions(t *testing.T, highest map[string]store.Version) {
 	t.Helper()
 	for _, host := range f.names() {
 		held := f.hosts[host].table.Version()
@@ -107,7 +107,7 @@
 	}
 }
 
-func (f *fleet) checkAgreement(t *testing.T) {
+func (f *testFleet) checkAgreement(t *testing.T) {
 	t.Helper()
 	want := f.hosts["a1"].table.String()
 	for _, host := range f.names() {
--- a/peer/options.go
+++ b/peer/options.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/internal/defaults"
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer/peerpb"
@@ -62,6 +63,18 @@
 	Merge(records []quarantine.Record, source string) bool
 }
 
+// RateLimits are the request rates that backend servers accept, as needed to
+// synchronise them between peers. *fleet.Table implements it.
+type RateLimits interface {
+	// GossipRateLimits returns the records to include in the next gossip message.
+	GossipRateLimits() []fleet.RateLimit
+	// RateLimits returns all records, for a host that joins.
+	RateLimits() []fleet.RateLimit
+	// MergeRateLimits merges records received from another host and reports whether
+	// any limit has begun or ended.
+	MergeRateLimits(records []fleet.RateLimit) bool
+}
+
 // Handler serves requests and records that other hosts send to this one.
 type Handler interface {
 	// Forward runs a request whose home is this host.
@@ -81,6 +94,7 @@
 	Configuration ConfigurationTable
 	Handler       Handler
 	Quarantine    Quarantine // nil: quarantine records are not exchanged
+	RateLimits    RateLimits // nil: rate limits are not exchanged
 	// Register adds services to the gRPC server for peers; nil: none.
 	Register     func(grpc.ServiceRegistrar)
 	Logger       *zap.Logger
@@ -111,6 +125,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = noQuarantine{}
 	}
+	if o.RateLimits == nil {
+		o.RateLimits = noRateLimits{}
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
--- a/peer/scenario_test.go
+++ b/peer/scenario_test.go
@@ -37,7 +37,7 @@
 	})
 }
 
-func runCommand(t testing.TB, f *fleet, d *datadriven.TestData) string {
+func runCommand(t testing.TB, f *testFleet, d *datadriven.TestData) string {
 	hosts := hostArgs(d)
 	each := func(do func(string)) {
 		for _, host := range hosts {
@@ -111,7 +111,7 @@
 
 // pairs applies a fault to every pair of a host in some and one in others; nil
 // means all hosts that are not in some.
-func (f *fleet) pairs(some, others []string, fault func(a, b string)) {
+func (f *testFleet) pairs(some, others []string, fault func(a, b string)) {
 	if others == nil {
 		for _, host := range f.names() {
 			if !slices.Contains(some, host) {
@@ -127,7 +127,7 @@
 }
 
 // describeStates groups hosts that have the same view of the membership.
-func (f *fleet) describeStates(hosts []string) string {
+func (f *testFleet) describeStates(hosts []string) string {
 	var lines []string
 	byView := make(map[string][]string)
 	for _, host := range hosts {
@@ -143,7 +143,7 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
-func (f *fleet) view(host string) string {
+func (f *testFleet) view(host string) string {
 	var parts []string
 	for _, state := range []State{StateAlive, StateLeaving, StateSuspect, StateGone} {
 		var names []string
@@ -163,7 +163,7 @@
 	return strings.Join(parts, " ")
 }
 
-func (f *fleet) describeVersions() string {
+func (f *testFleet) describeVersions() string {
 	var lines []string
 	byTable := make(map[string][]string)
 	for _, host := range f.names() {
--- a/peer/server.go
+++ b/peer/server.go
@@ -58,6 +58,7 @@
 		Leaving:              answer.Leaving,
 		MembershipDigest:     answer.MembershipDigest,
 		Suspects:             answer.Suspects,
+		RateLimits:           answer.RateLimits,
 	}, nil
 }
 
@@ -85,11 +86,13 @@
 	}
 	n.mergeLeaving(request.GetLeaving())
 	n.mergeQuarantine(request.GetSuspects())
+	n.mergeRateLimits(request.GetRateLimits())
 	return &peerpb.SyncResponse{
-		From:     n.table.localMember().toProto(),
-		Members:  membersToProto(n.missingMembers(request.GetHave())),
-		Leaving:  leavingToProto(n.leaving.list(time.Now())),
-		Suspects: quarantineToProto(n.options.Quarantine.All()),
+		From:       n.table.localMember().toProto(),
+		Members:    membersToProto(n.missingMembers(request.GetHave())),
+		Leaving:    leavingToProto(n.leaving.list(time.Now())),
+		Suspects:   quarantineToProto(n.options.Quarantine.All()),
+		RateLimits: rateLimitsToProto(n.options.RateLimits.RateLimits()),
 	}, nil
 }
 
@@ -131,6 +134,7 @@
 		Leaving:              n.leaving.pickUpdates(),
 		MembershipDigest:     digest,
 		Suspects:             quarantineToProto(n.options.Quarantine.GossipRecords()),
+		RateLimits:           rateLimitsToProto(n.options.RateLimits.GossipRateLimits()),
 	}
 }
 
@@ -155,6 +159,7 @@
 	GetLeaving() []*peerpb.LeavingServer
 	GetMembershipDigest() uint64
 	GetSuspects() []*peerpb.Suspect
+	GetRateLimits() []*peerpb.RateLimit
 }
 
 // receive processes a probe or its response and returns its sender.
@@ -165,6 +170,7 @@
 	n.mergeMembers(append(records, from))
 	n.mergeLeaving(m.GetLeaving())
 	n.mergeQuarantine(m.GetSuspects())
+	n.mergeRateLimits(m.GetRateLimits())
 	if n.table.recordExchange(from.Host, from.Incarnation, versionOf(m), time.Now()) {
 		signal(n.notifySignal)
 	}
--- a/peer/sync.go
+++ b/peer/sync.go
@@ -105,7 +105,7 @@
 	_, hashes := n.table.all()
 	request := &peerpb.SyncRequest{
 		From: n.table.localMember().toProto(), Have: hashes, Leaving: leavingToProto(n.leaving.list(time.Now())),
-		Suspects: quarantineToProto(n.options.Quarantine.All()),
+		Suspects: quarantineToProto(n.options.Quarantine.All()), RateLimits: rateLimitsToProto(n.options.RateLimits.RateLimits()),
 	}
 	var response *peerpb.SyncResponse
 	err := n.control.call(address, func(client peerpb.PeerClient) (err error) {
@@ -121,6 +121,7 @@
 	n.table.stopRetransmitting(members)
 	n.mergeLeaving(response.GetLeaving())
 	n.mergeQuarantine(response.GetSuspects())
+	n.mergeRateLimits(response.GetRateLimits())
 	n.counters.syncs.WithLabelValues(resultDone).Inc()
 	return true
 }
