allocation, migration: a run moves to a server that takes requests of its host

Callers see a stream that breaks off with its leaving server although other engines have room: the allocator grants the emptiest destination, the run's host may send nothing there (the server asked it to back off, or it has no share of its rate limit), the reservation fails, and 50 ms later the same destination is granted again. Placements have named such servers since backoffs are respected; turns to move did not.

TakeTurnRequest and migration.Move name them now, as PlaceRequest does. TestMoveGoesToServerThatTakesRequestsOfItsHost failed before, for a backoff and for a rate limit (the run went to e2), and passes.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -357,3 +357,28 @@
 		is.Equal(len(at.Candidates(llm, "d")), 0)
 	})
 }
+
+// Guards against moves whose destination refuses the host that moves the run, until the source has left.
+func TestMoveGoesToServerThatTakesRequestsOfItsHost(t *testing.T) {
+	for name, avoid := range map[string]func(*fleet.Table){
+		"backoff": func(table *fleet.Table) { table.SetBackoff("e2", time.Minute) },
+		"rate limit": func(table *fleet.Table) {
+			table.SetRateLimit("e2", 0.1, time.Now())
+			table.Begin("e2", fleet.Work{}, false)
+		},
+	} {
+		is := is.New(t)
+		at, from := engines("a", "e1", "e2", "e3"), engines("b", "e1", "e2", "e3")
+		at.SetOthers("c", llm, map[string]fleet.Load{"e3": {Requests: 1, HeldTokens: 3000}}, WholeService(llm).share())
+		at.MarkLeaving(fleet.Incarnation{ID: "e1"}, fleet.SourceList)
+		_, _, client := pair(t, at, from)
+		avoid(from)
+		move := migration.Move{Source: "e1", Run: "r1", LostWork: 9000, Need: placement.Need{PromptTokens: 3000, OutputTokens: 500}}
+		destination, end, err := client.TakeTurn(context.Background(), llm, move)
+		is.NoErr(err)
+		end()
+		if destination != "e3" {
+			t.Errorf("%s: the run goes to %q", name, destination)
+		}
+	}
+}
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -175,9 +175,11 @@
 }
 
 // TakeTurn waits until a run may move off a leaving server. It returns the
-// destination ("" if there is none) and a function that ends the turn.
+// destination ("" if there is none), which is none of the servers that this host
+// avoids, and a function that ends the turn.
 func (c *Client) TakeTurn(ctx context.Context, service string, move migration.Move) (destination string, end func(), err error) {
 	source, _ := c.fleet.Get(move.Source)
+	move.Except = c.fleet.Avoided(service)
 	to, end, err := c.takeTurnIn(ctx, c.partitioning(service).partOf(source.Domain, move.Source), move)
 	if err != nil || to.Elsewhere.Service == "" {
 		return to.Server, end, err
@@ -208,6 +210,7 @@
 		response, err = client.TakeTurn(ctx, &allocationpb.TakeTurnRequest{
 			Host: c.host, Part: part.toProto(), Source: move.Source, Run: move.Run,
 			HeldTokens: uint32(move.Need.PromptTokens), RemainingTokens: uint32(move.Need.OutputTokens), Size: uint32(move.LostWork),
+			Except: move.Except,
 		})
 		return err
 	})
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -114,7 +114,7 @@
 // TakeTurn implements allocationpb.AllocationServer.
 func (s *server) TakeTurn(ctx context.Context, r *allocationpb.TakeTurnRequest) (*allocationpb.TakeTurnResponse, error) {
 	to, err := s.allocator.TakeTurn(ctx, r.GetHost(), partFromProto(r.GetPart()), migration.Move{
-		Source: r.GetSource(), Run: r.GetRun(), LostWork: int(r.GetSize()),
+		Source: r.GetSource(), Run: r.GetRun(), LostWork: int(r.GetSize()), Except: r.GetExcept(),
 		Need: placement.Need{PromptTokens: int(r.GetHeldTokens()), OutputTokens: int(r.GetRemainingTokens())},
 	})
 	return &allocationpb.TakeTurnResponse{Destination: to.Server, Elsewhere: to.Elsewhere.toProto()}, err
--- a/migration/queue.go
+++ b/migration/queue.go
@@ -47,6 +47,8 @@
 	// Need describes the memory to copy (PromptTokens) and the expected
 	// remaining output (OutputTokens).
 	Need placement.Need
+	// Except contains the servers that take no request of the run's host now.
+	Except []string
 }
 
 // shortRunTokens is the number of tokens that a run produces in about 1 s. A
@@ -171,7 +173,7 @@
 	if _, busy := q.turns[source]; busy || now.Sub(q.firstQueued[source]) < gatherDelay {
 		return false
 	}
-	all := q.candidates(source)
+	all := slices.DeleteFunc(q.candidates(source), func(c placement.Candidate) bool { return slices.Contains(w.move.Except, c.ID) })
 	if len(all) == 0 {
 		w.granted <- Grant{}
 		return true
