--- a/replica/follower.go
+++ b/replica/follower.go
@@ -18,6 +18,7 @@
 	msgStoreReached   = "platform store reached"
 	msgStoreLost      = "platform store lost"
 	msgNotApplied     = "stored configuration not put in force"
+	msgRevisionBack   = "store has a lower revision than before"
 	activeCheckPeriod = 500 * time.Millisecond
 )
 
@@ -171,6 +172,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if before := f.Reached(); revision < before {
+		f.logger().Warn(msgRevisionBack, zap.Uint64("revision", uint64(revision)), zap.Uint64("revision_before", uint64(before)))
+	}
 	_, findings := f.Table.AdoptList(f.Kind, objects, revision)
 	f.logFindings(findings)
 	f.reached.Store(uint64(revision))
