--- a/store/memory.go
+++ b/store/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -24,7 +25,7 @@
 	objects   map[objectKey]Object
 	revision  Version
 	events    []Object      // the last changes, in order
-	compacted Version       // changes up to this revision are no longer in events
+	compacted Version       // changes up to this version are no longer in events
 	changed   chan struct{} // closed and replaced at each change of objects, history or faults
 	faults    Faults
 	calls     uint64
@@ -133,6 +134,42 @@
 	m.wakeWatches()
 }
 
+// Copy is the content of a Memory at some moment.
+type Copy struct {
+	objects  map[objectKey]Object
+	revision Version
+}
+
+// Copy returns a copy of the content.
+func (m *Memory) Copy() *Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &Copy{maps.Clone(m.objects), m.revision}
+}
+
+// Restore replaces the content by an older copy and begins a new era: everything
+// written since is gone, and revisions go back to that of the copy.
+func (m *Memory) Restore(c *Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	era := m.revision.Era() + 1
+	m.revision = NewVersion(era, c.revision.Revision())
+	m.objects = make(map[objectKey]Object, len(c.objects))
+	for key, object := range c.objects {
+		object.Version = NewVersion(era, object.Version.Revision())
+		m.objects[key] = object
+	}
+	m.events, m.compacted = nil, m.revision
+	m.wakeWatches()
+}
+
+// Era returns how often Restore was called.
+func (m *Memory) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision.Era()
+}
+
 // Put implements Store. With Slow set, a write takes effect even if its caller has
 // given up in the meantime.
 func (m *Memory) Put(ctx context.Context, kind, name string, value []byte, expect Version) (Version, error) {
@@ -243,7 +280,7 @@
 	if m.faults.Outage || m.faults.Silent {
 		return nil, 0, nil, ErrUnavailable
 	}
-	if after < m.compacted {
+	if after < m.compacted || after > m.revision {
 		return nil, 0, nil, ErrCompacted
 	}
 	var objects []Object
@@ -252,7 +289,7 @@
 			objects = append(objects, clone(event))
 		}
 	}
-	return objects, max(m.revision, after), m.changed, nil
+	return objects, m.revision, m.changed, nil
 }
 
 // countCall counts a call and returns the injected delay.
--- a/store/store.go
+++ b/store/store.go
@@ -8,11 +8,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Version is the store-wide revision at which an object was last written. The
-// revision increases with every write to the store, so versions of different
-// objects are ordered as well. Zero means that the object does not exist.
-type Version uint64
-
 // MaxValueBytes is the size limit of a value in the metadata store.
 const MaxValueBytes = 1 << 20
 
@@ -41,8 +36,8 @@
 	// Watch waits up to the server's time limit for changes of a kind after a
 	// revision and returns them in order with the revision that they reach. If
 	// there is no change within the limit, it returns no events and the same or a
-	// later revision. ErrCompacted means that the revision is too old: call List
-	// again.
+	// later revision. ErrCompacted means that the store does not have the changes
+	// after the revision, or that it is of another era: call List again.
 	Watch(ctx context.Context, kind string, after Version) ([]Object, Version, error)
 }
 
