store, platform, replica, gatewayhost: versions carry the store's era

Cause: store.Version was the revision. The store had come back from an older copy, gave revisions up to 46 out again, and every host refused the new configurations as older than its version 93 at revision 46. The first one above 46 was taken (103 at 47, on all seven hosts within 3 ms). The class: an order that one party counts, compared across the resets of its counter. Everything compares it: adopted objects, tombstones, deliveries, pulls, reports, watches, conditions of writes.

Change: a version has the era in its upper bits, so that all these comparisons, in memory and between hosts, order by era first without a change of their own. On the wire the client sends revisions, refuses conditions of an older era, and ends a watch whose answer is of another era like a compacted one. The copy is older, though, so that what it says first is not newer truth. Between eras replica.Table asks what to keep: a configuration never gives way to one with a lower version of its own; that a server leaves or is gone, an evacuation, and anything that the copy lacks is kept for 3 s, in which it is written again, and then listed again. Hosts that keep and hosts that never had it settle it by pulls: contents of different eras are exchanged whatever their order, and what is refused counts as seen. Hosts that watch the store write the quarantine again.

Ruled out: watches that hang (all hosts listed at 72.6 s) and slow deliveries (the watchers themselves were late), see the postmortem.

--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -37,7 +37,8 @@
 		return err
 	}
 	h.gateway.SetConfiguration(next)
-	h.logger.Info(msgConfiguration, zap.Uint64("configuration", next.Version), zap.Uint64("revision", uint64(object.Version)))
+	h.logger.Info(msgConfiguration, zap.Uint64("configuration", next.Version), zap.Uint64("revision", object.Version.Revision()),
+		zap.Uint64("era", object.Version.Era()))
 	return nil
 }
 
--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -91,10 +91,11 @@
 }
 
 // reportedRevision returns the newest revision that an allocator has reported, and
-// whether it reported it within allocatorReportTTL.
+// whether it reported it within allocatorReportTTL and in the era of this host's
+// configuration.
 func (h *Host) reportedRevision() (revision uint64, known bool) {
 	newest, age := h.allocation.Newest()
-	return newest, age < allocatorReportTTL && newest > 0
+	return newest, age < allocatorReportTTL && newest > 0 && sameEra(newest, h.revision())
 }
 
 func (h *Host) confirmAtStore(ctx context.Context) bool {
@@ -189,7 +190,7 @@
 // immediately, but gossip may not reach some other host for seconds. Every host
 // receives a report from an allocator within a second.
 func (h *Host) catchUp(allocator string, revision uint64) {
-	if h.revision() < revision {
+	if own := h.revision(); own < revision || !sameEra(own, revision) {
 		h.pull(allocator, revision)
 	}
 }
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -160,6 +160,8 @@
 func New(o Options) *Host {
 	h := &Host{options: o, logger: o.Logger, quarantineDirty: make(chan struct{}, 1)}
 	h.table = replica.New(h.apply)
+	h.table.SetAcross(h.across)
+	h.table.OnNewEra = h.handleNewEra
 	h.table.Require(o.Objects.Configuration, o.Objects.Servers, o.Objects.Evacuations)
 	h.watch = &domain.WatchDuty{
 		Host: o.Name, Fleet: h, Check: h.checkStore, OnStoreRecovered: h.relist, Active: func() bool { return !h.booting.Load() },
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -194,8 +194,8 @@
 	}
 	size := 0
 	for _, o := range table.Since(store.Version(request.GetAfterVersion())) {
-		if held[hashStrings(o.Kind, o.Name)] >= uint64(o.Version) {
-			continue
+		if has := store.Version(held[hashStrings(o.Kind, o.Name)]); has >= o.Version && has.Era() == o.Version.Era() {
+			continue // of different eras the requesting host may keep either
 		}
 		p := objectToProto(o)
 		size += proto.Size(p)
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -20,6 +20,9 @@
 	msgNotApplied     = "stored configuration not put in force"
 	msgRevisionBack   = "store has a lower revision than before"
 	activeCheckPeriod = 500 * time.Millisecond
+	// graceMargin is how long after the end of RestoreGrace objects are listed again:
+	// hosts that receive them from this one have begun their grace later.
+	graceMargin = time.Second
 )
 
 // Follower keeps a Table up to date with the objects of a kind in the store: it
@@ -178,6 +181,9 @@
 	_, findings := f.Table.AdoptList(f.Kind, objects, revision)
 	f.logFindings(findings)
 	f.reached.Store(uint64(revision))
+	if left := f.Table.GraceLeft(); left > 0 {
+		time.AfterFunc(left+graceMargin, f.Relist)
+	}
 	return revision, nil
 }
 
--- a/replica/table.go
+++ b/replica/table.go
@@ -1,13 +1,15 @@
-// Package replica keeps copies of the store's objects on one host. The version of
-// each object only increases, whether updates come from the store or from peers,
-// and in whatever order.
+// Package replica keeps copies of the store's objects on one host. Within an era of
+// the store the version of each object only increases, whether updates come from the
+// store or from peers, and in whatever order. Between eras, Across decides.
 package replica
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
@@ -54,15 +56,23 @@
 // consecutive watches, and a peer's Since of this host's Version. A host whose
 // digest still differs from a peer's after such a batch requests Since(0).
 type Table struct {
-	apply Apply
+	apply  Apply
+	across Across
+	// OnNewEra is called, without the table's lock held, when this host has first seen
+	// a new era of the store; nil: no call. Set it before use. It must not block.
+	OnNewEra func(era uint64)
 
 	mu        sync.RWMutex // guards all below; held while apply runs, but not while listeners run
 	objects   map[objectKey]store.Object
 	listed    map[string]store.Version // by kind: revision of the newest list
 	version   store.Version
-	required  []string // kinds that must have been listed for the table to be complete; none: any
-	complete  bool     // the required lists were adopted, or a complete peer has sent all its objects
-	digest    uint64   // sum of the hashes of all objects that are not deleted
+	required  []string  // kinds that must have been listed for the table to be complete; none: any
+	complete  bool      // the required lists were adopted, or a complete peer has sent all its objects
+	era       uint64    // newest era of the store
+	eraKnown  bool      // whether any object or list was adopted
+	eraBegan  time.Time // when this host first saw the newest era; zero: its first one
+	newEra    bool      // OnNewEra is to be called
+	digest    uint64    // sum of the hashes of all objects that are not deleted
 	listeners []func()
 
 	changed map[objectKey]struct{} // objects adopted since the last TakeChanged; nil before the first
@@ -75,11 +85,16 @@
 func New(apply Apply) *Table {
 	return &Table{
 		apply:   apply,
+		across:  keepDeletions,
 		objects: map[objectKey]store.Object{},
 		listed:  map[string]store.Version{},
 	}
 }
 
+// SetAcross sets what decides between contents of different eras. It must be called
+// before the table is used.
+func (t *Table) SetAcross(across Across) { t.across = across }
+
 // Get returns an object, and whether the table has it and it is not deleted.
 func (t *Table) Get(kind, name string) (store.Object, bool) {
 	t.mu.RLock()
@@ -120,6 +135,9 @@
 func (t *Table) notify(changed int, findings []Finding) {
 	adopted.Add(float64(changed))
 	unreadable.Add(float64(len(findings)))
+	if era, begun := t.takeNewEra(); begun && t.OnNewEra != nil {
+		t.OnNewEra(era)
+	}
 	if changed == 0 {
 		return
 	}
@@ -134,18 +152,22 @@
 // adopt adopts one object and reports whether it was newer than the table's. The
 // error is that of apply. The caller holds mu.
 func (t *Table) adopt(object store.Object) (newer bool, err error) {
+	t.noteEra(object.Version)
 	key := objectKey{object.Kind, object.Name}
 	current, known := t.objects[key]
-	if object.Version <= current.Version {
+	if known && !t.precedes(object, current) {
 		// An older version can come from a peer that was partitioned, a delayed
-		// answer of the store, or a store restored from a backup. Adopting it
-		// would revert an accepted change.
-		if object.Version < current.Version {
+		// answer of the store, or a store that came back from an older copy. Adopting
+		// it would revert an accepted change.
+		if object.Version != current.Version {
 			refusedOlder.Inc()
 		}
+		// What is refused counts as seen: hosts that adopted it then pull from this one,
+		// as their digests differ.
+		t.version = max(t.version, object.Version)
 		return false, nil
 	}
-	if listed := t.listed[object.Kind]; object.Version <= listed && !object.Deleted {
+	if listed := t.listed[object.Kind]; object.Version <= listed && !object.Deleted && !(known && object.Version < current.Version) {
 		// A list newer than this version did not contain the object, so it was
 		// deleted before this host received it. A peer that still has it would
 		// restore it; the tombstone deletes it at that peer instead.
@@ -164,9 +186,24 @@
 		t.changed[key] = struct{}{}
 	}
 	t.version = max(t.version, object.Version)
+	if known && object.Version.Era() > current.Version.Era() && sameContent(object, current) {
+		return true, nil // in force already
+	}
 	return true, t.apply(object)
 }
 
+func sameContent(a, b store.Object) bool {
+	return a.Deleted == b.Deleted && bytes.Equal(a.Value, b.Value)
+}
+
+// takeNewEra returns the newest era, and whether it has begun since the last call.
+func (t *Table) takeNewEra() (era uint64, begun bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	begun, t.newEra = t.newEra, false
+	return t.era, begun
+}
+
 // AdoptList adopts the result of a list. Objects of the kind that are in the
 // table in an earlier version, but not in the list, were deleted while this host
 // did not watch; they become tombstones at the list's revision.
@@ -177,6 +214,7 @@
 	}
 	all := slices.Clone(objects)
 	t.mu.Lock()
+	t.noteEra(revision)
 	for key, current := range t.objects {
 		if key.kind == kind && !current.Deleted && !listed[key.name] && current.Version < revision {
 			all = append(all, store.Object{Kind: kind, Name: key.name, Version: revision, Deleted: true})
--- a/store/storetest/conformance.go
+++ b/store/storetest/conformance.go
@@ -42,6 +42,7 @@
 		{"watch waits", watchWaits},
 		{"watch ends without change", watchEnds},
 		{"compacted", compacted},
+		{"restored from an older copy", restored},
 		{"outage", outage},
 		{"outage ends a waiting watch", outageEndsWatch},
 		{"lost answer", lostAnswer},
@@ -269,3 +270,35 @@
 	}
 	return all
 }
+
+// Guards against versions, watches and conditions that survive a return of the store
+// from an older copy, although its revisions are given out again.
+func restored(t *testing.T, s Subject) {
+	is, ctx := is.New(t), t.Context()
+	before, err := s.Store.Put(ctx, kind, "a", []byte("1"), 0)
+	is.NoErr(err)
+	older := s.Memory.Copy()
+	lost, err := s.Store.Put(ctx, kind, "a", []byte("2"), before)
+	is.NoErr(err)
+	s.Memory.Restore(older)
+	again := s.Memory.Set(kind, "b", []byte("3")) // has the revision of the lost write
+	is.Equal(again.Revision(), lost.Revision())
+	is.True(again > lost)
+
+	_, _, err = s.Store.Watch(ctx, kind, lost)
+	is.True(errors.Is(err, store.ErrCompacted))
+	objects, revision, err := s.Store.List(ctx, kind)
+	is.NoErr(err)
+	is.Equal(revision, again)
+	is.Equal(string(objects[0].Value), "1")
+	is.True(objects[0].Version > lost) // all that the store has now is of the newer era
+	_, err = s.Store.Put(ctx, kind, "b", []byte("4"), lost)
+	var bad *store.VersionError
+	is.True(errors.As(err, &bad))
+	is.Equal(bad.Current, again)
+	_, err = s.Store.Put(ctx, kind, "a", []byte("4"), objects[0].Version)
+	is.NoErr(err)
+	events, _, err := s.Store.Watch(ctx, kind, revision)
+	is.NoErr(err)
+	is.Equal(len(events), 1)
+}
