replica: a deletion made in the newer era takes effect at once

Trace: the operator had written the lost order again and withdrawn it. Three hosts got both changes, or the deletion after the order; the fourth got only the tombstone, which it took for an object that the older copy lacks and held back for the grace.

Whether an object is missing or was deleted is known where the list is read: a list of the newer era makes no tombstones of what is kept, so that every tombstone that arrives is a deletion. A host that has listed the newer era makes none either of an object of the older one that a peer still has. The grace is 2.5 s, as for entries that expire while the store is away.

TestDeletionsOfTheNewerEraTakeEffect failed before.

--- a/replica/restore.go
+++ b/replica/restore.go
@@ -9,7 +9,7 @@
 // RestoreGrace is how long after a host first sees a new era of the store its
 // content may still be older than what the host has: the store came back from an
 // older copy, and operators and servers need some time to write again what it lost.
-const RestoreGrace = 3 * time.Second
+const RestoreGrace = 2500 * time.Millisecond
 
 // Precedence says which of two contents of an object a host keeps if they are from
 // different eras of the store.
@@ -25,8 +25,9 @@
 	Kept
 )
 
-// Across decides between the contents of an object in an older and in a newer era;
-// either may be a tombstone. It must not block.
+// Across decides between the contents of an object in an older and in a newer era.
+// Older may be a tombstone. Newer is one if a list of the newer era lacks the object;
+// a deletion that was made in the newer era always takes effect. It must not block.
 type Across func(older, newer store.Object) Precedence
 
 // keepDeletions is the default Across: only a deletion is held back for the grace.
@@ -78,13 +79,14 @@
 		return object.Version > current.Version
 	}
 	if object.Version < current.Version {
-		return t.across(object, current) == Kept
+		return !object.Deleted && !current.Deleted && t.across(object, current) == Kept
 	}
-	switch t.across(current, object) {
-	case Kept:
-		return false
-	case KeptForGrace:
-		return !t.inGrace()
-	}
-	return true
+	return object.Deleted || !t.keeps(current, object)
+}
+
+// keeps reports whether this host keeps the content of an older era. The caller holds
+// mu.
+func (t *Table) keeps(older, newer store.Object) bool {
+	precedence := t.across(older, newer)
+	return precedence == Kept || precedence == KeptForGrace && t.inGrace()
 }
--- a/replica/restore_test.go
+++ b/replica/restore_test.go
@@ -106,3 +106,20 @@
 		}
 	})
 }
+
+// Guards against a deletion in the newer era that hosts take for an object that the
+// older copy lacks, and against a host that deletes what others keep for the grace.
+func TestDeletionsOfTheNewerEraTakeEffect(t *testing.T) {
+	is := is.New(t)
+	table := New(func(store.Object) error { return nil })
+	table.Adopt([]store.Object{object("a", 1, 5, 1)})
+	deleted := store.Object{Kind: "k", Name: "a", Version: store.NewVersion(2, 4), Deleted: true}
+	table.Adopt([]store.Object{deleted})
+	is.Equal(contentOf(table, "a"), "none")
+
+	started := New(func(store.Object) error { return nil })
+	started.AdoptList("k", nil, store.NewVersion(2, 4))
+	started.Adopt([]store.Object{object("b", 1, 6, 1)})
+	is.Equal(contentOf(started, "b"), "none")
+	is.Equal(len(started.Since(0)), 0) // no tombstone either
+}
--- a/replica/table.go
+++ b/replica/table.go
@@ -167,7 +167,14 @@
 		t.version = max(t.version, object.Version)
 		return false, nil
 	}
-	if listed := t.listed[object.Kind]; object.Version <= listed && !object.Deleted && !(known && object.Version < current.Version) {
+	listed := t.listed[object.Kind]
+	if !known && object.Version.Era() < listed.Era() && !object.Deleted {
+		// The newer era's list lacks it, perhaps only because the store's copy is older.
+		// A tombstone would delete it at hosts that keep it for the grace.
+		refusedOlder.Inc()
+		return false, nil
+	}
+	if object.Version <= listed && object.Version > current.Version && !object.Deleted {
 		// A list newer than this version did not contain the object, so it was
 		// deleted before this host received it. A peer that still has it would
 		// restore it; the tombstone deletes it at that peer instead.
@@ -216,8 +223,12 @@
 	t.mu.Lock()
 	t.noteEra(revision)
 	for key, current := range t.objects {
-		if key.kind == kind && !current.Deleted && !listed[key.name] && current.Version < revision {
-			all = append(all, store.Object{Kind: kind, Name: key.name, Version: revision, Deleted: true})
+		if key.kind != kind || current.Deleted || listed[key.name] || current.Version >= revision {
+			continue
+		}
+		tombstone := store.Object{Kind: kind, Name: key.name, Version: revision, Deleted: true}
+		if current.Version.Era() == revision.Era() || !t.keeps(current, tombstone) {
+			all = append(all, tombstone)
 		}
 	}
 	changed, findings = t.adoptAll(all)
