lease: a lease that the store may have lost is waited out

Found while looking for the cause of the configuration that was not in force elsewhere. Fencing numbers themselves rise with the era.

In an era after the first a lease that is missing or released may have had a holder. The new one does not act before that holder's time and its longest action have ended, counted from when this host first saw the era. TestLeaseLostByTheStoreIsWaitedOut failed before (no wait).

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -144,3 +144,28 @@
 		is.True(held.Remaining() > 0)
 	})
 }
+
+// Guards against two hosts that act at the same time because the store came back from a
+// copy that is older than the lease of one of them.
+func TestLeaseLostByTheStoreIsWaitedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx := is.New(t), t.Context()
+		memory := store.NewMemory()
+		a, b := NewStoreLessor(memory, "a", Options{}), NewStoreLessor(memory, "b", Options{})
+		memory.Set("others", "o", nil)
+		older := memory.Copy() // before the lease
+		first, err := a.Acquire(ctx, duty)
+		is.NoErr(err)
+		memory.Restore(older)
+		second, err := b.Acquire(ctx, duty)
+		is.NoErr(err)
+		is.True(second.Fence() > first.Fence())
+		is.True(second.FirstActionDelay() > first.Remaining()+defaultMaxActionTime) // a's last action may begin until then
+		is.True(errors.Is(a.Renew(ctx, first, nil), ErrLost))
+		time.Sleep(time.Minute)
+		is.NoErr(b.Release(ctx, second))
+		third, err := b.Acquire(ctx, duty)
+		is.NoErr(err)
+		is.Equal(third.FirstActionDelay(), time.Duration(0)) // the era is no longer new
+	})
+}
--- a/lease/store_lessor.go
+++ b/lease/store_lessor.go
@@ -55,8 +55,10 @@
 	host    string
 	options Options
 
-	mu   sync.Mutex // guards seen
-	seen map[string]observation
+	mu        sync.Mutex // guards the fields below
+	seen      map[string]observation
+	era       uint64    // newest era of the store
+	eraSeenAt time.Time // when this host first saw it
 }
 
 // observation is a version of a stored lease and when it was first seen.
@@ -114,11 +116,34 @@
 		// action lets it end first.
 		lease.firstActionAt = lease.firstActionAt.Add(current.maxActionTime())
 	}
+	if (version == 0 || current.Released) && acquired.Era() > 0 {
+		lease.firstActionAt = later(lease.firstActionAt, s.lostLeaseEndsAt(acquired.Era()))
+	}
 	next.Fence = acquired
 	lease.recordWrite(acquired, next, since)
 	return lease, nil
 }
 
+// lostLeaseEndsAt returns when the last action ends that another holder may still
+// begin, whose lease the store lost when it came back from an older copy in the given
+// era. This host does not know for how long the era has lasted before it saw it.
+func (s *StoreLessor) lostLeaseEndsAt(era uint64) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era > s.era {
+		s.era, s.eraSeenAt = era, time.Now()
+	}
+	term := s.options.Term
+	return s.eraSeenAt.Add(term + term/clockDriftDivisor + s.options.MaxActionTime)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Renew implements Lessor.
 func (s *StoreLessor) Renew(ctx context.Context, lease *Lease, state json.RawMessage) error {
 	err := s.update(ctx, lease, func(r *record) {
