configuration, replica, entryhost: accepted changes survive an older copy of the store

Found while looking for the cause of the configuration that was not in force elsewhere. On our own interface documents, organisations and drains are written by this system: what the store's older copy lacks, nobody else writes again, and hosts followed the older content, against the promise that an accepted change does not revert.

Between eras a content gives way only to one that its history does not continue, and no object counts as removed. Hosts that follow the store write what they keep again, under the condition of the copy's version, so that one of them succeeds, later changes go on from there and hosts that start find it. TestAcceptedChangesSurviveAnOlderCopyOfTheStore failed before (the document went back to its first version).

--- a/audit/history.go
+++ b/audit/history.go
@@ -46,6 +46,16 @@
 	return Entry{}, false
 }
 
+// Extends reports whether the history continues the other one: it has that one's
+// newest change, and later ones.
+func (h History) Extends(other History) bool {
+	if len(h.Entries) == 0 || len(other.Entries) == 0 {
+		return len(h.Entries) > len(other.Entries)
+	}
+	newest := other.Entries[0].ChangeID
+	return h.Entries[0].ChangeID != newest && slices.ContainsFunc(h.Entries, func(e Entry) bool { return e.ChangeID == newest })
+}
+
 // Truncate drops all entries except the newest keep.
 func (h History) Truncate(keep int) History {
 	if extra := len(h.Entries) - keep; extra > 0 {
--- a/configuration/table.go
+++ b/configuration/table.go
@@ -64,6 +64,7 @@
 		index:    newOrganisationIndex(),
 	}
 	t.Table = replica.New(t.apply)
+	t.SetAcross(acrossEras)
 	return t
 }
 
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -105,7 +105,7 @@
 	h.watchDuty = h.newWatchDuty()
 	h.hostList = newHostList(o.Store, h.pool, h.watchDuty.Watches)
 	h.orderController = h.newOrderController()
-	h.follower = &replica.Follower{Store: o.Store, Kind: configuration.Kind, Table: h.table.Table, Logger: o.Logger, Active: h.followsStore}
+	h.follower = &replica.Follower{Store: o.Store, Kind: configuration.Kind, Table: h.table.Table, Logger: o.Logger, Active: h.followsStore, WriteBack: true}
 	h.server = link.NewDrainServer(&http.Server{Handler: h.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
 	registerCollectors()
 	h.subscribe()
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -18,6 +18,7 @@
 	msgStoreReached   = "platform store reached"
 	msgStoreLost      = "platform store lost"
 	msgNotApplied     = "stored configuration not put in force"
+	msgWrittenBack    = "object that the store had lost is written again"
 	msgRevisionBack   = "store has a lower revision than before"
 	activeCheckPeriod = 500 * time.Millisecond
 	// graceMargin is how long after the end of RestoreGrace objects are listed again:
@@ -43,6 +44,9 @@
 	// has defaults.
 	Backoff store.Backoff
 	Logger  *zap.Logger // nil disables logging
+	// WriteBack makes the follower write the objects again that the table keeps because
+	// the store came back from an older copy. It is for kinds that this system writes.
+	WriteBack bool
 
 	// OnCompacted is called when the store has compacted changes that this
 	// follower's watch still needed; it may be nil. It must not block.
@@ -184,9 +188,26 @@
 	if left := f.Table.GraceLeft(); left > 0 {
 		time.AfterFunc(left+graceMargin, f.Relist)
 	}
+	if f.WriteBack {
+		f.writeBack(ctx, objects, revision)
+	}
 	return revision, nil
 }
 
+// writeBack writes the objects that the table keeps from an era before that of a list
+// of the store. Several hosts may do so: the condition lets one of them succeed. What
+// fails is written after the next list.
+func (f *Follower) writeBack(ctx context.Context, listed []store.Object, revision store.Version) {
+	versions := make(map[string]store.Version, len(listed))
+	for _, object := range listed {
+		versions[object.Name] = object.Version
+	}
+	for _, object := range f.Table.OfEarlierEra(f.Kind, revision) {
+		written, err := f.Store.Put(ctx, f.Kind, object.Name, object.Value, versions[object.Name])
+		f.logger().Warn(msgWrittenBack, zap.String("name", object.Name), zap.Uint64("version", uint64(written)), zap.Error(err))
+	}
+}
+
 func (f *Follower) watch(ctx context.Context, after store.Version) (store.Version, error) {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/replica/restore.go
+++ b/replica/restore.go
@@ -90,3 +90,16 @@
 	precedence := t.across(older, newer)
 	return precedence == Kept || precedence == KeptForGrace && t.inGrace()
 }
+
+// OfEarlierEra returns the objects of a kind that this host has from an era before that
+// of the given version, without tombstones.
+func (t *Table) OfEarlierEra(kind string, version store.Version) (objects []store.Object) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for key, object := range t.objects {
+		if key.kind == kind && !object.Deleted && object.Version.Era() < version.Era() {
+			objects = append(objects, object)
+		}
+	}
+	return objects
+}
