fleet, gatewayhost: hosts that share rate limits are read when one becomes known

Each change of a member copied all names at every host, also while no server limits its rate, which is nearly always: with a thousand hosts that start together, hundreds of copies of a thousand names at each. They are read with the first limit now, and kept up to date while there is one.

--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -67,8 +67,24 @@
 	retransmitsLeft int // remaining messages in which the change has priority
 }
 
+// KnowsRateLimits reports whether any server limits its request rate, or did so within
+// removedLimitRetention.
+func (t *Table) KnowsRateLimits() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rateLimits) > 0
+}
+
+// loadHosts gets the live entry hosts if no rate limit was known so far.
+func (t *Table) loadHosts() {
+	if t.LiveHosts != nil && !t.KnowsRateLimits() {
+		t.SetHosts(t.LiveHosts())
+	}
+}
+
 // SetHosts sets the names of the live entry hosts, which share rate limits with those
-// that were live within absentHostShare.
+// that were live within absentHostShare. It is needed after each change while rate
+// limits are known.
 func (t *Table) SetHosts(live []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -113,6 +129,9 @@
 // per second; zero: it names none. The request was sent at the given time: an answer
 // without a limit may be older than one with a limit that arrived before it.
 func (t *Table) SetRateLimit(id string, perSecond float64, sent time.Time) {
+	if perSecond > 0 {
+		t.loadHosts()
+	}
 	now := time.Now()
 	t.mu.Lock()
 	known := t.rateLimits[id]
@@ -133,6 +152,7 @@
 // MergeRateLimits merges records from another host and reports whether a limit has
 // begun or ended for this host.
 func (t *Table) MergeRateLimits(records []RateLimit) (changed bool) {
+	t.loadHosts()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -31,6 +31,9 @@
 type Table struct {
 	host   string // name of this entry host
 	logger *zap.Logger
+	// LiveHosts returns the names of the live entry hosts; nil: not known. It is called
+	// without mu held, when a first rate limit becomes known.
+	LiveHosts func() []string
 	// OnRateLimitChanged is called when an answer has shown that a server's rate limit
 	// has begun or ended; nil: no call. It must not block.
 	OnRateLimitChanged func()
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -61,7 +61,9 @@
 	node.Watch(func() {
 		if generation := node.Generation(); generation != known {
 			known = generation
-			h.fleet.SetHosts(liveNames(node.Members()))
+			if h.fleet.KnowsRateLimits() {
+				h.fleet.SetHosts(liveNames(node.Members()))
+			}
 		}
 	})
 }
