replica: watches that keep ending back off

Found while writing the tests of a store that comes back older: a store whose list never leads to a watch that it has (410 to each) was listed without any pause, as a compacted watch counts as an answer: 1,000 lists in no time.

--- a/replica/follower.go
+++ b/replica/follower.go
@@ -52,6 +52,7 @@
 	// follower's watch still needed; it may be nil. It must not block.
 	OnCompacted func()
 
+	ended     int           // watches that ended with ErrCompacted since the last one that did not; used by Run only
 	reached   atomic.Uint64 // revision reached by the newest list or watch of the store
 	reachable atomic.Bool
 	failedAt  moment.Moment // time of the last failed list or watch of Run
@@ -126,6 +127,7 @@
 		var err error
 		if listed {
 			after, err = f.watch(ctx, after)
+			f.countEnded(err)
 		} else {
 			f.takeRelist()
 			after, err = f.list(ctx)
@@ -146,6 +148,15 @@
 	return ctx.Err()
 }
 
+// countEnded counts watches that ended with ErrCompacted in a row.
+func (f *Follower) countEnded(err error) {
+	if errors.Is(err, store.ErrCompacted) {
+		f.ended++
+	} else {
+		f.ended = 0
+	}
+}
+
 // handleResult records whether the store answered, and backs off if it did not. The
 // backoff has jitter, so hosts that lost the store at the same time do not retry
 // at the same time.
@@ -154,7 +165,12 @@
 		return ctx.Err()
 	}
 	if err == nil || errors.Is(err, store.ErrCompacted) {
-		f.Backoff.Reset()
+		if err != nil && f.ended > 1 {
+			return f.Backoff.Wait(ctx) // the store's list does not lead to a watch
+		}
+		if f.ended <= 1 {
+			f.Backoff.Reset()
+		}
 		if f.reachable.CompareAndSwap(false, true) {
 			f.logger().Info(msgStoreReached)
 		}
--- a/replica/follower_test.go
+++ b/replica/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +63,35 @@
 		synctest.Wait()
 	})
 }
+
+// compactingStore answers every watch with ErrCompacted.
+type compactingStore struct {
+	store.Store
+	lists atomic.Int64
+	stop  func()
+}
+
+func (s *compactingStore) List(ctx context.Context, kind string) ([]store.Object, store.Version, error) {
+	if s.lists.Add(1) == 1000 {
+		s.stop()
+	}
+	return s.Store.List(ctx, kind)
+}
+
+func (s *compactingStore) Watch(context.Context, string, store.Version) ([]store.Object, store.Version, error) {
+	return nil, 0, store.ErrCompacted
+}
+
+// Guards against a store that is listed without a pause while its watches keep ending.
+func TestWatchesThatKeepEndingBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+		defer stop()
+		s := &compactingStore{Store: store.NewMemory(), stop: stop}
+		f := &Follower{Store: s, Kind: "k", Table: New(func(store.Object) error { return nil })}
+		_ = f.Run(ctx)
+		t.Logf("%d lists", s.lists.Load())
+		is.True(s.lists.Load() < 100)
+	})
+}
