--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -148,3 +148,26 @@
 		}
 	})
 }
+
+// Guards against hosts that take over the share of a host behind a partition, which
+// still uses it.
+func TestAbsentHostsKeepTheirShareForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTable()
+		share := func() float64 {
+			table.mu.Lock()
+			defer table.mu.Unlock()
+			own, _ := table.rateShare("a", 2)
+			return own
+		}
+		table.SetHosts([]string{table.host, "h1", "h2", "h3"})
+		table.SetRateLimit("a", 2, time.Now())
+		is.Equal(share(), 0.5)
+		table.SetHosts([]string{table.host, "h1"})
+		is.Equal(share(), 0.5)
+		time.Sleep(absentHostShare)
+		table.SetRateLimit("a", 2.5, time.Now()) // shares are checked with each answer
+		is.Equal(share(), 1.0)
+	})
+}
