--- a/replica/follower.go
+++ b/replica/follower.go
@@ -19,6 +19,7 @@
 	msgStoreLost      = "platform store lost"
 	msgNotApplied     = "stored configuration not put in force"
 	msgWrittenBack    = "object that the store had lost is written again"
+	msgNotWrittenBack = "object that the store had lost is not written again"
 	msgRevisionBack   = "store has a lower revision than before"
 	activeCheckPeriod = 500 * time.Millisecond
 	// graceMargin is how long after the end of RestoreGrace objects are listed again:
@@ -52,7 +53,7 @@
 	// follower's watch still needed; it may be nil. It must not block.
 	OnCompacted func()
 
-	ended     int           // watches that ended with ErrCompacted since the last one that did not; used by Run only
+	ended     int           // watches in a row that ended with ErrCompacted; used by Run only
 	reached   atomic.Uint64 // revision reached by the newest list or watch of the store
 	reachable atomic.Bool
 	failedAt  moment.Moment // time of the last failed list or watch of Run
@@ -220,7 +221,11 @@
 	}
 	for _, object := range f.Table.OfEarlierEra(f.Kind, revision) {
 		written, err := f.Store.Put(ctx, f.Kind, object.Name, object.Value, versions[object.Name])
-		f.logger().Warn(msgWrittenBack, zap.String("name", object.Name), zap.Uint64("version", uint64(written)), zap.Error(err))
+		if err != nil {
+			f.logger().Warn(msgNotWrittenBack, zap.String("name", object.Name), zap.Error(err))
+			continue
+		}
+		f.logger().Info(msgWrittenBack, zap.String("name", object.Name), zap.Uint64("version", uint64(written)))
 	}
 }
 
