fleet: unchanged rate limits take two records of a message

Eight records of 30 bytes in each of four messages a second would take half of the 2 KB a second that a host may use for control while eight or more servers limit their rate. Changed ones still take up to six, eight times; the others come in turn, two a message.

--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -43,10 +43,12 @@
 	pruneInterval = time.Second
 	// maxRateLimits bounds the limits learned from other hosts.
 	maxRateLimits = 4096
-	// rateLimitRetransmits is how often a changed limit is gossiped with priority, and
-	// maxGossipedLimits how many limits a message has.
+	// rateLimitRetransmits is how often a changed limit is gossiped with priority,
+	// maxGossipedLimits how many limits a message has, and maxRepeatedLimits how many of
+	// them are repeated without a change: a record has some 30 bytes.
 	rateLimitRetransmits = 8
 	maxGossipedLimits    = 8
+	maxRepeatedLimits    = 2
 )
 
 // RateLimit is the request rate that a server accepts from all hosts together. Of
@@ -296,7 +298,7 @@
 }
 
 // GossipRateLimits returns the limits for the next gossip message, at most
-// maxGossipedLimits: changed ones first, then the others in turn.
+// maxGossipedLimits: changed ones, and maxRepeatedLimits of all in turn.
 func (t *Table) GossipRateLimits() []RateLimit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -310,7 +312,7 @@
 		records = append(records, RateLimit{id, l.perSecond, now.Sub(l.observed)})
 	}
 	for id, l := range t.rateLimits {
-		if l.retransmitsLeft > 0 && len(records) < maxGossipedLimits {
+		if l.retransmitsLeft > 0 && len(records) < maxGossipedLimits-maxRepeatedLimits {
 			l.retransmitsLeft--
 			gossip(id, l)
 		}
@@ -318,7 +320,7 @@
 	if len(t.gossipTurn) == 0 {
 		t.gossipTurn = slices.Collect(maps.Keys(t.rateLimits))
 	}
-	for len(t.gossipTurn) > 0 && len(records) < maxGossipedLimits {
+	for range min(maxRepeatedLimits, len(t.gossipTurn)) {
 		id := t.gossipTurn[0]
 		t.gossipTurn = t.gossipTurn[1:]
 		if l := t.rateLimits[id]; l != nil {
