replica: an object refused during the grace is adopted after it

Found on a last reading of every place that compares versions. A host that had seen a server's entry go, and then an older copy of the store that still has it, refuses the entry for the grace. When the store is listed again after the grace, the entry's version is below that of the first list, which counted as proof that the list had lacked it: the host made a tombstone of it, passed it on to the others as a deletion of the newer era, and a server that lives was used by no host until its entry changed. That is so if the entry had expired while the store was away and the server's writing again changes nothing.

The older list is no proof if the host has a content of another era: it may have kept its own. TestObjectRefusedDuringTheGraceIsAdoptedAfterIt failed before.

--- a/replica/restore_test.go
+++ b/replica/restore_test.go
@@ -123,3 +123,25 @@
 	is.Equal(contentOf(started, "b"), "none")
 	is.Equal(len(started.Since(0)), 0) // no tombstone either
 }
+
+// Guards against a live object that is deleted because it was refused while it was listed
+// during the grace.
+func TestObjectRefusedDuringTheGraceIsAdoptedAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := New(func(store.Object) error { return nil })
+		table.SetAcross(func(older, _ store.Object) Precedence {
+			if older.Deleted {
+				return KeptForGrace
+			}
+			return Replaced
+		})
+		table.Adopt([]store.Object{{Kind: "k", Name: "a", Version: store.NewVersion(1, 9), Deleted: true}})
+		listed := []store.Object{object("a", 2, 5, 1)}
+		table.AdoptList("k", listed, store.NewVersion(2, 8))
+		is.Equal(contentOf(table, "a"), "none")
+		time.Sleep(RestoreGrace)
+		table.AdoptList("k", listed, store.NewVersion(2, 8))
+		is.Equal(contentOf(table, "a"), "1")
+	})
+}
--- a/replica/table.go
+++ b/replica/table.go
@@ -174,7 +174,10 @@
 		refusedOlder.Inc()
 		return false, nil
 	}
-	if object.Version <= listed && object.Version > current.Version && !object.Deleted {
+	// If this host has a content of another era, the list may have had the object, and this
+	// host may have kept its own.
+	unlisted := object.Version <= listed && (!known || current.Version.Era() == object.Version.Era())
+	if unlisted && !object.Deleted {
 		// A list newer than this version did not contain the object, so it was
 		// deleted before this host received it. A peer that still has it would
 		// restore it; the tombstone deletes it at that peer instead.
