gateway: the log of a failed request says why its last attempt got no answer

Cause: of a server out of reach the log had only the reason server_unreachable; a refused connection, a dial without an answer and a broken exchange looked alike, so a cut path could not be told from a crashed server. Change: the request line carries attempt_error. No change of logic.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -178,6 +178,7 @@
 
 // failedAttempt returns the result of an attempt without an answer.
 func (t *task) failedAttempt(ctx context.Context, work *fleet.Work, err error) attempt {
+	t.failure = err
 	var failure *backend.CallError
 	if errors.As(err, &failure) && failure.Evidence == backend.NothingSent {
 		if ctx.Err() == nil {
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -64,6 +64,9 @@
 		fields = append(fields, zap.String("service", t.service.Name), zap.String("server", t.server.ID),
 			zap.Int("sends", t.sends), zap.Strings("tried", t.tried))
 	}
+	if t.failure != nil && !o.Complete {
+		fields = append(fields, zap.NamedError("attempt_error", t.failure))
+	}
 	if o.Streamed {
 		fields = append(fields, zap.Bool("complete", o.Complete), zap.Int("prompt_tokens", t.request.Prompt.Tokens), zap.Duration("first_event", t.firstEvent),
 			zap.Duration("longest_pause", t.longestPause), zap.Duration("paused_at", t.pausedAt), zap.Int("moves", t.moves))
