--- a/fake/network/fabric.go
+++ b/fake/network/fabric.go
@@ -52,6 +52,7 @@
 // linkState contains the faults and the delay of one direction of a link.
 type linkState struct {
 	cut     bool
+	refused bool // new connections only
 	silent  bool
 	stalled bool
 	delay   time.Duration
@@ -165,7 +166,7 @@
 		case f.frozen[from] || forward.silent || reverse.silent || forward.stalled || reverse.stalled:
 			f.changed.Wait()
 			continue
-		case forward.cut || reverse.cut:
+		case forward.cut || reverse.cut || forward.refused || reverse.refused:
 			return nil, syscall.ECONNREFUSED
 		}
 		l := f.listeners[address]
--- a/fake/network/fault.go
+++ b/fake/network/fault.go
@@ -16,6 +16,15 @@
 	f.wakeLocked()
 }
 
+// RefuseDials refuses new connections between two machines until Heal. Open ones work.
+func (f *Fabric) RefuseDials(a, b string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.linkLocked(a, b).refused = true
+	f.linkLocked(b, a).refused = true
+	f.wakeLocked()
+}
+
 // Silence drops all bytes between two machines in both directions. Connections that
 // are open stay open and silent permanently, even after Heal.
 func (f *Fabric) Silence(a, b string) {
@@ -63,24 +72,24 @@
 	f.linkLocked(b, a).stalled = true
 }
 
-// Heal ends Cut, Silence and Stall between two machines. Connections that were
+// Heal ends Cut, RefuseDials, Silence and Stall between two machines. Connections that were
 // broken or silenced do not recover.
 func (f *Fabric) Heal(a, b string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, dir := range []direction{{a, b}, {b, a}} {
 		state := f.linkLocked(dir.from, dir.to)
-		state.cut, state.silent, state.stalled = false, false, false
+		state.cut, state.refused, state.silent, state.stalled = false, false, false, false
 	}
 	f.wakeLocked()
 }
 
-// HealAll ends Cut, Silence and Stall on all links.
+// HealAll ends Cut, RefuseDials, Silence and Stall on all links.
 func (f *Fabric) HealAll() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, state := range f.links {
-		state.cut, state.silent, state.stalled = false, false, false
+		state.cut, state.refused, state.silent, state.stalled = false, false, false, false
 	}
 	f.wakeLocked()
 }
