tunnel, peer, gatewayhost: a host that is cut off from servers reaches them through another host

Cause: the direct dial was a host's only way to a server. When it failed, the server counted as out of reach, and after all of them did, the host could only reject. The class: one path where the fleet has many.

Change: package tunnel dials for all traffic to backend servers (calls, streams, health questions, orders to copy), directly and, when that fails or takes over 100 ms, through other hosts, up to five, one after the other. A tunnel carries the bytes of one connection over a gRPC stream between hosts, so deadlines, cancellation, at-most-once evidence, budgets, limits and quotas stay where they were: with the host that took the request. A host opens connections for others only directly, so a tunnel is one hop, and only to addresses of listed servers. It remembers lost paths and tries each again about once a second, with jitter; tunnelled connections are not reused, so traffic returns to the direct path by itself. An address that does not answer loses its idle connections. A refused dial of a host that is cut off is no evidence that the server has ended.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -38,10 +38,11 @@
 	// has begun or ended; nil: no call. It must not block.
 	OnRateLimitChanged func()
 
-	mu       sync.Mutex // guards all fields below
-	servers  map[string]*entry
-	added    int // servers added since the last LogAdded
-	services map[string]*service
+	mu        sync.Mutex // guards all fields below
+	servers   map[string]*entry
+	addresses map[string]*addressUse
+	added     int // servers added since the last LogAdded
+	services  map[string]*service
 	// evacuated is the set of failure domains whose servers get no requests.
 	evacuated map[string]bool
 	// leavingReports records, by server ID, the servers that reported themselves as leaving.
@@ -114,7 +115,7 @@
 func NewTable(host string, logger *zap.Logger) *Table {
 	return &Table{
 		host: host, logger: logger,
-		servers: map[string]*entry{}, services: map[string]*service{}, evacuated: map[string]bool{},
+		servers: map[string]*entry{}, addresses: map[string]*addressUse{}, services: map[string]*service{}, evacuated: map[string]bool{},
 		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, hosts: map[string]time.Time{}, rateLimits: map[string]*rateLimit{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
 		working: map[*entry]struct{}{}, evident: map[*entry]struct{}{}, restricted: map[*entry]struct{}{}, othersLoads: map[string]map[*entry]struct{}{},
 	}
@@ -193,6 +194,7 @@
 	}
 	e.incarnationContext, e.endIncarnation = context.WithCancel(context.Background())
 	t.servers[server.ID] = e
+	t.useAddress(server)
 	t.service(server.Service).members.add(e)
 	t.added++
 	t.logger.Debug("backend server added", zap.String("server", server.ID), zap.Int64("born", server.Born),
@@ -264,6 +266,11 @@
 // drop deletes an entry from the table. Requires mu.
 func (t *Table) drop(e *entry) {
 	delete(t.servers, e.server.ID)
+	if use := t.addresses[e.server.Address]; use.servers > 1 {
+		use.servers--
+	} else {
+		delete(t.addresses, e.server.Address)
+	}
 	s := t.service(e.server.Service)
 	s.members.remove(e)
 	s.setLeaving(e, false)
@@ -289,6 +296,36 @@
 	return e.server, e.acceptsRequests()
 }
 
+// addressUse is the use of an address. A new server may be listed there before the
+// entry of the old one is gone.
+type addressUse struct {
+	servers int
+	service string // of the newest server
+}
+
+// useAddress requires mu.
+func (t *Table) useAddress(server Server) {
+	use := t.addresses[server.Address]
+	if use == nil {
+		use = &addressUse{}
+		t.addresses[server.Address] = use
+	}
+	use.servers++
+	use.service = server.Service
+}
+
+// ServiceAt returns the service of the newest server in the table that has the
+// address. ok is false if there is none.
+func (t *Table) ServiceAt(address string) (service string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	use := t.addresses[address]
+	if use == nil {
+		return "", false
+	}
+	return use.service, true
+}
+
 // acceptsWork reports whether the server is neither leaving nor has an invalid
 // host list entry. Unlike acceptsRequests, it ignores evacuations.
 func (e *entry) acceptsWork() bool { return !e.leaving && !e.invalid }
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -59,6 +59,8 @@
 	// Load is the number of requests that the server reports as running or queued;
 	// nil: not reported.
 	Load *int
+	// Through is the entry host through which the server was reached; "": directly.
+	Through string
 }
 
 // CopyResult is the result of copying a run's memory.
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -64,6 +64,9 @@
 		fields = append(fields, zap.String("service", t.service.Name), zap.String("server", t.server.ID),
 			zap.Int("sends", t.sends), zap.Strings("tried", t.tried))
 	}
+	if t.through != "" {
+		fields = append(fields, zap.String("through", t.through))
+	}
 	if t.failure != nil && !o.Complete {
 		fields = append(fields, zap.NamedError("attempt_error", t.failure))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,7 @@
 	sentMark      quarantine.Mark // crash history of the request at the last send
 	server        fleet.Server
 	tried         []string // servers that it was sent to or that refused the connection
+	through       string   // entry host through which the last answer came; "": directly
 	failure       error    // why the last attempt got no answer
 	moves         int
 	firstEvent    time.Duration // from arrival
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -142,5 +142,5 @@
 	if c := h.gateway.Configuration(); c != nil && c.Services[server.Service] != nil {
 		path = c.Services[server.Service].HealthPath
 	}
-	return h.options.Backend.QueryStatus(ctx, server, path)
+	return h.backend.QueryStatus(ctx, server, path)
 }
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -29,6 +29,7 @@
 	"github.com/papayasail/papayasail/quarantine"
 	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/store"
+	"github.com/papayasail/papayasail/tunnel"
 )
 
 const (
@@ -113,7 +114,9 @@
 	Network       link.Network
 	Store         store.Checker
 	Objects       Objects
-	Backend       Backend
+	// NewBackend returns the client of backend servers, which dials them through the
+	// given network.
+	NewBackend func(network link.Network) Backend
 	// RepeatRatio, RepeatAllowance and RepeatWindow are the retry budget; see
 	// [gateway.Budget].
 	RepeatRatio, RepeatAllowance float64
@@ -139,6 +142,8 @@
 	node               atomic.Pointer[peer.Node]
 	summarised         atomic.Pointer[memberSummary]
 	fleet              *fleet.Table
+	paths              *tunnel.Network // to backend servers
+	backend            Backend
 	quarantine         *quarantine.Table
 	quarantineDirty    chan struct{} // has a token while changes of the quarantine are to be stored
 	coldQueries        sync.Map      // addresses for which a query of handleBrokenConnection is running
@@ -171,6 +176,10 @@
 	h.servers = h.newFollower(o.Objects.Servers, serversSpacing)
 	h.evacuations = h.newFollower(o.Objects.Evacuations, 0)
 	h.fleet = fleet.NewTable(o.Name, o.Logger)
+	h.paths = tunnel.NewNetwork(tunnel.Options{
+		Host: o.Name, Domain: o.Domain, Direct: o.Network, Peers: h, ServiceAt: h.fleet.ServiceAt, Logger: o.Logger, Registerer: o.Registerer,
+	})
+	h.backend = o.NewBackend(h.paths)
 	h.allocator = allocation.NewAllocator(h.fleet, placement.DefaultLimits, rand.IntN, o.Logger)
 	h.allocator.SinceStoreFailure = h.servers.SinceStoreFailure
 	h.allocator.Revision, h.allocator.Verified, h.allocator.OnRelayedRevision = h.verifiedRevision, h.verificationAge, h.recordRelayedVerification
@@ -184,7 +193,7 @@
 		h.fleet.LogAdded()
 		h.node.Load().Distribute()
 	})
-	o.Backend.OnConnectionBroken(h.handleBrokenConnection)
+	h.backend.OnConnectionBroken(h.handleBrokenConnection)
 	h.allocation = allocation.NewClient(o.Name, o.Domain, h, h.allocator, h.fleet, o.Logger)
 	h.allocator.Evacuated = h.evacuationRevision.Load
 	h.allocation.OnRevision, h.allocation.OnEvacuation = h.catchUp, h.catchUpEvacuations
@@ -193,7 +202,7 @@
 		Logger: o.Logger,
 	}
 	h.gateway = gateway.New(gateway.Options{
-		Domain: o.Domain, Fleet: h.fleet, Backend: o.Backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger,
+		Domain: o.Domain, Fleet: h.fleet, Backend: h.backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger,
 		Limits:  placement.DefaultLimits,
 		Budget:  &gateway.Budget{Ratio: o.RepeatRatio, Allowance: o.RepeatAllowance, Window: o.RepeatWindow, Hosts: h.liveHosts},
 		Confirm: h.confirm, OtherHostsAvailable: h.hasLivePeers, Metrics: gateway.NewMetrics(o.Registerer),
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -102,7 +102,7 @@
 func newHostWith(backend Backend, name string, through link.Network, address string, memory *store.Memory, seeds ...string) *Host {
 	return New(Options{
 		Name: name, Domain: "d", PeerAddress: address + peerPort, CallerAddress: address + ":8000", Seeds: seeds, Network: through,
-		Store: checkedStore{memory}, Objects: objects(), Backend: backend,
+		Store: checkedStore{memory}, Objects: objects(), NewBackend: func(link.Network) Backend { return backend },
 		RepeatRatio: 0.2, RepeatAllowance: 54, RepeatWindow: 10 * time.Second, ListChangedSlack: 3 * time.Second, StopGrace: 8 * time.Second,
 		Logger: zap.NewNop(), Registerer: prometheus.NewRegistry(),
 	})
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,7 +42,7 @@
 			Capacity: o.Capacity,
 		},
 		Network: o.Network, Seeds: o.Seeds, Configuration: gossipedTable{h.table}, Handler: noForwarding{}, Quarantine: h.quarantine,
-		RateLimits: h.fleet,
+		RateLimits: h.fleet, Backends: h.paths,
 		Logger:     o.Logger,
 		Register:   func(registrar grpc.ServiceRegistrar) { allocation.Register(registrar, h.allocator) },
 		Registerer: registerer, ProbeInterval: probeInterval, SuspicionTimeout: suspicionTimeout,
@@ -122,6 +123,11 @@
 	return h.node.Load().Call(host, f)
 }
 
+// OpenTunnel connects to a backend server from another entry host.
+func (h *Host) OpenTunnel(ctx context.Context, host, address string) (net.Conn, error) {
+	return h.node.Load().OpenTunnel(ctx, host, address)
+}
+
 // liveHosts returns the number of live entry hosts, at least 1.
 func (h *Host) liveHosts() int {
 	return max(1, h.summary().live)
--- a/gatewayhost/release.go
+++ b/gatewayhost/release.go
@@ -39,7 +39,7 @@
 func (h *Host) releaseLostOn(ctx context.Context, server fleet.Server) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	held, err := h.options.Backend.QueryGenerations(ctx, server)
+	held, err := h.backend.QueryGenerations(ctx, server)
 	if err != nil {
 		h.logger.Debug(msgHeldNotReported, zap.String("server", server.ID), zap.Error(err))
 		return
--- a/link/network.go
+++ b/link/network.go
@@ -20,6 +20,13 @@
 	Listen(address string) (net.Listener, error)
 }
 
+// SilenceReporter is implemented by networks that report addresses which do not answer
+// dials: open connections to them may be silent too.
+type SilenceReporter interface {
+	// OnSilent adds a callback, which must not block.
+	OnSilent(callback func(address string))
+}
+
 // Refused reports whether the result of a dial means that nothing listens at
 // the address. It closes conn if the dial succeeded.
 func Refused(conn net.Conn, err error) bool {
--- a/link/pool.go
+++ b/link/pool.go
@@ -120,9 +120,17 @@
 	return &Conn{Conn: conn, Reader: bufio.NewReader(conn), to: to}, nil
 }
 
+// SingleUse is implemented by connections that serve one exchange only. They are
+// closed instead of pooled.
+type SingleUse interface{ SingleUse() }
+
 // Put adds a connection to the pool for up to idleFor. It closes the connection
 // if the pool is full for its endpoint or unread bytes are left.
 func (p *Pool) Put(conn *Conn, idleFor time.Duration) {
+	if _, once := conn.Conn.(SingleUse); once {
+		conn.Close()
+		return
+	}
 	if conn.Reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
 		conn.Close()
 		return
@@ -157,6 +165,21 @@
 	}
 }
 
+// Drop closes the idle connections to an address.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for to, conns := range p.idle {
+		if to.Address != address {
+			continue
+		}
+		for _, conn := range conns {
+			conn.Close()
+		}
+		delete(p.idle, to)
+	}
+}
+
 // remove closes a connection that is still idle.
 func (p *Pool) remove(conn *Conn) {
 	p.mu.Lock()
--- a/peer/node.go
+++ b/peer/node.go
@@ -61,7 +61,7 @@
 	table      *table
 	leaving    *leavingTable
 	control    *pool // probes, pulls
-	data       *pool // forwards and hand-overs, so that they never delay a probe
+	data       *pool // forwards, hand-overs and tunnels, so that they never delay a probe
 	deliveries *pool // deliveries of changes
 	server     *grpc.Server
 
@@ -82,6 +82,8 @@
 
 	refreshLimit *rate.Limiter
 
+	tunnels atomic.Int64 // open for other hosts
+
 	mu              sync.Mutex           // guards all below
 	digest          uint64               // own membership digest for which otherDigests was collected
 	otherDigests    map[uint64]time.Time // other digests received since, with the time of the first receipt
--- a/peer/options.go
+++ b/peer/options.go
@@ -93,8 +93,9 @@
 	Seeds         []string // peer addresses contacted on joining
 	Configuration ConfigurationTable
 	Handler       Handler
-	Quarantine    Quarantine // nil: quarantine records are not exchanged
-	RateLimits    RateLimits // nil: rate limits are not exchanged
+	Quarantine    Quarantine    // nil: quarantine records are not exchanged
+	RateLimits    RateLimits    // nil: rate limits are not exchanged
+	Backends      BackendDialer // nil: no tunnels are opened for other hosts
 	// Register adds services to the gRPC server for peers; nil: none.
 	Register     func(grpc.ServiceRegistrar)
 	Logger       *zap.Logger
@@ -128,6 +129,9 @@
 	if o.RateLimits == nil {
 		o.RateLimits = noRateLimits{}
 	}
+	if o.Backends == nil {
+		o.Backends = noBackends{}
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
