gatewayhost, peer: a stopping host finishes the tunnels of other hosts

A host that stopped while another one's request ran through its tunnel cut that request off: the caller got 502 (TestStoppingHostFinishesItsTunnels failed so). Now it opens no new tunnels once it is leaving, and waits for the open ones within its grace. How long a dial's result counts for whether a host is cut off is 30 s: with kept connections a host dials rarely, and one crashed server would have looked like a lost path.

--- a/gatewayhost/stop.go
+++ b/gatewayhost/stop.go
@@ -15,6 +15,8 @@
 	MsgStopping = "entry host stops"
 	msgCutOff   = "requests cut off at the end of the grace"
 
+	msgTunnelsCutOff = "tunnels of other hosts cut off at the end of the grace"
+
 	// addressRefreshTime is how long a stopping host keeps accepting requests until
 	// callers have refreshed their addresses: addressesTTL and a round trip.
 	addressRefreshTime = 1500 * time.Millisecond
@@ -36,7 +38,7 @@
 
 // stop drains the host without failing requests: it reports not ready, leaves
 // the address lists, keeps serving until callers have refreshed their addresses,
-// and finishes the requests it has read.
+// and finishes the requests it has read and those that run through its tunnels.
 //
 // Failure: all hosts are stopped in turn, one per second, and each has
 // generations that run for the whole grace period. For seconds no host accepts a
@@ -57,4 +59,10 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		h.logger.Warn(msgCutOff, zap.Error(err))
 	}
+	for h.node.Load().Tunnels() > 0 {
+		if err := sleep.For(ctx, stopCheckInterval); err != nil {
+			h.logger.Warn(msgTunnelsCutOff, zap.Int("tunnels", h.node.Load().Tunnels()))
+			return
+		}
+	}
 }
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -79,7 +79,7 @@
 		return err
 	}
 	n := s.node
-	if n.tunnels.Add(1) > maxTunnels {
+	if n.tunnels.Add(1) > maxTunnels || n.table.localMember().State != StateAlive {
 		n.tunnels.Add(-1)
 		return stream.Send(&peerpb.TunnelResponse{Result: peerpb.TunnelResult_REJECTED})
 	}
@@ -99,6 +99,10 @@
 	return readAll(conn, func(data []byte) error { return stream.Send(&peerpb.TunnelResponse{Data: data}) })
 }
 
+// Tunnels returns the number of connections that are open for other hosts. After Leave
+// it does not rise.
+func (n *Node) Tunnels() int { return int(n.tunnels.Load()) }
+
 func (n *Node) dialForPeer(ctx context.Context, address string) (net.Conn, peerpb.TunnelResult) {
 	conn, err := n.options.Backends.DialForPeer(ctx, address)
 	switch {
--- a/tunnel/paths.go
+++ b/tunnel/paths.go
@@ -19,8 +19,9 @@
 	retryInterval = time.Second
 	// pathRetention is how long an unused path is remembered.
 	pathRetention = time.Minute
-	// recentDials is how long the result of a dial counts for whether this host is cut off.
-	recentDials = 3 * time.Second
+	// resultLifetime is how long the result of a dial counts for whether this host is cut
+	// off. Kept connections make dials of a working path rare.
+	resultLifetime = 30 * time.Second
 )
 
 // paths is what this host knows of its own paths to backend servers.
@@ -106,7 +107,7 @@
 	}
 }
 
-// cutOff reports whether most of the recently dialled paths to servers of a service
+// cutOff reports whether most of the known paths to servers of a service
 // are lost, so that a failed dial shows nothing about the server.
 func (p *paths) cutOff(service string) bool {
 	p.mu.Lock()
@@ -119,7 +120,7 @@
 	lost, working := 0, 0
 	for _, known := range p.byAddress {
 		switch {
-		case known.service != service || now.Sub(known.dialled) > recentDials:
+		case known.service != service || now.Sub(known.dialled) > resultLifetime:
 		case known.lost:
 			lost++
 		default:
