gateway, tunnel: a failed request counts against a server only if the path to it works

Cause: a host's failed requests are evidence against the server, although a host that is cut off fails everywhere; the quorum of two guards against one such host only. The class: a witness that does not know whether it speaks about itself. It stood behind avoided servers, doubt and crashes under a request.

Change: before a broken or unanswered request counts, the host dials the server, directly and through others; if only others reach it, the request counts nothing. One check a server at a time, beside the request. A dial of a host that is cut off from the service counts nothing either. The check whether a server has ended goes through the same dial already.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/link"
 )
 
 const (
@@ -113,7 +114,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
 	if err != nil || len(body) > maxAnswerBytes {
-		work.Outcome(true)
+		t.gateway.blame(work.Server(), func() { work.Outcome(true) })
 		if err != nil && attemptCtx.Err() == nil {
 			t.reportSuspectedCrash(work)
 		}
@@ -183,16 +184,18 @@
 	if errors.As(err, &failure) && failure.Evidence == backend.NothingSent {
 		if ctx.Err() == nil {
 			work.Unreachable()
-			work.Outcome(true)
+			if !errors.Is(err, link.ErrPathLost) {
+				work.Outcome(true)
+			}
 		}
 		return attempt{outcome: t.unreachedOutcome(ctx), retryable: true}
 	}
 	t.sends++
 	switch ctx.Err() {
 	case nil:
-		work.Outcome(true)
+		t.gateway.blame(work.Server(), func() { work.Outcome(true) })
 	case context.DeadlineExceeded:
-		work.TimedOut()
+		t.gateway.blame(work.Server(), work.TimedOut)
 	}
 	t.reportIfBroken(ctx, work, err)
 	return t.mayHaveRun(ctx, ReasonBroken)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,7 @@
 	retryNoServer = 500 * time.Millisecond
 )
 
-// Options configures a Gateway. All fields are required.
+// Options configures a Gateway. All fields but PathLost are required.
 type Options struct {
 	Domain  string // failure domain of this host
 	Fleet   *fleet.Table
@@ -48,6 +48,9 @@
 	// Confirm reports whether the configuration in force on this host is
 	// certainly the newest accepted one. It may query the store.
 	Confirm func(ctx context.Context) bool
+	// PathLost reports whether this host itself does not reach a server's address, while
+	// other hosts do; nil: not known. It may dial the server.
+	PathLost func(ctx context.Context, address string) bool
 	// OtherHostsAvailable reports whether another entry host accepts requests.
 	OtherHostsAvailable func() bool
 	Metrics             *Metrics
@@ -59,6 +62,7 @@
 	configuration atomic.Pointer[Configuration]
 	stopDeadline  atomic.Pointer[time.Time] // nil: this host is not stopping
 	generations   atomic.Int64              // in flight
+	checks        pathChecks
 }
 
 // New returns a gateway without a configuration.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -219,7 +219,7 @@
 	case run.moving() || run.leaving():
 		o.Reason = ReasonMoveFailed
 	default:
-		run.recordOutcome(true)
+		t.gateway.blame(run.server(), func() { run.recordOutcome(true) })
 		t.reportSuspectedCrash(run.currentWork())
 	}
 	return o
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -205,7 +205,7 @@
 		Domain: o.Domain, Fleet: h.fleet, Backend: h.backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger,
 		Limits:  placement.DefaultLimits,
 		Budget:  &gateway.Budget{Ratio: o.RepeatRatio, Allowance: o.RepeatAllowance, Window: o.RepeatWindow, Hosts: h.liveHosts},
-		Confirm: h.confirm, OtherHostsAvailable: h.hasLivePeers, Metrics: gateway.NewMetrics(o.Registerer),
+		Confirm: h.confirm, PathLost: h.paths.Lost, OtherHostsAvailable: h.hasLivePeers, Metrics: gateway.NewMetrics(o.Registerer),
 	})
 	return h
 }
--- a/link/network.go
+++ b/link/network.go
@@ -20,6 +20,10 @@
 	Listen(address string) (net.Listener, error)
 }
 
+// ErrPathLost marks errors of dials that show nothing about the remote end: this host
+// has lost the paths to most ends of its kind.
+var ErrPathLost = errors.New("link: path lost")
+
 // SilenceReporter is implemented by networks that report addresses which do not answer
 // dials: open connections to them may be silent too.
 type SilenceReporter interface {
--- a/tunnel/network.go
+++ b/tunnel/network.go
@@ -149,13 +149,10 @@
 // Dial implements link.Network. It dials directly unless the path is known to be
 // lost, and asks other hosts one after the other when that fails or takes long. The
 // error is link.Refused only if a host that is not cut off from the service, which may
-// be this one, has found that nothing listens at the address.
+// be this one, has found that nothing listens at the address. It is link.ErrPathLost if
+// it shows nothing about the server.
 func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	service, _ := n.options.ServiceAt(address)
-	attempt := &attempt{network: n, address: address, service: service, results: make(chan dialed, 1+maxHelpers)}
-	conn, helper, err := attempt.run(ctx)
+	conn, helper, err := n.dial(ctx, address)
 	switch {
 	case err != nil:
 		n.dials.WithLabelValues("failed").Inc()
@@ -167,7 +164,27 @@
 	return conn, err
 }
 
-// attempt is one call of Dial.
+// dial is Dial, and returns the host that helped; "": none.
+func (n *Network) dial(ctx context.Context, address string) (conn net.Conn, helper string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	service, _ := n.options.ServiceAt(address)
+	attempt := &attempt{network: n, address: address, service: service, results: make(chan dialed, 1+maxHelpers)}
+	return attempt.run(ctx)
+}
+
+// Lost reports whether this host reaches the server at an address only through other
+// hosts. It dials the server.
+func (n *Network) Lost(ctx context.Context, address string) bool {
+	conn, helper, err := n.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, link.ErrPathLost)
+	}
+	conn.Close()
+	return helper != ""
+}
+
+// attempt is one call of dial.
 type attempt struct {
 	network *Network
 	address string
@@ -233,15 +250,14 @@
 
 // failure returns the error of the whole attempt; nil if nothing has failed yet.
 func (a *attempt) failure() error {
+	err := errors.CombineErrors(a.direct, a.last)
 	switch {
 	case a.refused != nil:
 		return a.refused
-	case a.direct == nil:
-		return a.last
-	case a.last != nil && link.Refused(nil, a.direct) && a.network.paths.cutOff(a.service):
-		return errors.Wrapf(a.last, "tunnel: path lost (%v), last host asked", a.direct)
+	case err != nil && a.network.paths.cutOff(a.service):
+		return errors.Mark(errors.Newf("tunnel: %v", err), link.ErrPathLost)
 	}
-	return a.direct
+	return err
 }
 
 // askNext asks the next host for a tunnel, if any is left.
