entryhost, backend: hosts of our own interface reach servers through others too

It now dials through package tunnel, which its peers serve. Orders to engines keep to the direct path: which hosts may give them is bound to their links. A stopping host waits for the tunnels of others.

--- a/backend/client.go
+++ b/backend/client.go
@@ -66,11 +66,15 @@
 // NewClient returns a client that dials through network.
 func NewClient(network link.Network, options ClientOptions) *Client {
 	options = options.withDefaults()
-	return &Client{
+	c := &Client{
 		options: options,
 		dialer:  dialer{network: network, timeout: options.DialTimeout},
 		idle:    newIdleConns(options.MaxIdle, options.IdleTimeout),
 	}
+	if reporter, ok := network.(link.SilenceReporter); ok {
+		reporter.OnSilent(c.idle.drop)
+	}
+	return c
 }
 
 // Close closes the idle connections. Calls in flight continue.
--- a/backend/clientconn.go
+++ b/backend/clientconn.go
@@ -87,6 +87,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	conns := i.byAddress[conn.address]
+	if _, once := conn.Conn.(link.SingleUse); once {
+		conn.Close()
+		return
+	}
 	// Bytes after the end of the response mean that the server is out of sync:
 	// a later exchange would read them as its own response.
 	if len(conns) >= i.max || conn.reader.Buffered() > 0 {
@@ -97,6 +101,14 @@
 	i.byAddress[conn.address] = append(conns, conn)
 }
 
+// drop closes the idle connections to an address.
+func (i *idleConns) drop(address string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	closeConns(i.byAddress[address])
+	delete(i.byAddress, address)
+}
+
 func (i *idleConns) closeAll() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -391,6 +391,23 @@
 	return names
 }
 
+// ServiceAt returns a service in force that has a server at the address. ok is false
+// if there is none.
+func (p *Pool) ServiceAt(address string) (service string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	server := p.servers[address]
+	if server == nil {
+		return "", false
+	}
+	for name, s := range p.services {
+		if slices.Contains(s.members, server) && (service == "" || name < service) {
+			service = name
+		}
+	}
+	return service, true
+}
+
 // invalidate discards the cached snapshots that contain the server. The caller
 // holds mu.
 func (p *Pool) invalidate(server *poolServer) {
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -25,6 +25,7 @@
 	"github.com/papayasail/papayasail/routing"
 	"github.com/papayasail/papayasail/settings"
 	"github.com/papayasail/papayasail/store"
+	"github.com/papayasail/papayasail/tunnel"
 )
 
 // Log messages.
@@ -54,6 +55,7 @@
 	distances       *domain.Distances
 	pool            *backend.Pool
 	poller          *backend.Poller
+	paths           *tunnel.Network // to backend servers
 	client          *backend.Client
 	scheduler       *routing.Dispatcher
 	ledger          *record.Ledger
@@ -80,8 +82,12 @@
 		options: o, settings: o.Settings, tokens: o.Settings.Tokens(), logger: o.Logger,
 		table: configuration.NewTable(contract.ParseDocument), distances: distancesOf(o.Settings),
 		pool: backend.NewPool(backend.PoolOptions{Logger: o.Logger}), inFlight: newInFlightCounter(), stopped: make(chan struct{}),
-		client: backend.NewClient(o.Network, backend.ClientOptions{StreamReadTimeout: o.BackendReadTimeout}),
 	}
+	h.paths = tunnel.NewNetwork(tunnel.Options{
+		Host: o.Settings.Host, Domain: o.Settings.FailureDomain, Direct: o.Network, Peers: h, ServiceAt: h.pool.ServiceAt,
+		Logger: o.Logger, Registerer: o.Registry,
+	})
+	h.client = backend.NewClient(h.paths, backend.ClientOptions{StreamReadTimeout: o.BackendReadTimeout})
 	h.acceptor = configuration.NewAcceptor(o.Store, acceptanceParser(o.Settings))
 	h.acceptor.OnObject = func(object store.Object) { h.table.Adopt([]store.Object{object}) }
 	h.acceptor.CheckConflict = h.organisations().checkConflict
@@ -174,12 +180,25 @@
 			Host: s.Host, Incarnation: h.ledger.Home().Incarnation, FailureDomain: s.FailureDomain,
 			PeerAddress: s.PeerAddress, CallerAddress: scheme + s.CallerAddress,
 		},
-		Network: h.options.Network, Seeds: s.Peers, Configuration: peerTable{h.table}, Handler: handler, Quarantine: h.quarantine,
+		Network: h.options.Network, Seeds: s.Peers, Configuration: peerTable{h.table}, Handler: handler, Quarantine: h.quarantine, Backends: h.paths,
 		Logger: h.logger, Registerer: h.options.Registry, ProbeInterval: h.options.ProbeInterval,
 		Scope: peer.Scope{Near: h.distances.Near(s.FailureDomain, s.FailureDomains(), regionRadius)},
 	})
 }
 
+// Members, Generation and OpenTunnel implement tunnel.Peers.
+
+// Members returns all known entry hosts.
+func (h *Host) Members() []peer.Member { return h.node.Members() }
+
+// Generation increases with every change of Members.
+func (h *Host) Generation() uint64 { return h.node.Generation() }
+
+// OpenTunnel connects to a backend server from another entry host.
+func (h *Host) OpenTunnel(ctx context.Context, host, address string) (net.Conn, error) {
+	return h.node.OpenTunnel(ctx, host, address)
+}
+
 // regionRadius is the maximum one-way delay between failure domains of one
 // region. The hosts of a region probe each other.
 const regionRadius = 5 * time.Millisecond
--- a/entryhost/host_test.go
+++ b/entryhost/host_test.go
@@ -405,3 +405,28 @@
 		s.is.Equal(s.readAll(stream), 200)
 	})
 }
+
+// Guards against a host that serves nobody while it reaches no backend server but reaches
+// a host that does.
+func TestHostCutOffFromAllServersServesThroughOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2)
+		defer s.close()
+		client := s.caller(hostIP(0) + ":7480")
+		defer client.Close()
+		ctx := context.Background()
+		s.fabric.Cut(callerIP, hostIP(1))
+		for _, server := range []string{"10.0.1.1", "10.0.1.2", "10.0.2.1"} {
+			s.fabric.Cut(hostIP(0), server)
+		}
+		time.Sleep(5 * time.Second)
+		stream, err := client.Generate(ctx, letters, caller.Request{Prompt: "reminder", StopAfter: 40})
+		s.is.NoErr(err)
+		s.is.Equal(s.readAll(stream), 40)
+		answer, err := client.Call(ctx, gauges, http.MethodGet, "/reading/7?unit=m", nil, nil)
+		s.is.NoErr(err)
+		s.is.Equal(answer.Status, http.StatusOK)
+		_, err = client.Call(ctx, gauges, http.MethodPost, "/alarms/7/ack", []byte("seen"), nil)
+		s.is.NoErr(err)
+	})
+}
--- a/entryhost/stop.go
+++ b/entryhost/stop.go
@@ -29,6 +29,7 @@
 	h.closing.Store(true)
 	h.awaitWork(ctx)
 	h.finishAnswers(ctx)
+	h.awaitTunnels(ctx)
 	h.stop()
 	<-h.stopped
 	h.logger.Info(msgStopped)
@@ -58,7 +59,17 @@
 	}
 }
 
+// awaitTunnels waits until no requests of other hosts run through this one or ctx is
+// done.
+func (h *Host) awaitTunnels(ctx context.Context) {
+	for h.node.Tunnels() > 0 && sleep.For(ctx, tunnelCheckInterval) == nil {
+	}
+}
+
 const (
+	// tunnelCheckInterval is the interval between checks for open tunnels.
+	tunnelCheckInterval = 50 * time.Millisecond
+
 	// answersTimeout limits the wait for callers that read slowly.
 	answersTimeout = 5 * time.Second
 
