--- a/link/network.go
+++ b/link/network.go
@@ -49,6 +49,14 @@
 
 // Dial connects over TCP.
 func (t TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if t.Dialer.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, t.Dialer.Timeout)
+		defer cancel()
+	}
+	if err := dialFault(ctx, address); err != nil {
+		return nil, err
+	}
 	return t.Dialer.DialContext(ctx, "tcp", address)
 }
 
--- a/tunnel/network.go
+++ b/tunnel/network.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,8 +23,10 @@
 )
 
 const (
-	// dialTimeout bounds opening a connection, whichever way.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds opening a connection, whichever way; directTimeout is a little
+	// less, so that the direct result is known by then.
+	dialTimeout   = 300 * time.Millisecond
+	directTimeout = 250 * time.Millisecond
 	// fallbackDelay is how long one way to a server is tried alone; round trips between
 	// regions take 40 ms.
 	fallbackDelay = 100 * time.Millisecond
@@ -77,7 +80,7 @@
 		Name: "papayasail_backend_dials_total", Help: "Connections opened to backend servers by this host for itself.",
 	}, []string{"result"})
 	o.Registerer.MustRegister(dials)
-	return &Network{options: o, paths: newPaths(o.Logger), helpers: newHelpers(o), dials: dials}
+	return &Network{options: o, paths: newPaths(o.ServiceAt, o.Logger), helpers: newHelpers(o), dials: dials}
 }
 
 // OnSilent adds a callback for an address that did not answer a direct dial: open
@@ -99,19 +102,16 @@
 	return n.paths.cutOff(service)
 }
 
-var (
-	errNotServer = errors.New("tunnel: no backend server has the address")
-	errPathLost  = errors.New("tunnel: path to the backend server is lost")
-)
+var errNotServer = errors.New("tunnel: no backend server has the address")
 
-// DialForPeer implements peer.BackendDialer. It fails at once while this host's path
-// to the server is known to be lost.
+// DialForPeer implements peer.BackendDialer. It fails at once, with the error of the last
+// dial, while this host's path to the server is known to be lost.
 func (n *Network) DialForPeer(ctx context.Context, address string) (net.Conn, error) {
 	if _, ok := n.options.ServiceAt(address); !ok {
 		return nil, errors.Mark(errNotServer, peer.ErrTunnelRejected)
 	}
-	if !n.paths.mayTry(address) {
-		return nil, errPathLost
+	if err := n.paths.check(address); err != nil {
+		return nil, err
 	}
 	return n.dialDirect(ctx, address)
 }
@@ -119,7 +119,7 @@
 // dialDirect dials a server from this host and records whether the path works. The
 // result is recorded also if ctx is cancelled meanwhile.
 func (n *Network) dialDirect(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), directTimeout)
 	defer cancel()
 	conn, err := n.options.Direct.Dial(ctx, address)
 	service, _ := n.options.ServiceAt(address)
@@ -148,9 +148,9 @@
 
 // Dial implements link.Network. It dials directly unless the path is known to be
 // lost, and asks other hosts one after the other when that fails or takes long. The
-// error is link.Refused only if a host that is not cut off from the service, which may
-// be this one, has found that nothing listens at the address. It is link.ErrPathLost if
-// it shows nothing about the server.
+// error is link.Refused if nothing listens at the address: a host that is not cut off
+// from the service has found that, or all hosts that were asked. It is link.ErrPathLost
+// if it shows nothing about the server.
 func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
 	conn, helper, err := n.dial(ctx, address)
 	switch {
@@ -193,21 +193,22 @@
 	pending int      // ways whose result is outstanding
 	asked   bool     // helpers were chosen
 	helpers []string // hosts still to ask
-	direct  error    // of the direct dial; nil: none, or it is pending
-	refused error    // a conclusive refusal; nil: none
+	direct  error    // of the direct dial, this one or the last; nil: it is pending
 	last    error    // of the helper that answered last
+	refused error    // a refusal by a host that is not cut off from the service; nil: none
+	differs bool     // a way failed other than by a refusal
 }
 
 // run tries the ways to the server until one succeeds, all have failed or ctx ends.
 func (a *attempt) run(ctx context.Context) (net.Conn, string, error) {
-	if a.network.paths.mayTry(a.address) {
+	if err := a.network.paths.check(a.address); err != nil {
+		a.recordFailure(dialed{err: err})
+		a.askNext(ctx)
+	} else {
 		a.start(func() dialed {
 			conn, err := a.network.dialDirect(ctx, a.address)
 			return dialed{conn: conn, err: err}
 		})
-	} else {
-		a.direct = errPathLost
-		a.askNext(ctx)
 	}
 	fallback := time.NewTicker(fallbackDelay)
 	defer fallback.Stop()
@@ -216,6 +217,9 @@
 		case result := <-a.results:
 			a.pending--
 			if result.err == nil {
+				if result.helper != "" {
+					a.network.paths.recordTunnel(a.address, a.service)
+				}
 				go a.closeLate(a.pending)
 				return result.conn, result.helper, nil
 			}
@@ -239,11 +243,16 @@
 func (a *attempt) recordFailure(failed dialed) {
 	if failed.helper == "" {
 		a.direct = failed.err
+		a.differs = a.differs || !link.Refused(nil, failed.err)
 		return
 	}
 	a.last = failed.err
 	var answer *peer.TunnelError
-	if errors.As(failed.err, &answer) && answer.Conclusive() && answer.Refused() {
+	if !errors.As(failed.err, &answer) || !answer.Refused() {
+		a.differs = true
+		return
+	}
+	if answer.Conclusive() {
 		a.refused = failed.err
 	}
 }
@@ -254,6 +263,8 @@
 	switch {
 	case a.refused != nil:
 		return a.refused
+	case err != nil && !a.differs && a.pending == 0:
+		return errors.Mark(err, syscall.ECONNREFUSED)
 	case err != nil && a.network.paths.cutOff(a.service):
 		return errors.Mark(errors.Newf("tunnel: %v", err), link.ErrPathLost)
 	}
--- a/tunnel/paths.go
+++ b/tunnel/paths.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -25,8 +26,11 @@
 )
 
 // paths is what this host knows of its own paths to backend servers.
+//
+// Lock order: serviceAt, which takes a lock of its own, is called with mu held.
 type paths struct {
-	logger *zap.Logger
+	serviceAt func(address string) (service string, ok bool)
+	logger    *zap.Logger
 
 	mu        sync.Mutex // guards all below
 	byAddress map[string]*path
@@ -36,30 +40,35 @@
 
 // path is the state of the path to one address.
 type path struct {
-	service string
-	lost    bool
-	retryAt time.Time // not tried before, if it is lost
-	dialled time.Time // time of the last result
+	lost      error     // why the last dial failed; nil: the path works
+	lostAt    time.Time // when it was lost
+	retryAt   time.Time // not tried before, if it is lost
+	dialled   time.Time // time of the last result
+	tunnelled time.Time // when another host last connected to the address
 }
 
-func newPaths(logger *zap.Logger) *paths {
-	return &paths{logger: logger, byAddress: map[string]*path{}, reported: map[string]bool{}}
+// sound reports whether the server was reached through another host since the path
+// was lost, or by the dial that showed the loss. Else it may have ended.
+func (p *path) sound() bool { return p.tunnelled.After(p.lostAt.Add(-dialTimeout)) }
+
+func newPaths(serviceAt func(string) (string, bool), logger *zap.Logger) *paths {
+	return &paths{serviceAt: serviceAt, logger: logger, byAddress: map[string]*path{}, reported: map[string]bool{}}
 }
 
-// mayTry reports whether the path is to be tried now. A lost path is tried by one
-// dial in each retryInterval.
-func (p *paths) mayTry(address string) bool {
+// check returns nil if the path is to be tried now, else the error of the last dial. A
+// lost path is tried by one dial in each retryInterval.
+func (p *paths) check(address string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known, now := p.byAddress[address], time.Now()
-	if known == nil || !known.lost {
-		return true
+	if known == nil || known.lost == nil {
+		return nil
 	}
 	if now.Before(known.retryAt) {
-		return false
+		return errors.Wrap(known.lost, "tunnel: path is lost")
 	}
 	known.retryAt = nextRetry(now)
-	return true
+	return nil
 }
 
 // nextRetry returns a time after half to one and a half times retryInterval.
@@ -73,25 +82,41 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.prune(now)
-	known := p.byAddress[address]
-	if known == nil {
-		known = &path{}
-		p.byAddress[address] = known
-	}
+	known := p.path(address)
 	before := known.lost
-	known.service, known.lost, known.dialled = service, err != nil, now
+	known.lost, known.dialled = err, now
 	switch {
-	case known.lost:
+	case err != nil:
 		known.retryAt = nextRetry(now)
-		if !before {
+		if before == nil {
+			known.lostAt = now
 			p.logger.Warn(msgPathLost, zap.String("address", address), zap.Error(err))
 		}
-	case before:
+	case before != nil:
 		p.logger.Info(msgPathRegained, zap.String("address", address))
 	}
 	p.reportCutOff(service, now)
 }
 
+// recordTunnel records that another host has connected to a server of a service.
+func (p *paths) recordTunnel(address, service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.path(address).tunnelled = now
+	p.reportCutOff(service, now)
+}
+
+// path returns the state of a path. Requires mu.
+func (p *paths) path(address string) *path {
+	known := p.byAddress[address]
+	if known == nil {
+		known = &path{}
+		p.byAddress[address] = known
+	}
+	return known
+}
+
 // reportCutOff logs whether this host is cut off from a service, if that has changed.
 // Requires mu.
 func (p *paths) reportCutOff(service string, now time.Time) {
@@ -107,8 +132,9 @@
 	}
 }
 
-// cutOff reports whether most of the known paths to servers of a service
-// are lost, so that a failed dial shows nothing about the server.
+// cutOff reports whether this host is cut off from the servers of a service, so that a
+// failed dial shows nothing about the server: it has lost more paths to sound servers
+// than it has working ones, or has lost some and has none that works.
 func (p *paths) cutOff(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -117,17 +143,23 @@
 
 // cutOffNow requires mu.
 func (p *paths) cutOffNow(service string, now time.Time) bool {
-	lost, working := 0, 0
-	for _, known := range p.byAddress {
+	lost, lostToSound, working := 0, 0, 0
+	for address, known := range p.byAddress {
+		at, listed := p.serviceAt(address)
 		switch {
-		case known.service != service || now.Sub(known.dialled) > resultLifetime:
-		case known.lost:
-			lost++
-		default:
+		case !listed: // the server has ended
+			delete(p.byAddress, address)
+		case at != service || now.Sub(known.dialled) > resultLifetime:
+		case known.lost == nil:
 			working++
+		default:
+			lost++
+			if known.sound() {
+				lostToSound++
+			}
 		}
 	}
-	return lost > working
+	return lostToSound > working || working == 0 && lost > 0
 }
 
 // prune forgets unused paths. Requires mu.
@@ -137,7 +169,7 @@
 	}
 	p.pruned = now
 	for address, known := range p.byAddress {
-		if now.Sub(known.dialled) > pathRetention {
+		if now.Sub(known.dialled) > pathRetention && now.Sub(known.tunnelled) > pathRetention {
 			delete(p.byAddress, address)
 		}
 	}
