fleet, placement, gateway, platform: brittle servers get no more than they have room for

Callers of a service whose servers say that they are brittle would lose them: one that has to reject more than N requests in a second fails for seconds. Nothing read Server-Brittle.

Cause: the class of answers' words on their server that nobody reads, with a bound on what all hosts together make a server reject.

Change: hosts keep what each server says, until an answer to a request sent later says otherwise; a server without an answer yet, as one that is back after a failure, counts like the newest of its service. While a plain server is brittle, at most N/2 requests may be queued there (its room may shrink at any time); hosts divide its places, and if there are more hosts than places each gets its share of 0.8 of the calls that the server completes. After a rejection a host sends it nothing for so long that all hosts together cause N/2 rejections a second. What finds no place is refused by the host, as before, with a Retry-After of the pause. Requests through tunnels, retries and moves pass the same reservation.

--- a/fleet/backoff.go
+++ b/fleet/backoff.go
@@ -37,7 +37,7 @@
 func (t *Table) inBackoff(id string, now time.Time) bool { return now.Before(t.backoffs[id]) }
 
 // AcceptsIn returns the time until a server of a service takes a request of this
-// host, as far as backoffs and rate limits decide. It returns zero if one of the
+// host, as far as backoffs, rate limits and rejections by brittle servers decide. It returns zero if one of the
 // servers takes requests now, or if there are none.
 func (t *Table) AcceptsIn(name string) time.Duration {
 	t.mu.Lock()
@@ -47,7 +47,7 @@
 		if !e.acceptsRequests() {
 			continue
 		}
-		left := max(t.backoffs[e.server.ID].Sub(now), t.rateLimitWait(e.server.ID, now))
+		left := max(t.backoffs[e.server.ID].Sub(now), t.rateLimitWait(e.server.ID, now), t.rejectionPause(e, now))
 		if left <= 0 {
 			return 0
 		}
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -17,6 +17,8 @@
 	// servers requested from this host, and this host's shares of rate limits, are
 	// then ignored.
 	ForOthers bool
+	// Hosts is the number of hosts that may send requests to the servers.
+	Hosts int
 	// ColdShare is the share of a cold server's request rate that this host may
 	// use; zero: all of it.
 	ColdShare float64
@@ -42,10 +44,14 @@
 		if !e.acceptsRequests() || now.Before(e.unavailableUntil) || slices.Contains(q.Except, e.server.ID) {
 			continue
 		}
-		if !q.ForOthers && (t.inBackoff(e.server.ID, now) || t.rateLimitWait(e.server.ID, now) > 0) {
+		if !q.ForOthers && (t.inBackoff(e.server.ID, now) || t.rateLimitWait(e.server.ID, now) > 0 || t.rejectionPause(e, now) > 0) {
 			continue
 		}
 		c := t.candidate(e, s, q.Domain, now)
+		if limit := t.queueLimit(e); limit >= 0 {
+			c.QueueLimited, c.QueueLimit = true, limit
+			c.AtOwnShare = c.MemoryTokens == 0 && q.Hosts > 1 && e.atOwnShare(c.Slots+limit, q.Hosts, now)
+		}
 		c.AtColdLimit = s.coldRate > 0 && c.SlowStart && e.coldFull(t.host, s.coldRate*q.ColdShare, now)
 		candidates = append(candidates, c)
 	}
--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -171,7 +171,8 @@
 // Avoided returns the IDs of a service's servers that currently get no work
 // from this host for reasons that other hosts may not have observed: the server
 // is unreachable, is an engine at which requests of several hosts failed,
-// requested a backoff from this host, limits its request rate and gets no request
+// requested a backoff from this host, is brittle and rejected a request of this host,
+// limits its request rate and gets no request
 // of this host now, or reported to it that it is leaving.
 func (t *Table) Avoided(service string) []string {
 	t.mu.Lock()
@@ -179,7 +180,7 @@
 	avoided := map[string]bool{}
 	now := time.Now()
 	for e := range t.restrictedNow(now) {
-		avoided[e.server.ID] = now.Before(e.unavailableUntil)
+		avoided[e.server.ID] = now.Before(e.unavailableUntil) || t.rejectionPause(e, now) > 0
 	}
 	for id, until := range t.backoffs {
 		avoided[id] = avoided[id] || now.Before(until)
@@ -196,14 +197,14 @@
 	return slices.Sorted(maps.Keys(avoided))
 }
 
-// restrict adds a server to those that are unavailable or shunned. Requires mu.
+// restrict adds a server to those that are unavailable, shunned or paused. Requires mu.
 func (t *Table) restrict(e *entry) { t.restricted[e] = struct{}{} }
 
-// restrictedNow returns the servers that are unavailable or shunned, and forgets
+// restrictedNow returns the servers that are unavailable, shunned or paused, and forgets
 // those that no longer are. Requires mu.
 func (t *Table) restrictedNow(now time.Time) map[*entry]struct{} {
 	maps.DeleteFunc(t.restricted, func(e *entry, _ struct{}) bool {
-		ended := !now.Before(e.unavailableUntil) && !now.Before(e.shunnedUntil)
+		ended := !now.Before(e.unavailableUntil) && !now.Before(e.shunnedUntil) && !now.Before(e.pausedUntil)
 		return ended || t.servers[e.server.ID] != e
 	})
 	return t.restricted
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -63,7 +64,7 @@
 
 	working     map[*entry]struct{}            // has work of this host
 	evident     map[*entry]struct{}            // has evidence that was not taken yet
-	restricted  map[*entry]struct{}            // unavailable or shunned now, or was recently
+	restricted  map[*entry]struct{}            // unavailable, shunned or paused now, or was recently
 	othersLoads map[string]map[*entry]struct{} // by host: has a load of that host
 }
 
@@ -71,6 +72,7 @@
 	memoryTokens int
 	coldRate     float64 // requests per second that a cold server accepts; zero: unlimited
 	members      members
+	brittle      brittleness               // what the newest answer of a server says
 	leaving      map[*entry]struct{}       // members that are leaving
 	departed     map[Incarnation]time.Time // incarnations dropped from the table, and when
 	leavingList  []Incarnation             // cached result of Leaving; nil: recompute
@@ -99,6 +101,10 @@
 	reported           reportedLoad
 	shunnedUntil       time.Time // until then it gets calls only if no other server has capacity
 	unavailableUntil   time.Time // until then it gets no work
+	brittle            brittleness
+	callTime           time.Duration // moving mean of this host's calls; zero: not known
+	callRate           *rate.Limiter // this host's calls while the server is brittle; nil: not limited
+	pausedUntil        time.Time     // until then it gets no request of this host, if it is brittle
 	health             health
 	pace               pace
 	evidence           Evidence             // outcomes of this host's requests since the last report
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -52,6 +52,9 @@
 	// RateLimit is the number of requests per second that the server accepts from
 	// all hosts together; zero: it names no limit; nil: not known.
 	RateLimit *float64
+	// Brittleness is what the server says about the requests that it can reject; nil: not
+	// known.
+	Brittleness *fleet.Brittleness
 	// Complete is set if the head of the answer carries the header with which the
 	// server marks its complete answers. Without it, the answer may come from
 	// something else or be partial.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -154,6 +154,12 @@
 	if reply.RateLimit != nil && !reply.WrongServer {
 		t.gateway.options.Fleet.SetRateLimit(server.ID, *reply.RateLimit, sent)
 	}
+	if reply.Brittleness != nil && !reply.WrongServer {
+		t.gateway.options.Fleet.SetBrittleness(server.ID, *reply.Brittleness, sent)
+	}
+	if reply.NotRun && !reply.WrongServer && reply.Status == http.StatusServiceUnavailable {
+		t.gateway.options.Fleet.RecordRejection(server.ID, t.gateway.options.Budget.Hosts())
+	}
 	switch {
 	case reply.WrongServer:
 		t.gateway.options.Fleet.MarkLeaving(server.Incarnation(), fleet.SourceReplaced)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -85,9 +85,10 @@
 // share of the request rate that cold servers of plain services accept;
 // generations are placed by the allocator.
 func (t *task) candidateQuery() fleet.Query {
-	q := fleet.Query{Service: t.service.Name, Domain: t.gateway.options.Domain, Except: t.tried}
+	hosts := max(1, t.gateway.options.Budget.Hosts())
+	q := fleet.Query{Service: t.service.Name, Domain: t.gateway.options.Domain, Except: t.tried, Hosts: hosts}
 	if t.service.ColdRate > 0 {
-		q.ColdShare = 1 / float64(max(1, t.gateway.options.Budget.Hosts()))
+		q.ColdShare = 1 / float64(hosts)
 	}
 	return q
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,6 +36,13 @@
 	// AtColdLimit reports whether the server is cold and already has the maximum
 	// number of requests for a cold server.
 	AtColdLimit bool
+	// QueueLimit is the maximum number of requests queued on the server, if QueueLimited
+	// is set.
+	QueueLimited bool
+	QueueLimit   int
+	// AtOwnShare reports whether this host has as many requests on the server as it may
+	// have there.
+	AtOwnShare bool
 	// Pace is the engine's lowest recent time per output token of one
 	// generation; zero: not known.
 	Pace time.Duration
@@ -238,8 +245,11 @@
 	if c.Running == 0 {
 		return lacksNothing // an idle server accepts one request regardless of the limits
 	}
+	if c.AtOwnShare {
+		return lacksSlots
+	}
 	if c.MemoryTokens == 0 {
-		if float64(c.Running) < float64(c.Slots)*(1+limits.QueuePerSlot) {
+		if float64(c.Running) < c.places(limits) {
 			return lacksNothing
 		}
 		return lacksSlots
@@ -256,6 +266,15 @@
 	return lacksNothing
 }
 
+// places returns how many requests a plain server may have, running or queued.
+func (c *Candidate) places(limits Limits) float64 {
+	queue := float64(c.Slots) * limits.QueuePerSlot
+	if c.QueueLimited {
+		queue = min(queue, float64(c.QueueLimit))
+	}
+	return float64(c.Slots) + queue
+}
+
 // hasMemory reports whether the engine's memory has room for the request.
 //
 // A brief generation ends while the others grow by only briefGrowth tokens each,
