--- /dev/null
+++ b/fleet/brittle_test.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// Guards against an overtaken answer that ends what a later one said, and against a
+// server that is back after a failure and gets the load of a sound one.
+func TestBrittlenessIsThatOfTheNewestAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable("h", zap.NewNop())
+		for _, id := range []string{"a", "b"} {
+			table.Put(Server{ID: id, Service: "plain", Slots: 6})
+		}
+		said := Brittleness{Brittle: true, RejectsPerSecond: 4}
+		sent := time.Now()
+		time.Sleep(time.Second)
+		table.SetBrittleness("a", said, time.Now())
+		table.SetBrittleness("a", Brittleness{}, sent) // overtaken
+		for _, c := range table.CandidatesFor(Query{Service: "plain", Hosts: 2}) {
+			is.True(c.QueueLimited) // b has said nothing yet
+			is.Equal(c.QueueLimit, 2)
+		}
+		time.Sleep(time.Second)
+		table.SetBrittleness("b", Brittleness{}, time.Now())
+		for _, c := range table.CandidatesFor(Query{Service: "plain", Hosts: 2}) {
+			is.Equal(c.QueueLimited, c.ID == "a") // each server speaks for itself
+		}
+	})
+}
+
+// Guards against hosts that together make a brittle server reject more than it bears, and
+// against pauses that outlast the server's need.
+func TestPauseAfterRejectionOfBrittleServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable("h", zap.NewNop())
+		table.Put(Server{ID: "a", Service: "plain", Slots: 6})
+		table.RecordRejection("a", 10) // not brittle
+		is.Equal(table.AcceptsIn("plain"), time.Duration(0))
+		table.SetBrittleness("a", Brittleness{Brittle: true, RejectsPerSecond: 4}, time.Now())
+		table.RecordRejection("a", 10)
+		is.Equal(table.AcceptsIn("plain"), 5*time.Second) // ten hosts cause two rejections a second
+		is.True(table.Begin("a", Work{ID: "1"}, false) == nil)
+		is.Equal(len(table.Candidates("plain", "d")), 0)
+		time.Sleep(time.Second)
+		table.SetBrittleness("a", Brittleness{}, time.Now())
+		is.Equal(table.AcceptsIn("plain"), time.Duration(0))
+		table.SetBrittleness("a", Brittleness{Brittle: true}, time.Now())
+		table.RecordRejection("a", 10) // bears none
+		is.Equal(table.AcceptsIn("plain"), maxRejectionPause)
+	})
+}
