--- a/tunnel/network_test.go
+++ b/tunnel/network_test.go
@@ -132,7 +132,7 @@
 	return n
 }
 
-// Guards against dials that ask hosts which could not help a moment ago, and leave out
+// Guards against dials that ask hosts which could not help before, and leave out
 // those that can.
 func TestHostsThatCouldNotHelpAreAskedLast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
