tunnel: hosts to ask are copied as names, not as whole member records

A dial of a cut-off host copied, shuffled and sorted the records of all members, some 200 bytes each; two strings are enough. No change of behaviour; the package's tests pass.

--- a/tunnel/helpers.go
+++ b/tunnel/helpers.go
@@ -26,10 +26,13 @@
 
 	mu         sync.Mutex // guards all below
 	generation uint64
-	live       []peer.Member        // other live hosts at generation
+	live       []candidate          // other live hosts at generation
 	avoided    map[helper]time.Time // those that could not help, and until when they are asked last
 }
 
+// candidate is a host that may be asked for tunnels.
+type candidate struct{ host, domain string }
+
 // helper is a host that is asked for tunnels to servers of a service.
 type helper struct{ host, service string }
 
@@ -38,53 +41,55 @@
 }
 
 // choose returns up to count hosts in the order in which to ask them for a tunnel to a
-// server of a service: hosts that have not failed to help lately first, the near ones before the others. If all hosts of
-// a failure domain are cut off, the second one is of another domain.
+// server of a service: those that have not failed to help lately first, near ones before
+// the others. The second one is of another failure domain than the first: all hosts of a
+// domain may be cut off.
 func (h *helpers) choose(service string, count int) []string {
-	members := h.liveOthers()
+	hosts := h.liveOthers()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	avoided := func(c candidate) bool { return !now.After(h.avoided[helper{c.host, service}]) }
 	near := 0
-	for _, m := range members {
-		if m.FailureDomain == h.options.Domain && now.After(h.avoided[helper{m.Host, service}]) {
+	for _, c := range hosts {
+		if c.domain == h.options.Domain && !avoided(c) {
 			near++
 		}
 	}
-	rank := func(m peer.Member) int {
+	rank := func(c candidate) int {
 		switch {
-		case !now.After(h.avoided[helper{m.Host, service}]):
+		case avoided(c):
 			return 2
-		case near >= minNearHelpers && m.FailureDomain != h.options.Domain:
+		case near >= minNearHelpers && c.domain != h.options.Domain:
 			return 1
 		}
 		return 0
 	}
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	slices.SortStableFunc(members, func(a, b peer.Member) int { return rank(a) - rank(b) })
-	preferOtherDomain(members, func(m peer.Member) bool { return rank(m) < 2 })
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	slices.SortStableFunc(hosts, func(a, b candidate) int { return rank(a) - rank(b) })
+	preferOtherDomain(hosts, func(c candidate) bool { return !avoided(c) })
 	var chosen []string
-	for _, m := range members[:min(count, len(members))] {
-		chosen = append(chosen, m.Host)
+	for _, c := range hosts[:min(count, len(hosts))] {
+		chosen = append(chosen, c.host)
 	}
 	return chosen
 }
 
-// preferOtherDomain moves the first usable member of another failure domain than the
-// first one to the second place.
-func preferOtherDomain(members []peer.Member, usable func(peer.Member) bool) {
-	for i := 1; i < len(members); i++ {
-		if members[i].FailureDomain != members[0].FailureDomain && usable(members[i]) {
-			other := members[i]
-			copy(members[2:i+1], members[1:i])
-			members[1] = other
+// preferOtherDomain moves the first usable host of another failure domain than the first
+// one to the second place.
+func preferOtherDomain(hosts []candidate, usable func(candidate) bool) {
+	for i := 1; i < len(hosts); i++ {
+		if hosts[i].domain != hosts[0].domain && usable(hosts[i]) {
+			other := hosts[i]
+			copy(hosts[2:i+1], hosts[1:i])
+			hosts[1] = other
 			return
 		}
 	}
 }
 
 // liveOthers returns a copy of the other live hosts.
-func (h *helpers) liveOthers() []peer.Member {
+func (h *helpers) liveOthers() []candidate {
 	generation := h.options.Peers.Generation()
 	h.mu.Lock()
 	live, current := h.live, h.live != nil && generation == h.generation
@@ -92,9 +97,12 @@
 	if current {
 		return slices.Clone(live)
 	}
-	live = slices.DeleteFunc(slices.Clone(h.options.Peers.Members()), func(m peer.Member) bool {
-		return m.State != peer.StateAlive || m.Host == h.options.Host
-	})
+	live = []candidate{}
+	for _, m := range h.options.Peers.Members() {
+		if m.State == peer.StateAlive && m.Host != h.options.Host {
+			live = append(live, candidate{m.Host, m.FailureDomain})
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.generation, h.live = generation, live
