fleet: the share of a brittle server's calls ends with its brittleness

A server that had said nothing yet counts like the newest of its service; if there are more hosts than places it then got a limiter for this host's calls, which only its own change from brittle to not brittle took away. If its first answer came after the service was sound again, there was no change, and this host kept to the share for good: callers would have been refused as full by a sound server. Now the limiter counts only while the server is brittle. TestShareOfCallsEndsWithTheServicesBrittleness failed before and passes.

--- a/fleet/brittle.go
+++ b/fleet/brittle.go
@@ -160,8 +160,8 @@
 	return e.callRate.TokensAt(now) < 1
 }
 
-// takeCallShare counts a call of this host against its share, and reports whether that
-// allows it. Requires mu.
-func (e *entry) takeCallShare(now time.Time) bool {
-	return e.callRate == nil || e.callRate.AllowN(now, 1)
+// takeCallShare counts a call of this host against its share of a brittle server, and
+// reports whether that allows it. Requires mu.
+func (t *Table) takeCallShare(e *entry, now time.Time) bool {
+	return e.callRate == nil || !t.brittleOf(e).Brittle || e.callRate.AllowN(now, 1)
 }
--- a/fleet/brittle_test.go
+++ b/fleet/brittle_test.go
@@ -57,3 +57,26 @@
 		is.Equal(table.AcceptsIn("plain"), maxRejectionPause)
 	})
 }
+
+// Guards against a server that keeps the share of a brittle one, because its service was
+// brittle before its own first answer.
+func TestShareOfCallsEndsWithTheServicesBrittleness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable("h", zap.NewNop())
+		for _, id := range []string{"a", "b"} {
+			table.Put(Server{ID: id, Service: "plain", Slots: 6})
+		}
+		table.SetBrittleness("a", Brittleness{Brittle: true}, time.Now())
+		call := table.Begin("b", Work{ID: "0"}, false)
+		time.Sleep(time.Second)
+		call.Outcome(false)
+		call.End()
+		table.CandidatesFor(Query{Service: "plain", Hosts: 40})
+		is.True(table.Begin("b", Work{ID: "1"}, false) != nil)
+		is.True(table.Begin("b", Work{ID: "2"}, false) == nil) // more hosts than places
+		table.SetBrittleness("a", Brittleness{}, time.Now())
+		table.SetBrittleness("b", Brittleness{}, time.Now())
+		is.True(table.Begin("b", Work{ID: "3"}, false) != nil)
+	})
+}
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -95,15 +95,15 @@
 // Begin reserves capacity for a request that is about to be sent to a server.
 // It returns nil if the server accepts no new work, requested a backoff from
 // this host, is in an evacuated failure domain, is brittle and rejected a request of
-// this host, or its rate limit allows none now. With resumed set, the request is a run that returns to the
-// server that stopped it; a server that is leaving, in backoff or at its rate limit
-// still accepts it.
+// this host, or its rate limit allows none now. With resumed set, the request is a run
+// that returns to the server that stopped it; a server that is leaving, in backoff or at
+// its rate limit still accepts it.
 func (t *Table) Begin(server string, work Work, resumed bool) *Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[server]
 	now := time.Now()
-	if e == nil || e.evacuated || !resumed && (!e.acceptsWork() || t.inBackoff(server, now) || t.rejectionPause(e, now) > 0 || !t.takeRate(server, now) || !e.takeCallShare(now)) {
+	if e == nil || e.evacuated || !resumed && (!e.acceptsWork() || t.inBackoff(server, now) || t.rejectionPause(e, now) > 0 || !t.takeRate(server, now) || !t.takeCallShare(e, now)) {
 		return nil
 	}
 	if resumed {
