gateway, platform, backend: the log of a request says how its answer was framed and where a stream ended

Cause: the incident's logs cannot tell an answer that ends with its connection from one with a length or chunks, nor whether a stream ended inside an event, between events or with an error.

Change: fields framing, events, rest_bytes, and attempt_error also for a stream or body that broke off. No change of logic; the framing is found in one place, which backend's check uses too.

--- a/backend/clientexchange.go
+++ b/backend/clientexchange.go
@@ -160,8 +160,7 @@
 // connection: if the server crashed while sending it, a truncated response
 // would look complete.
 func (x *exchange) checkFraming() error {
-	r := x.response
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody {
+	if FramingOf(x.response) == FramedByConnection {
 		return errUnframed
 	}
 	return nil
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayasail/papayasail/allocation"
+	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/migration"
 )
@@ -62,6 +63,8 @@
 	// Load is the number of requests that the server reports as running or queued;
 	// nil: not reported.
 	Load *int
+	// Framing is what marks the end of the answer's body.
+	Framing backend.Framing
 	// Through is the entry host through which the server was reached; "": directly.
 	Through string
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -114,6 +114,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
 	if err != nil || len(body) > maxAnswerBytes {
+		t.failure = err
 		t.gateway.blame(work.Server(), func() { work.Outcome(true) })
 		if err != nil && attemptCtx.Err() == nil {
 			t.reportSuspectedCrash(work)
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -67,12 +67,15 @@
 	if t.through != "" {
 		fields = append(fields, zap.String("through", t.through))
 	}
+	if t.framing != "" {
+		fields = append(fields, zap.String("framing", string(t.framing)))
+	}
 	if t.failure != nil && !o.Complete {
 		fields = append(fields, zap.NamedError("attempt_error", t.failure))
 	}
 	if o.Streamed {
 		fields = append(fields, zap.Bool("complete", o.Complete), zap.Int("prompt_tokens", t.request.Prompt.Tokens), zap.Duration("first_event", t.firstEvent),
-			zap.Duration("longest_pause", t.longestPause), zap.Duration("paused_at", t.pausedAt), zap.Int("moves", t.moves))
+			zap.Int("events", t.events), zap.Int("rest_bytes", t.restBytes), zap.Duration("longest_pause", t.longestPause), zap.Duration("paused_at", t.pausedAt), zap.Int("moves", t.moves))
 	}
 	if o.Reason == "" {
 		t.gateway.options.Logger.Info(MsgRequest, fields...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/placement"
 	"github.com/papayasail/papayasail/quarantine"
@@ -130,9 +131,12 @@
 	sends         int             // sends to servers that may have received it, including those that reported it as not run
 	sentMark      quarantine.Mark // crash history of the request at the last send
 	server        fleet.Server
-	tried         []string // servers that it was sent to or that refused the connection
-	through       string   // entry host through which the last answer came; "": directly
-	failure       error    // why the last attempt got no answer
+	tried         []string        // servers that it was sent to or that refused the connection
+	through       string          // entry host through which the last answer came; "": directly
+	failure       error           // why the last attempt got no answer or only a part of one
+	framing       backend.Framing // of the last answer; "": there was none
+	events        int             // whole events relayed to the caller
+	restBytes     int             // bytes of the stream that followed its last whole event
 	moves         int
 	firstEvent    time.Duration // from arrival
 	lastEvent     time.Time
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -32,7 +32,7 @@
 		end()
 		return nil, err
 	}
-	t.through = reply.Through
+	t.through, t.framing = reply.Through, reply.Framing
 	t.recordServerState(call.Server, reply, sent)
 	reply.Body = &boundBody{ReadCloser: reply.Body, end: end}
 	return reply, nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -99,6 +99,7 @@
 	defer reply.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	if err != nil {
+		t.failure = err
 		if ctx.Err() == nil {
 			t.reportSuspectedCrash(work)
 		}
@@ -117,7 +118,11 @@
 	for {
 		next, err := events.next()
 		complete := errors.Is(err, io.EOF)
+		if err != nil {
+			t.restBytes = len(next.block)
+		}
 		if err != nil && !complete {
+			t.failure = err
 			return Outcome{}, false
 		}
 		if len(next.block) > 0 {
@@ -131,6 +136,7 @@
 			t.gateway.options.Quarantine.ReportCompleted(t.fingerprint)
 			return Outcome{Status: http.StatusOK, Streamed: true, Complete: true}, true
 		}
+		t.events++
 		run.recordEvent(next.id)
 	}
 }
