gateway: a stream that ends inside an event is broken off

Cause: eventReader.next returned whatever followed the last whole event together with io.EOF, and relayEvents forwarded it and took every io.EOF for the end of the answer. With a length or chunks a partial body is an error before that; an answer without either ends with its connection, whose close in order is the same io.EOF. The class: an end of a connection read as the end of an answer. What hangs on it went wrong too: the run counted as a success of its server and cleared a request suspected of crashing its servers.

Change: a stream may end only between events, whatever its framing: what follows the last blank line is empty lines and whole comments. Otherwise the stream is broken off as after any other error: the caller gets whole events and no regular end, the server's failure counts, and a run that moves goes on after its last whole event. An answer of another media type on a stream route has no events; it is buffered whole, as it was until its first blank line before.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -11,12 +11,14 @@
 // maxEventBytes is the maximum size of one event.
 const maxEventBytes = 1 << 20
 
-var errEventTooLarge = errors.New("gateway: event too large")
+var (
+	errEventTooLarge = errors.New("gateway: event too large")
+	errPartialEvent  = errors.New("gateway: stream ended inside an event")
+)
 
 // eventReader splits a stream of server-sent events into whole events, so that
 // the partial event of a server that failed never precedes the events of the
-// server that resumes the stream. Bytes after the last whole event are relayed
-// only if the stream ended regularly.
+// server that resumes the stream, or an end that looks regular.
 type eventReader struct {
 	reader *bufio.Reader
 	block  bytes.Buffer
@@ -28,9 +30,10 @@
 	id    string
 }
 
-// next returns the next whole event. At the regular end of the stream it returns
-// the remaining bytes, if any, and io.EOF. For an event over maxEventBytes it
-// returns errEventTooLarge, or bufio.ErrBufferFull if one line reaches the limit.
+// next returns the next whole event. If the stream ends between events, it returns
+// the remaining bytes, if any, and io.EOF; if it ends inside one, errPartialEvent.
+// For an event over maxEventBytes it returns errEventTooLarge, or bufio.ErrBufferFull
+// if one line reaches the limit.
 func (r *eventReader) next() (event, error) {
 	r.block.Reset()
 	id := ""
@@ -40,6 +43,9 @@
 		if errors.Is(err, bufio.ErrBufferFull) && r.block.Len() < maxEventBytes {
 			continue
 		}
+		if errors.Is(err, io.EOF) && !betweenEvents(r.block.Bytes()) {
+			err = errPartialEvent
+		}
 		if err != nil {
 			return event{block: r.block.Bytes(), id: id}, err
 		}
@@ -56,6 +62,24 @@
 	}
 }
 
+// betweenEvents reports whether a stream that ends with these bytes, which follow an
+// event or its beginning, ends between two events: only empty lines and comments follow
+// the last event.
+func betweenEvents(rest []byte) bool {
+	rest = bytes.ReplaceAll(bytes.ReplaceAll(rest, []byte("\r\n"), []byte("\n")), []byte("\r"), []byte("\n"))
+	if blank := bytes.LastIndex(rest, []byte("\n\n")); blank >= 0 {
+		rest = rest[blank+2:]
+	}
+	for len(rest) > 0 {
+		line, following, terminated := bytes.Cut(rest, []byte("\n"))
+		if !terminated || len(line) > 0 && line[0] != ':' {
+			return false
+		}
+		rest = following
+	}
+	return true
+}
+
 func newEventReader(body io.Reader) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10)}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
 )
 
@@ -60,15 +62,15 @@
 // relay forwards the stream to the caller. If its run is moved, relay continues
 // with the stream of the new server.
 func (t *task) relay(ctx context.Context, sink Sink, work *fleet.Work, reply *Reply) Outcome {
-	if reply.Status != http.StatusOK {
-		return t.bufferedOutcome(ctx, work, reply)
-	}
-	if !reply.Complete {
+	if reply.Status == http.StatusOK && !reply.Complete {
 		reply.Body.Close()
 		work.End()
 		work.Outcome(true)
 		return t.mayHaveRun(ctx, ReasonBroken).outcome
 	}
+	if reply.Status != http.StatusOK || !isEventStream(reply.Header) {
+		return t.bufferedOutcome(ctx, work, reply)
+	}
 	run := newRun(t, work)
 	defer run.finish()
 	if t.service.Engine != nil && t.service.Engine.Moves {
@@ -92,6 +94,17 @@
 	}
 }
 
+// isEventStream reports whether an answer on a stream route is a stream of events. An
+// answer that names no media type counts as one.
+func isEventStream(header http.Header) bool {
+	named := header.Get("Content-Type")
+	if named == "" {
+		return true
+	}
+	media, _, err := mime.ParseMediaType(named)
+	return err == nil && media == backend.ContentTypeSSE
+}
+
 // bufferedOutcome returns the outcome of an answer that is not a stream. An answer
 // over maxAnswerBytes is cut off there and returned as complete, unlike in send.
 func (t *task) bufferedOutcome(ctx context.Context, work *fleet.Work, reply *Reply) Outcome {
