peer: a tunnel that breaks while a request is being sent ends with the reason

Callers could get an answer without length as complete although the path through another host had broken.

Cause: when a send failed, the goroutine that sends closed the near end of the tunnel before the one that receives had stored the reason, so that the reader saw an end in order.

Change: only the goroutine that receives closes the near end, after it has stored the reason. A send that fails because the stream has ended leaves what the server sent before, which is read first; what is still written is dropped meanwhile, as by a socket whose other end has closed, so that a writer is not held up. Any other failed send cancels the stream, which then has a reason.

--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -222,12 +222,15 @@
 		if !errors.Is(err, io.EOF) {
 			c.failure.Store(&err)
 		}
-		far.Close() // ends the copy in the other direction
+		far.Close() // after the reason is known; ends the copy in the other direction
 	}()
 	go func() {
-		// The other direction receives the reason why the stream ended.
-		_ = readAll(far, func(data []byte) error { return stream.Send(&peerpb.TunnelRequest{Data: data}) })
-		far.Close()
+		err := readAll(far, func(data []byte) error { return stream.Send(&peerpb.TunnelRequest{Data: data}) })
+		if errors.Is(err, io.EOF) {
+			// The stream has ended. The other direction receives what came before the end,
+			// and the reason; until then what is still written is dropped.
+			_, _ = io.Copy(io.Discard, far) // ends when either end is closed
+		}
 		end()
 	}()
 	return c
