gateway: a moved run whose stream has no length goes on

Cause: the source stops the run and closes its stream without its end. With chunks that is an error; without a length it is io.EOF between two events, which relayEvents took for the end.

Change: the end of a connection is the end of a run only if no move has ordered the source to stop it. If one has, relay waits for its result, as it does after an error: a run that had ended before is complete, one that was stopped goes on after its last event, and one whose fate is not known is not complete. Streams whose own framing marks the end are complete at once, as before. Waiting for the result and resuming are two functions now.

TestMovedStreamWithoutLengthGoesOn and TestStoppedStreamWithoutLengthIsNotCompleteWithoutAResult failed before (complete without the rest) and pass; TestStreamWithoutLengthThatEndsBeforeItsMoveIsComplete holds what is sound.

--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fleet"
 )
 
 // Guards against a crash that is taken for the end of a stream: it would count as a success
@@ -35,3 +38,83 @@
 		is.Equal(w.serve("/letter/1").Reason, ReasonQuarantined)
 	})
 }
+
+// Guards against a stream without length that its source stopped for a move, closing it in
+// order between two events, and that counts as complete.
+func TestMovedStreamWithoutLengthGoesOn(t *testing.T) {
+	for _, tail := range []string{"", "id: 99\nda"} {
+		synctest.Test(t, func(t *testing.T) {
+			is, w := is.New(t), newHarness()
+			first := newGeneration(1, 100, gap)
+			first.tail = tail
+			w.send = func(_ context.Context, call Call) (*Reply, error) {
+				if call.Resume == nil {
+					return first.withoutLength(), nil
+				}
+				return newGeneration(atoi(call.Resume.LastEventID)+1, 100, gap).withoutLength(), nil
+			}
+			w.copy = func(_, _ fleet.Server, last bool) (CopyResult, error) {
+				time.Sleep(190 * time.Millisecond)
+				if last {
+					close(first.interrupt)
+					time.Sleep(50 * time.Millisecond)
+				}
+				return CopyResult{Handle: "h", Done: true}, nil
+			}
+			time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
+			caller := &recorder{}
+			o := w.gateway.Serve(context.Background(), w.request("/letter/1"), caller)
+			is.True(o.Complete)
+			is.Equal(caller.body.String(), wholeStream(100))
+			is.Equal(len(w.calls), 2)
+		})
+	}
+}
+
+// Guards against a stream without length that ended by itself just before its source was
+// told to stop it, and that counts as broken off.
+func TestStreamWithoutLengthThatEndsBeforeItsMoveIsComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newHarness()
+		w.send = func(context.Context, Call) (*Reply, error) { return newGeneration(1, 30, gap).withoutLength(), nil }
+		w.copy = func(_, _ fleet.Server, last bool) (CopyResult, error) {
+			time.Sleep(150 * time.Millisecond) // the run ends meanwhile
+			return CopyResult{Handle: "h", Done: !last, Gone: last}, nil
+		}
+		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
+		caller := &recorder{}
+		o := w.gateway.Serve(context.Background(), w.request("/letter/1"), caller)
+		is.True(o.Complete)
+		is.Equal(caller.body.String(), wholeStream(30))
+		is.Equal(len(w.calls), 1)
+	})
+}
+
+// Guards against a stream without length that its source stopped and that counts as complete
+// because the result of the move is not known.
+func TestStoppedStreamWithoutLengthIsNotCompleteWithoutAResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newHarness()
+		first := newGeneration(1, 100, gap)
+		w.send = func(_ context.Context, call Call) (*Reply, error) {
+			if call.Resume != nil {
+				return notRunReply(), nil
+			}
+			return first.withoutLength(), nil
+		}
+		w.copy = func(_, _ fleet.Server, last bool) (CopyResult, error) {
+			if !last {
+				return CopyResult{Handle: "h", Done: true}, nil
+			}
+			close(first.interrupt)
+			time.Sleep(time.Second)
+			return CopyResult{}, broken(backend.Silent)
+		}
+		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
+		caller := &recorder{}
+		o := w.gateway.Serve(context.Background(), w.request("/letter/1"), caller)
+		is.True(!o.Complete)
+		is.Equal(o.Reason, ReasonMoveFailed)
+		is.Equal(caller.body.String(), wholeStream(caller.events()))
+	})
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -170,6 +170,7 @@
 	first, last int
 	gap         time.Duration
 	tail        string // bytes that are sent when the stream is interrupted
+	inOrder     bool   // an interrupted stream ends in order
 	interrupt   chan struct{}
 	reader      *io.PipeReader
 }
@@ -188,6 +189,9 @@
 		case <-time.After(g.gap):
 		case <-g.interrupt:
 			_, _ = io.WriteString(writer, g.tail)
+			if g.inOrder {
+				writer.Close()
+			}
 			writer.CloseWithError(io.ErrUnexpectedEOF)
 			return
 		}
@@ -204,6 +208,14 @@
 	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: g.reader, Complete: true}
 }
 
+// withoutLength returns the answer framed by the end of its connection, in order.
+func (g *generation) withoutLength() *Reply {
+	g.inOrder = true
+	r := g.reply()
+	r.Framing = backend.FramedByConnection
+	return r
+}
+
 // wholeStream returns the bytes of events 1 to last.
 func wholeStream(last int) string {
 	var b strings.Builder
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -81,12 +81,23 @@
 		return abandoned()
 	}
 	for {
-		outcome, done := t.relayEvents(ctx, sink, run, reply)
+		err := t.relayEvents(ctx, sink, run, reply)
 		run.end(reply)
-		if done {
-			return outcome
+		ended := errors.Is(err, io.EOF)
+		switch {
+		case errors.Is(err, errCallerGone):
+			return t.callerGoneOutcome()
+		case ended && reply.Framing != backend.FramedByConnection:
+			return t.completedOutcome(run)
 		}
-		next, ok := t.resumeMoved(ctx, run)
+		to, stopped := t.awaitTransfer(ctx, run)
+		if ended && !run.moving() { // not stopped by a move: the run ended by itself
+			return t.completedOutcome(run)
+		}
+		if !stopped {
+			return t.interruptedOutcome(ctx, run)
+		}
+		next, ok := t.resumeMoved(ctx, run, to)
 		if !ok {
 			return t.interruptedOutcome(ctx, run)
 		}
@@ -123,37 +134,43 @@
 	return Outcome{Status: reply.Status, Header: reply.Header, Body: body, Complete: true}
 }
 
-// relayEvents relays events until the stream ends. It reports false if the stream
-// ended with an error, including an event that is too large. If the run was moved,
-// it can then be resumed.
-func (t *task) relayEvents(ctx context.Context, sink Sink, run *run, reply *Reply) (Outcome, bool) {
+// errCallerGone is the error of a stream that could not be written to its caller.
+var errCallerGone = errors.New("gateway: caller is gone")
+
+// relayEvents relays events until the stream ends. The error is io.EOF if the stream
+// ended between events, errCallerGone, or the reason why it broke off, such as an event
+// that is too large.
+func (t *task) relayEvents(ctx context.Context, sink Sink, run *run, reply *Reply) error {
 	events := newEventReader(reply.Body)
 	for {
 		next, err := events.next()
-		complete := errors.Is(err, io.EOF)
+		ended := errors.Is(err, io.EOF)
 		if err != nil {
-			t.restBytes = len(next.block)
+			t.failure, t.restBytes = err, len(next.block)
 		}
-		if err != nil && !complete {
-			t.failure = err
-			return Outcome{}, false
+		if err != nil && !ended {
+			return err
 		}
 		if len(next.block) > 0 {
 			t.recordEventTime()
 			if err := sink.Event(next.block); err != nil {
-				return t.callerGoneOutcome(), true
+				return errors.Mark(err, errCallerGone)
 			}
 		}
-		if complete {
-			run.recordOutcome(false)
-			t.gateway.options.Quarantine.ReportCompleted(t.fingerprint)
-			return Outcome{Status: http.StatusOK, Streamed: true, Complete: true}, true
+		if ended {
+			return err
 		}
 		t.events++
 		run.recordEvent(next.id)
 	}
 }
 
+func (t *task) completedOutcome(run *run) Outcome {
+	run.recordOutcome(false)
+	t.gateway.options.Quarantine.ReportCompleted(t.fingerprint)
+	return Outcome{Status: http.StatusOK, Streamed: true, Complete: true}
+}
+
 func (t *task) callerGoneOutcome() Outcome {
 	return Outcome{Streamed: true, Reason: t.disconnectReason()}
 }
@@ -167,22 +184,25 @@
 	return ReasonCallerGone
 }
 
-// resumeMoved resumes a run that has moved. It waits for the result of a move in
-// progress.
-func (t *task) resumeMoved(ctx context.Context, run *run) (*Reply, bool) {
+// awaitTransfer waits for the result of a move in progress. It reports false if there
+// is none, or if its result is not known in time.
+func (t *task) awaitTransfer(ctx context.Context, run *run) (transfer, bool) {
 	if ctx.Err() != nil || !run.moving() {
-		return nil, false
+		return transfer{}, false
 	}
 	timer := time.NewTimer(moveResultWait)
 	defer timer.Stop()
-	var to transfer
 	select {
-	case to = <-run.transfers:
+	case to := <-run.transfers:
+		return to, true
 	case <-timer.C:
-		return nil, false
 	case <-ctx.Done():
-		return nil, false
 	}
+	return transfer{}, false
+}
+
+// resumeMoved resumes a run that has moved.
+func (t *task) resumeMoved(ctx context.Context, run *run, to transfer) (*Reply, bool) {
 	defer run.signalTransferDone()
 	for i, work := range to.reservations {
 		if reply, ok := t.resume(ctx, run, work, to); ok {
