gateway: an answer without length of a server that ended is broken off

Cause: when a server's process ends, the system closes its connections in order. An answer without length, a stream between two events or a plain body, then reads like a whole one, and counted as a success that cleared a request suspected of crashing its servers.

Change: when only the end of the connection marks the end of an answer, the server must still be running: one dial, which an ended server refuses, for 100 ms at most, and no known restart. Events are delivered before that; a plain answer waits for one round trip. Answers that mark their end themselves are not checked. If the check fails, the answer is broken off like after any other error, and its request is suspected of the crash.

What cannot be told stays so: a server that breaks one answer off in order between two events and serves on.

TestAnswerWithoutLengthOfAServerThatEndedIsBrokenOff: the three cases of an ended server fail without the check (complete); the sound ones are complete before and after.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -113,6 +113,9 @@
 		return t.refusedAttempt(reply)
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
+	if err == nil {
+		err = t.confirmEnd(attemptCtx, work, reply)
+	}
 	if err != nil || len(body) > maxAnswerBytes {
 		t.failure = err
 		t.gateway.blame(work.Server(), func() { work.Outcome(true) })
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -87,6 +87,7 @@
 		is.True(o.Complete)
 		is.Equal(caller.body.String(), wholeStream(30))
 		is.Equal(len(w.calls), 1)
+		time.Sleep(time.Second) // until the move has ended
 	})
 }
 
@@ -118,3 +119,30 @@
 		is.Equal(caller.body.String(), wholeStream(caller.events()))
 	})
 }
+
+// Guards against answers without length of a server that ended, whose connections the
+// system closes in order, and that count as complete.
+func TestAnswerWithoutLengthOfAServerThatEndedIsBrokenOff(t *testing.T) {
+	for path, body := range map[string]string{"/letter/1": wholeStream(3), "/write/1": "ha", "/read/1": "ha"} {
+		for _, ended := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				is, w := is.New(t), newHarness()
+				w.send = func(_ context.Context, call Call) (*Reply, error) {
+					if ended {
+						w.crash(call)
+					}
+					r := answer(http.StatusOK, body)
+					r.Framing = backend.FramedByConnection
+					return r, nil
+				}
+				o := w.serve(path)
+				is.Equal(o.Complete, !ended)
+				if ended {
+					is.True(o.Reason == ReasonBroken || path == "/read/1" && o.Reason == ReasonQuarantined) // after two servers
+					is.True(!o.NotRun)
+				}
+				time.Sleep(2 * time.Second) // until the checks for a crash have ended
+			})
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,12 +87,14 @@
 		switch {
 		case errors.Is(err, errCallerGone):
 			return t.callerGoneOutcome()
-		case ended && reply.Framing != backend.FramedByConnection:
+		case ended && marksEnd(reply):
 			return t.completedOutcome(run)
 		}
 		to, stopped := t.awaitTransfer(ctx, run)
-		if ended && !run.moving() { // not stopped by a move: the run ended by itself
-			return t.completedOutcome(run)
+		if ended && !run.moving() { // no move has stopped the run
+			if t.failure = t.confirmEnd(ctx, run.currentWork(), reply); t.failure == nil {
+				return t.completedOutcome(run)
+			}
 		}
 		if !stopped {
 			return t.interruptedOutcome(ctx, run)
@@ -122,6 +124,9 @@
 	defer work.End()
 	defer reply.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	if err == nil {
+		err = t.confirmEnd(ctx, work, reply)
+	}
 	if err != nil {
 		t.failure = err
 		if ctx.Err() == nil {
