--- a/fake/network/conn.go
+++ b/fake/network/conn.go
@@ -9,13 +9,16 @@
 	"time"
 )
 
-// segment is a chunk of bytes in flight; fin marks the end of the direction.
+// segment is a chunk of bytes in flight, or the end of the direction: fin in order, reset
+// by a reset.
 type segment struct {
-	data    []byte
-	readyAt time.Time
-	fin     bool
+	data       []byte
+	readyAt    time.Time
+	fin, reset bool
 }
 
+func (s segment) isEnd() bool { return s.fin || s.reset }
+
 // half is one direction of a connection.
 type half struct {
 	fabric   *Fabric
@@ -105,6 +108,7 @@
 	closed        bool
 	closePending  bool // closed while frozen: the close is sent at Thaw
 	broken        bool // reset by the other end or the link
+	noLinger      bool // a close resets the connection
 }
 
 // Read implements net.Conn.
@@ -122,8 +126,11 @@
 		case len(p) == 0:
 			return 0, nil
 		case c.in.readyLocked():
-			if c.in.segments[0].fin {
+			switch head := c.in.segments[0]; {
+			case head.fin:
 				return 0, io.EOF
+			case head.reset:
+				return 0, c.opError("read", syscall.ECONNRESET)
 			}
 			return c.readLocked(p), nil
 		case c.broken:
@@ -136,7 +143,7 @@
 // readLocked copies arrived bytes to p and returns their number.
 func (c *conn) readLocked(p []byte) int {
 	n := 0
-	for n < len(p) && c.in.readyLocked() && !c.in.segments[0].fin {
+	for n < len(p) && c.in.readyLocked() && !c.in.segments[0].isEnd() {
 		head := &c.in.segments[0]
 		copied := copy(p[n:], head.data)
 		n += copied
@@ -202,14 +209,28 @@
 	return nil
 }
 
-// finishCloseLocked sends the close to the other end. Bytes that the other end sends
-// afterwards are answered by a reset, unless this direction drops its bytes.
+// SetLinger implements the method of net.TCPConn. After SetLinger(0) a close resets the
+// connection; other values change nothing.
+func (c *conn) SetLinger(seconds int) error {
+	c.fabric.mu.Lock()
+	defer c.fabric.mu.Unlock()
+	c.noLinger = seconds == 0
+	return nil
+}
+
+// finishCloseLocked sends the close to the other end: like TCP a reset if bytes are unread,
+// else an end in order. Bytes that the other end sends afterwards are answered by a reset,
+// unless this direction drops its bytes.
 func (c *conn) finishCloseLocked() {
 	c.closePending = false
 	delete(c.fabric.conns, c)
-	c.out.sendLocked(segment{fin: true})
-	if !c.out.dropping && len(c.in.segments) > 0 && !c.in.segments[0].fin {
-		// Like TCP, a close with unread bytes sends a reset.
+	unread := len(c.in.segments) > 0 && !c.in.segments[0].isEnd()
+	if !unread && !c.noLinger {
+		c.out.sendLocked(segment{fin: true})
+		return
+	}
+	c.out.sendLocked(segment{reset: true})
+	if !c.out.dropping {
 		c.peer.breakLocked()
 	}
 }
--- a/fake/network/fabric_test.go
+++ b/fake/network/fabric_test.go
@@ -235,3 +235,38 @@
 		server.Stop()
 	})
 }
+
+// Guards against a reset that reads like an end in order.
+func TestResetAndCloseAreTwoEnds(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		close func(f *Fabric, near, far net.Conn)
+		want  error
+	}{
+		{"closed", func(_ *Fabric, _, far net.Conn) { far.Close() }, nil},
+		{"process ended", func(f *Fabric, _, _ net.Conn) { f.Exit(right) }, nil},
+		{"closed with unread bytes", func(_ *Fabric, near, far net.Conn) {
+			_, _ = near.Write([]byte("unread"))
+			far.Close()
+		}, syscall.ECONNRESET},
+		{"closed without lingering", func(_ *Fabric, _, far net.Conn) {
+			_ = far.(interface{ SetLinger(int) error }).SetLinger(0)
+			far.Close()
+		}, syscall.ECONNRESET},
+		{"killed", func(f *Fabric, _, _ net.Conn) { f.Kill(right) }, syscall.ECONNRESET},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := New(Options{})
+			near, far := pair(t, f)
+			_, err := far.Write([]byte("answer"))
+			is.NoErr(err)
+			c.close(f, near, far)
+			got, err := io.ReadAll(near)
+			if string(got) != "answer" || !errors.Is(err, c.want) {
+				t.Errorf("%s: read %q and error %v", c.name, got, err)
+			}
+			near.Close()
+		})
+	}
+}
--- a/fake/network/fault.go
+++ b/fake/network/fault.go
@@ -143,6 +143,28 @@
 			c.peer.breakLocked()
 		}
 	}
+	f.closeListenersLocked(ip)
+	f.wakeLocked()
+}
+
+// Exit closes a machine's listeners and connections in order, as the system does for a
+// process that ends and has read all that arrived. The machine may listen again
+// immediately.
+func (f *Fabric) Exit(ip string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.in.to == ip && !c.closed {
+			c.closed = true
+			c.finishCloseLocked()
+			c.in.changed.Broadcast()
+		}
+	}
+	f.closeListenersLocked(ip)
+	f.wakeLocked()
+}
+
+func (f *Fabric) closeListenersLocked(ip string) {
 	for key, l := range f.listeners {
 		if l.addr.IP.String() == ip {
 			l.closed = true
@@ -150,7 +172,6 @@
 			l.ready.Broadcast()
 		}
 	}
-	f.wakeLocked()
 }
 
 // Connections returns the number of open connections of a machine.
