platform, link: a stream that breaks off ends with a reset for callers without chunks

A caller on HTTP/1.0 got a stream that was broken off with the same end as a whole one, on real TCP as in the simulated network.

Without chunks only the end of the connection marks the end of a stream, and net/http closes it in order after http.ErrAbortHandler, and so does the system when the process ends.

Change: the connection of such a caller is set to end with a reset when the stream begins, and in order again once it is complete. Whoever closes it meanwhile (the handler, a stop that cuts off, the end of the process) resets it. Answers with a length, and all callers that know chunks, are as before.

TestBrokenStreamEndsWithAResetForCallersWithoutChunks failed before (no error) and passes, over TCP and the simulated network, 20 runs each.

--- a/link/drain.go
+++ b/link/drain.go
@@ -32,9 +32,16 @@
 	listener atomic.Pointer[drainListener]
 }
 
-// NewDrainServer returns a server that serves as given; it sets server.ConnState.
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// NewDrainServer returns a server that serves as given; it sets server.ConnState and
+// server.ConnContext.
 func NewDrainServer(server *http.Server) *DrainServer {
 	s := &DrainServer{Server: server}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if l := s.listener.Load(); l != nil {
 			l.trackState(conn, state)
@@ -43,6 +50,29 @@
 	return s
 }
 
+// ResetOnClose sets whether the connection of a request to a DrainServer ends with a reset
+// instead of in order, whoever closes it: the handler, the server, or the system when this
+// process ends. A reset loses bytes that are not delivered yet. It returns an error if that
+// cannot be set.
+func ResetOnClose(request context.Context, reset bool) error {
+	conn, _ := request.Value(connKey{}).(net.Conn)
+	for {
+		switch c := conn.(type) {
+		case interface{ SetLinger(seconds int) error }:
+			if reset {
+				return c.SetLinger(0)
+			}
+			return c.SetLinger(-1) // the system's default
+		case *drainConn:
+			conn = c.Conn
+		case *tls.Conn:
+			conn = c.NetConn()
+		default:
+			return errors.New("link: connection cannot be reset")
+		}
+	}
+}
+
 // Serve is http.Server.Serve; it returns http.ErrServerClosed also after a drain.
 func (s *DrainServer) Serve(listener net.Listener) error {
 	return afterDrain(s.Server.Serve(s.drainable(listener)))
