gateway: an answer over the size limit is not delivered in part

Cause: bufferedOutcome read up to the limit and took the end of what it read for the end of the answer, unlike send.

Change: both read and judge a buffered answer with the same functions; one that is too large is broken off (502), as send already had it. A broken answer that is no stream on a stream route now counts as a failure of its server, like one on any other route.

TestAnswerOverTheSizeLimitIsNotDeliveredInPart failed before on the stream route (complete) and passes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -26,6 +26,8 @@
 	firstAttemptDivisor = 2
 )
 
+var errAnswerTooLarge = errors.New("gateway: answer too large")
+
 // attempt is the result of sending a request to one server.
 type attempt struct {
 	outcome Outcome
@@ -112,16 +114,9 @@
 	if !accepted(reply) {
 		return t.refusedAttempt(reply)
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
-	if err == nil {
-		err = t.confirmEnd(attemptCtx, work, reply)
-	}
-	if err != nil || len(body) > maxAnswerBytes {
-		t.failure = err
-		t.gateway.blame(work.Server(), func() { work.Outcome(true) })
-		if err != nil && attemptCtx.Err() == nil {
-			t.reportSuspectedCrash(work)
-		}
+	body, err := t.readAnswer(attemptCtx, work, reply)
+	if err != nil {
+		t.recordBrokenAnswer(attemptCtx, work, err)
 		return t.mayHaveRun(ctx, ReasonBroken)
 	}
 	failing := reply.Status >= http.StatusInternalServerError
@@ -138,6 +133,27 @@
 	return attempt{outcome: answer, retryable: failing && t.route.Kind == Idempotent, sent: true}
 }
 
+// readAnswer reads the whole body of an answer. The error says why it is not whole.
+func (t *task) readAnswer(ctx context.Context, work *fleet.Work, reply *Reply) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, errAnswerTooLarge
+	}
+	return body, t.confirmEnd(ctx, work, reply)
+}
+
+// recordBrokenAnswer records that readAnswer failed.
+func (t *task) recordBrokenAnswer(ctx context.Context, work *fleet.Work, err error) {
+	t.failure = err
+	t.gateway.blame(work.Server(), func() { work.Outcome(true) })
+	if ctx.Err() == nil && !errors.Is(err, errAnswerTooLarge) {
+		t.reportSuspectedCrash(work)
+	}
+}
+
 // attemptContext bounds one attempt. Only an idempotent request with another
 // attempt left gets a shorter timeout: ending any other request early gains
 // nothing, because it may not be sent again.
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,3 +147,25 @@
 		}
 	}
 }
+
+// Guards against an answer over the size limit that is cut there and looks complete.
+func TestAnswerOverTheSizeLimitIsNotDeliveredInPart(t *testing.T) {
+	for _, path := range []string{"/letter/1", "/write/1"} {
+		for size, whole := range map[int]bool{maxAnswerBytes: true, maxAnswerBytes + 1: false} {
+			synctest.Test(t, func(t *testing.T) {
+				is, w := is.New(t), newHarness()
+				w.send = func(context.Context, Call) (*Reply, error) {
+					r := answer(http.StatusOK, strings.Repeat("x", size))
+					r.Header.Set("Content-Type", "application/json")
+					return r, nil
+				}
+				o := w.serve(path)
+				is.Equal(o.Complete, whole)
+				if !whole {
+					is.Equal(o.Status, http.StatusBadGateway)
+					is.Equal(len(o.Body), 0)
+				}
+			})
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -118,20 +118,13 @@
 	return err == nil && media == backend.ContentTypeSSE
 }
 
-// bufferedOutcome returns the outcome of an answer that is not a stream. An answer
-// over maxAnswerBytes is cut off there and returned as complete, unlike in send.
+// bufferedOutcome returns the outcome of an answer that is not a stream.
 func (t *task) bufferedOutcome(ctx context.Context, work *fleet.Work, reply *Reply) Outcome {
 	defer work.End()
 	defer reply.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
-	if err == nil {
-		err = t.confirmEnd(ctx, work, reply)
-	}
+	body, err := t.readAnswer(ctx, work, reply)
 	if err != nil {
-		t.failure = err
-		if ctx.Err() == nil {
-			t.reportSuspectedCrash(work)
-		}
+		t.recordBrokenAnswer(ctx, work, err)
 		return t.mayHaveRun(ctx, ReasonBroken).outcome
 	}
 	t.gateway.options.Quarantine.ReportCompleted(t.fingerprint)
