caller: an answer whose end is not marked is requested again

Cause: callOnce read a body to the end of its connection and took it for whole. Entry hosts mark the end of every answer, so one without length or chunks is not known to be whole: "who" was returned for "whole".

Change: it counts like an answer that broke off: the outcome is unknown, and the call is repeated with the same key, whose home returns the recorded answer. Streams have their end event and problem documents are JSON; both were sound.

TestAnswerWithoutAMarkedEndIsRequestedAgain failed before and passes.

--- a/caller/call.go
+++ b/caller/call.go
@@ -9,10 +9,16 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/contract"
 )
 
+// errNoEnd: entry hosts mark the end of each answer, so that this one is not known to be
+// whole.
+var errNoEnd = errors.New("caller: answer ends with its connection")
+
 // Answer is the complete response of a plain service.
 type Answer struct {
 	Status int
@@ -57,6 +63,9 @@
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && backend.FramingOf(response) == backend.FramedByConnection {
+		err = errNoEnd
+	}
 	if err != nil || len(answer) > maxAnswerBytes {
 		return nil, a.connectionRefusal(true, err)
 	}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -348,6 +348,28 @@
 	})
 }
 
+// Guards against an answer without a marked end, which may be a part of one, that counts
+// as whole.
+func TestAnswerWithoutAMarkedEndIsRequestedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestHosts(t)
+		s.call = func(w http.ResponseWriter, _ string) {
+			if len(s.keys) > 1 {
+				fmt.Fprint(w, "whole")
+				return
+			}
+			w.Header().Set("Transfer-Encoding", "identity") // neither length nor chunks
+			fmt.Fprint(w, "who")
+		}
+		answer, err := s.client.Call(context.Background(), "gauges", http.MethodPost, "/alarms/7", nil, nil)
+		is.NoErr(err)
+		is.Equal(string(answer.Body), "whole")
+		is.Equal(len(s.keys), 2)
+		is.Equal(s.keys[0], s.keys[1])
+	})
+}
+
 // Guards against retries of a call with an invalid path, which always fails. It
 // must fail at once with the outcome "not run".
 func TestInvalidCallFailsAtOnce(t *testing.T) {
