relay: answers of plain services have a length for callers without chunks

Cause: the answer to an exact call was written without Content-Length. A caller on HTTP/1.0 then saw its end only by the end of the connection, which is closed in order also when the write broke off at its deadline.

Change: Content-Length is set, but for answers without a body.

TestAnswersHaveALengthForCallersWithoutChunks failed before (-1) and passes.

--- a/relay/call.go
+++ b/relay/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -35,6 +36,10 @@
 	for name, values := range answer.Header {
 		w.Header()[name] = values
 	}
+	if req.Method != http.MethodHead && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
+		// Marks the end of the answer for callers that know no chunks, too.
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body) // fails only if the caller disconnected
 }
