fake: stand-ins answer without length or chunks, whole, closed and reset

No stand-in of ours had answered without length, so that no test could see one break off. fake/plain gains the modes Unframed, UnframedCut and UnframedReset, fake/engine streams that end whole or are closed in order or reset, between or inside events; fake/unframed has what both share.

--- a/fake/engine/engine_test.go
+++ b/fake/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -234,3 +235,31 @@
 		is.Equal(len(tokens), 3)
 	})
 }
+
+// Guards against streams without length or chunks that lose, repeat or invent tokens,
+// however they break off.
+func TestUnframedStreamsEndAsOrdered(t *testing.T) {
+	runWithEngine(t, Config{}, func(is *is.I, e *Engine, c *backend.Client) {
+		e.UnframedStreams(EndWhole)
+		s := start(is, c, backend.CompletionRequest{GenerationID: "whole", StopAfter: 5})
+		tokens, finish := read(is, s)
+		is.Equal(finish, "stop")
+		is.Equal(len(tokens), 5)
+		for _, end := range []StreamEnd{CutBetween, CutInside, ResetBetween, ResetInside} {
+			id := fmt.Sprint("g", end)
+			e.UnframedStreams(end)
+			s := start(is, c, backend.CompletionRequest{GenerationID: id, StopAfter: 5})
+			chunk, err := s.Next()
+			is.NoErr(err)
+			is.Equal(chunk.Choices[0].Text, TokenText(id, 0))
+			_, err = s.Next()
+			is.Equal(evidence(err), backend.Broken)
+			resumed, err := c.Resume(context.Background(), engineAddress, id, 1)
+			is.NoErr(err)
+			tokens, finish := read(is, resumed)
+			is.Equal(finish, "stop")
+			is.Equal(tokens[0], TokenText(id, 1))
+			is.Equal(len(tokens), 4)
+		}
+	})
+}
--- a/fake/engine/handler.go
+++ b/fake/engine/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fake/unframed"
 )
 
 const (
@@ -130,6 +131,10 @@
 	defer e.detach(g)
 	w.Header().Set("Content-Type", backend.ContentTypeSSE)
 	out := streamWriter{engine: e, generation: g, w: w, control: http.NewResponseController(w)}
+	if end, ok := e.takeUnframed(); ok {
+		unframed.Begin(w)
+		out.end = end
+	}
 	if out.control.Flush() != nil {
 		return
 	}
@@ -143,7 +148,7 @@
 			}
 		}
 		if view.phase == ended {
-			out.end(view)
+			out.finish(view)
 			return
 		}
 		if out.control.Flush() != nil {
--- a/fake/engine/streamwriter.go
+++ b/fake/engine/streamwriter.go
@@ -4,7 +4,10 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fake/unframed"
 )
 
 // streamWriter writes the server-sent events of one completion stream.
@@ -13,8 +16,12 @@
 	generation *generation
 	w          http.ResponseWriter
 	control    *http.ResponseController
+	end        StreamEnd // EndWhole unless the stream is unframed
+	written    int       // events
 }
 
+var errCut = errors.New("engine: stream is cut")
+
 // token writes the chunk of one token.
 func (s *streamWriter) token(index, preempted int) error {
 	if s.engine.consumeFault(&s.engine.faults.skipChunks) {
@@ -46,8 +53,8 @@
 	return &report
 }
 
-// end writes the finish chunk, whose index is the token count, and the done marker.
-func (s *streamWriter) end(view generation) {
+// finish writes the finish chunk, whose index is the token count, and the done marker.
+func (s *streamWriter) finish(view generation) {
 	err := s.chunk(backend.CompletionChunk{
 		ID:        view.id,
 		Index:     view.produced,
@@ -76,6 +83,23 @@
 	event = append(event, "data: "...)
 	event = append(event, data...)
 	event = append(event, "\n\n"...)
+	if s.end != EndWhole && s.written > 0 {
+		return s.cut(event)
+	}
+	s.written++
 	_, err := s.w.Write(event)
 	return err
 }
+
+// cut ends a stream before or within an event. It always returns an error.
+func (s *streamWriter) cut(event []byte) error {
+	if s.end == CutInside || s.end == ResetInside {
+		if _, err := s.w.Write(event[:len(event)/2]); err != nil {
+			return err
+		}
+	}
+	if s.end == ResetBetween || s.end == ResetInside {
+		unframed.Reset(s.w)
+	}
+	return errCut
+}
--- a/fake/plain/plain.go
+++ b/fake/plain/plain.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fake/unframed"
 )
 
 // Paths of the stand-in. Calls with any other path are answered the same way.
@@ -57,6 +58,13 @@
 	Late
 	// Truncate runs the call and breaks the connection within the answer.
 	Truncate
+	// Unframed runs the call and answers with neither length nor chunks; the answer ends
+	// with its connection.
+	Unframed
+	// UnframedCut is Unframed, but closes the connection in order within the answer.
+	UnframedCut
+	// UnframedReset is Unframed, but resets the connection within the answer.
+	UnframedReset
 )
 
 // Run is the record of one call that ran.
@@ -242,6 +250,11 @@
 		s.wait(lateDelay)
 	}
 	answer := AnswerText(r.Method, r.URL.Path, body)
+	switch mode {
+	case Unframed, UnframedCut, UnframedReset:
+		writeUnframed(w, answer, mode)
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 	if mode == Truncate {
@@ -252,6 +265,24 @@
 	io.WriteString(w, answer)
 }
 
+// writeUnframed writes an answer, a JSON string with the text, that ends with its
+// connection.
+func writeUnframed(w http.ResponseWriter, text string, mode Mode) {
+	answer, err := json.Marshal(text)
+	if err != nil {
+		panic(err) // unreachable: a string can be encoded
+	}
+	if mode != Unframed {
+		answer = answer[:len(answer)/2]
+	}
+	w.Header().Set("Content-Type", backend.ContentTypeJSON)
+	unframed.Begin(w)
+	_, _ = w.Write(answer) // fails only if the caller disconnected
+	if mode == UnframedReset {
+		unframed.Reset(w)
+	}
+}
+
 // admit counts a call that will run and returns its mode and the delay for mode Late.
 func (s *Service) admit() (Mode, time.Duration) {
 	s.mu.Lock()
--- a/fake/plain/plain_test.go
+++ b/fake/plain/plain_test.go
@@ -37,6 +37,9 @@
 		"drop after":  {DropAfter, backend.Broken, 1},
 		"late":        {Late, backend.Silent, 1},
 		"truncate":    {Truncate, backend.Broken, 1},
+		"unframed":    {Unframed, 0, 1},
+		"cut":         {UnframedCut, backend.Broken, 1},
+		"reset":       {UnframedReset, backend.Broken, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
