--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -40,6 +40,13 @@
 	})
 }
 
+// serveLetterOfLeavingEngine serves a letter whose engine is known to leave after a second.
+func (w *harness) serveLetterOfLeavingEngine() (Outcome, *recorder) {
+	time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
+	caller := &recorder{}
+	return w.gateway.Serve(context.Background(), w.request("/letter/1"), caller), caller
+}
+
 // Guards against a stream without length that its source stopped for a move, closing it in
 // order between two events, and that counts as complete.
 func TestMovedStreamWithoutLengthGoesOn(t *testing.T) {
@@ -62,9 +69,7 @@
 				}
 				return CopyResult{Handle: "h", Done: true}, nil
 			}
-			time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
-			caller := &recorder{}
-			o := w.gateway.Serve(context.Background(), w.request("/letter/1"), caller)
+			o, caller := w.serveLetterOfLeavingEngine()
 			is.True(o.Complete)
 			is.Equal(caller.body.String(), wholeStream(100))
 			is.Equal(len(w.calls), 2)
@@ -82,9 +87,7 @@
 			time.Sleep(150 * time.Millisecond) // the run ends meanwhile
 			return CopyResult{Handle: "h", Done: !last, Gone: last}, nil
 		}
-		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
-		caller := &recorder{}
-		o := w.gateway.Serve(context.Background(), w.request("/letter/1"), caller)
+		o, caller := w.serveLetterOfLeavingEngine()
 		is.True(o.Complete)
 		is.Equal(caller.body.String(), wholeStream(30))
 		is.Equal(len(w.calls), 1)
@@ -112,9 +115,7 @@
 			time.Sleep(time.Second)
 			return CopyResult{}, broken(backend.Silent)
 		}
-		time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
-		caller := &recorder{}
-		o := w.gateway.Serve(context.Background(), w.request("/letter/1"), caller)
+		o, caller := w.serveLetterOfLeavingEngine()
 		is.True(!o.Complete)
 		is.Equal(o.Reason, ReasonMoveFailed)
 		is.Equal(caller.body.String(), wholeStream(caller.events()))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -90,13 +90,13 @@
 		case ended && marksEnd(reply):
 			return t.completedOutcome(run)
 		}
-		to, stopped := t.awaitTransfer(ctx, run)
+		to, known := t.awaitTransfer(ctx, run)
 		if ended && !run.moving() { // no move has stopped the run
 			if t.failure = t.confirmEnd(ctx, run.currentWork(), reply); t.failure == nil {
 				return t.completedOutcome(run)
 			}
 		}
-		if !stopped {
+		if !known {
 			return t.interruptedOutcome(ctx, run)
 		}
 		next, ok := t.resumeMoved(ctx, run, to)
