--- a/backend/clientexchange.go
+++ b/backend/clientexchange.go
@@ -19,7 +19,7 @@
 var (
 	errRequestID     = errors.New("backend: response has the ID of another request")
 	errTooLarge      = errors.New("backend: response body exceeds the size limit")
-	errUnframed      = errors.New("backend: response ends with its connection; truncation cannot be detected")
+	errUnframed      = errors.New("backend: response is close-delimited; truncation cannot be detected")
 	errInvalidMethod = errors.New("backend: method is not a valid HTTP token")
 	errInvalidPath   = errors.New("backend: path does not start with a slash")
 )
@@ -156,9 +156,9 @@
 	}
 }
 
-// checkFraming rejects a response that ends with its connection unless its body shows
-// that it is whole: if the server crashed while sending it, a truncated response would
-// look complete. A refusal counts by its header.
+// checkFraming rejects a close-delimited response unless its body shows that it is whole:
+// if the server crashed while sending it, a truncated response would look complete. Of a
+// refusal only the header matters.
 func (x *exchange) checkFraming(body []byte) error {
 	header := x.response.Header
 	if FramingOf(x.response) != FramedByConnection || header.Get(HeaderNotRun) == "true" || provesItsEnd(header, body) {
--- a/backend/framing.go
+++ b/backend/framing.go
@@ -15,7 +15,7 @@
 const (
 	FramedByLength     Framing = "length"
 	FramedByChunks     Framing = "chunks"
-	FramedByConnection Framing = "connection" // neither length nor chunks: the body ends with its connection
+	FramedByConnection Framing = "connection" // close-delimited: neither length nor chunks
 )
 
 // FramingOf returns the framing of an HTTP/1 response as parsed by net/http.
--- a/caller/call.go
+++ b/caller/call.go
@@ -15,9 +15,9 @@
 	"github.com/papayasail/papayasail/contract"
 )
 
-// errNoEnd: entry hosts mark the end of each answer, so that this one is not known to be
-// whole.
-var errNoEnd = errors.New("caller: answer ends with its connection")
+// errNoEnd is the error of a close-delimited answer. Entry hosts send none, so this one may
+// be truncated.
+var errNoEnd = errors.New("caller: answer is close-delimited")
 
 // Answer is the complete response of a plain service.
 type Answer struct {
--- a/fake/network/conn.go
+++ b/fake/network/conn.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// segment is a chunk of bytes in flight, or the end of the direction: fin in order, reset
-// by a reset.
+// segment is a chunk of bytes in flight, or the end of the direction: fin marks an orderly
+// one, reset any other.
 type segment struct {
 	data       []byte
 	readyAt    time.Time
--- a/fake/unframed/unframed.go
+++ b/fake/unframed/unframed.go
@@ -1,5 +1,5 @@
-// Package unframed lets the handlers of stand-ins write HTTP answers that have neither a
-// length nor chunks and end with their connection.
+// Package unframed lets the handlers of stand-ins write close-delimited HTTP answers, which
+// have neither a length nor chunks.
 package unframed
 
 import "net/http"
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -15,13 +15,13 @@
 
 var errServerEnded = errors.New("gateway: server ended with its answer")
 
-// marksEnd reports whether an answer marks its end itself, so that one that was read to
-// its end is whole.
+// marksEnd reports whether an answer marks its own end, that is, is not close-delimited. It
+// is then whole once it was read to its end.
 func marksEnd(reply *Reply) bool { return reply.Framing != backend.FramedByConnection }
 
-// confirmEnd returns nil if an answer that was read to its end counts as whole. If only
-// the end of its connection marks the end, the server must still be running: the
-// connections of a process that ends are closed in order, too.
+// confirmEnd returns nil if an answer that was read to its end counts as whole. The server
+// of a close-delimited one must still be running: the connections of a process that ends
+// are closed in order, too.
 func (t *task) confirmEnd(ctx context.Context, work *fleet.Work, reply *Reply) error {
 	if marksEnd(reply) {
 		return nil
--- a/link/resetonclose_test.go
+++ b/link/resetonclose_test.go
@@ -39,8 +39,8 @@
 	_ = NewDrainServer(&http.Server{Handler: http.HandlerFunc(handler)}).Serve(listener)
 }
 
-// Guards against a host that is killed and whose unfinished streams look complete to callers
-// without chunks.
+// Guards against a host that is killed and whose unfinished close-delimited streams look
+// complete.
 func TestResetOnCloseHoldsWhenTheProcessIsKilled(t *testing.T) {
 	if os.Getenv(servedByChild) != "" {
 		serveUntilKilled()
--- a/relay/call.go
+++ b/relay/call.go
@@ -37,7 +37,7 @@
 		w.Header()[name] = values
 	}
 	if req.Method != http.MethodHead && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
-		// Marks the end of the answer for callers that know no chunks, too.
+		// Marks the end also for callers that do not support chunked encoding.
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	w.WriteHeader(answer.Status)
