gateway, platform: an ended server behind lost paths is not known to run

Cause: several engines had ended at once, so the host took itself for cut off from the service, and the refused dial for a lost path; the check for an ended server asks only whether the server certainly refuses. That is right for blaming a server, and wrong here: nothing showed that it ran.

Change: the end of a close-delimited answer is confirmed by MayBeRunning, which is false if a connection is refused, or if no way leads to the server while this host has lost the paths to most servers of the service. A dial that only takes long still confirms, so that sound answers of a busy server are delivered. Blame and the watch for crashes ask as before.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -98,6 +98,11 @@
 	// nothing listens at its address. A server that cannot be reached counts as
 	// running.
 	RefusesConnection(ctx context.Context, server fleet.Server) bool
+	// MayBeRunning reports whether a server's process may still be running. It does not if a
+	// connection to its address is refused, or can be opened by no way while this host has
+	// lost the paths to most servers of the service: that is no evidence against the
+	// server, but none for it either.
+	MayBeRunning(ctx context.Context, server fleet.Server) bool
 	// Copy copies a run's memory from source to destination. If last is set, the
 	// source stops the run first, and its stream ends there without an end event.
 	Copy(ctx context.Context, source, destination fleet.Server, run string, last bool) (CopyResult, error)
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -31,7 +31,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	if t.gateway.options.Backend.RefusesConnection(ctx, work.Server()) {
+	if !t.gateway.options.Backend.MayBeRunning(ctx, work.Server()) {
 		return errServerEnded
 	}
 	return nil
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -92,6 +92,10 @@
 	return w.endedServers[server.ID]
 }
 
+func (w *harness) MayBeRunning(ctx context.Context, server fleet.Server) bool {
+	return !w.RefusesConnection(ctx, server)
+}
+
 func (w *harness) Discard(context.Context, fleet.Server, string) error { return nil }
 
 func (w *harness) Place(_ context.Context, service string, req allocation.PlacementRequest, except []string) string {
