gateway, platform: the request log names the shared parts of a prompt

The logs of the incident could not tell its hypotheses apart: nothing showed what the requests have in common that crashed engines.

--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -51,6 +51,9 @@
 	if t.fingerprint != 0 {
 		fields = append(fields, zap.String("fingerprint", strconv.FormatUint(t.fingerprint, 16)))
 	}
+	if len(t.request.Prompt.SharedParts) > 0 {
+		fields = append(fields, zap.Strings("prompt_parts", t.request.Prompt.SharedParts))
+	}
 	if o.RetryAfter > 0 {
 		fields = append(fields, zap.Duration("retry_after", o.RetryAfter))
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,6 +45,9 @@
 	// HintedOutput is the caller's estimate of the output in tokens, accurate
 	// only at the median; zero: none.
 	HintedOutput int
+	// SharedParts are the IDs of the parts of the prompt that other requests may have
+	// too, in order.
+	SharedParts []string
 }
 
 // fallbackOutput is the expected output, in tokens, of a generation without a
