gatewayhost: failing test of requests that share a prompt part and crash servers

Reproduces the incident in virtual time: 7 and 40 hosts, eight servers that end 30 to 50 ms after they begin to answer a request with the part and are replaced 3 s later; such a request every 360 ms at a random host, no two alike, with the part first, in the middle or alone, and sound generations every 40 ms with the same caller and the other parts.

--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -151,6 +151,8 @@
 // crashingFleet is a fleet of hosts whose backend servers can crash.
 type crashingFleet struct {
 	servers *crashing
+	backend Backend // of the hosts
+	kind    gateway.Kind
 	memory  *store.Memory
 	fabric  *network.Fabric
 	hosts   []*Host
@@ -159,8 +161,9 @@
 }
 
 func startCrashingFleet(ctx context.Context, hosts int) *crashingFleet {
-	f := &crashingFleet{memory: store.NewMemory(), fabric: network.New(network.Options{}), hosts: make([]*Host, hosts), cancels: make([]context.CancelFunc, hosts)}
+	f := &crashingFleet{kind: gateway.AtMostOnce, memory: store.NewMemory(), fabric: network.New(network.Options{}), hosts: make([]*Host, hosts), cancels: make([]context.CancelFunc, hosts)}
 	f.servers = newCrashing(f.memory)
+	f.backend = f.servers
 	for i := range f.hosts {
 		f.startHost(ctx, i)
 	}
@@ -170,9 +173,9 @@
 
 func (f *crashingFleet) startHost(ctx context.Context, i int) {
 	address := fmt.Sprintf("10.0.0.%d", i+1)
-	h := newHostWith(f.servers, fmt.Sprintf("h%02d", i), f.fabric.Host(address), address, f.memory, "10.0.0.1"+peerPort, "10.0.0.2"+peerPort)
+	h := newHostWith(f.backend, fmt.Sprintf("h%02d", i), f.fabric.Host(address), address, f.memory, "10.0.0.1"+peerPort, "10.0.0.2"+peerPort)
 	route := &gateway.Route{
-		Name: "write", Host: "h", PathPrefix: "/write/", Kind: gateway.AtMostOnce, Timeout: 3 * time.Second, Goal: time.Second, Attempts: 1,
+		Name: "write", Host: "h", PathPrefix: "/write/", Kind: f.kind, Timeout: 20 * time.Second, Goal: time.Second, Attempts: 1,
 		Targets: []gateway.Target{{Service: "s", Weight: 1}},
 	}
 	h.gateway.SetConfiguration(gateway.NewConfiguration(1, []*gateway.Route{route}, []*gateway.Service{{Name: "s"}},
--- /dev/null
+++ b/gatewayhost/sharedpart_test.go
@@ -0,0 +1,260 @@
+package gatewayhost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fake/network"
+	"github.com/papayasail/papayasail/gateway"
+	"github.com/papayasail/papayasail/store"
+)
+
+const (
+	crashingPart = "bad"
+
+	crashingInterval = 360 * time.Millisecond // between requests with crashingPart
+	soundInterval    = 40 * time.Millisecond  // between other requests
+	longEvery        = 8                      // one in so many of the sound generations is long
+	shortEvents      = 4
+	longEvents       = 200
+	eventInterval    = 20 * time.Millisecond
+	maxPrefill       = 300 * time.Millisecond
+
+	// crashesAllowed is the number of crashes after which, with partWindow, requests with
+	// the part have to be refused; sendsAllowed bounds those sent later.
+	crashesAllowed = 5
+	partWindow     = 3 * time.Second
+	sendsAllowed   = 3
+	// soundShare is the share of the sound requests that have to be served at the first
+	// attempt from twice partWindow after the crash.
+	soundShare = 0.9
+)
+
+// partEngines is a Backend whose servers crash when they begin to write an answer to a
+// request with crashingPart.
+type partEngines struct {
+	*crashing
+	random *rand.Rand
+
+	guard     sync.Mutex // guards all below
+	partSends []time.Time
+}
+
+func (e *partEngines) Send(ctx context.Context, call gateway.Call) (*gateway.Reply, error) {
+	if e.RefusesConnection(ctx, call.Server) {
+		return nil, &backend.CallError{Evidence: backend.NothingSent, Err: errors.New("refused")}
+	}
+	bad := slices.Contains(call.Request.Prompt.SharedParts, crashingPart)
+	e.guard.Lock()
+	prefill := time.Duration(e.random.Int64N(int64(maxPrefill)))
+	if bad {
+		e.partSends = append(e.partSends, time.Now())
+	}
+	e.guard.Unlock()
+	ended := e.crashSignal(call.Server.ID)
+	select {
+	case <-ended:
+		return nil, &backend.CallError{Evidence: backend.Broken, Err: io.ErrUnexpectedEOF}
+	case <-ctx.Done():
+		return nil, &backend.CallError{Evidence: backend.Broken, Err: ctx.Err()}
+	case <-time.After(prefill):
+	}
+	if bad {
+		time.AfterFunc(crashAfter, func() { e.crash(call.Server.ID) })
+	}
+	reader, writer := io.Pipe()
+	go e.write(ctx, call.Request, bad, ended, writer)
+	return &gateway.Reply{Status: http.StatusOK, Header: http.Header{}, Body: reader, Complete: true}, nil
+}
+
+// write writes the events of a generation; the number of events is the request's body.
+func (e *partEngines) write(ctx context.Context, request *gateway.Request, bad bool, ended chan struct{}, writer *io.PipeWriter) {
+	for i := range len(request.Body) {
+		select {
+		case <-ended:
+			writer.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		case <-ctx.Done():
+			writer.CloseWithError(ctx.Err())
+			return
+		case <-time.After(eventInterval):
+		}
+		if bad {
+			<-ended
+			continue
+		}
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: x\n\n", i+1); err != nil {
+			return
+		}
+	}
+	writer.Close()
+}
+
+// sendsAfterCrashes returns how many requests with crashingPart were sent later than
+// partWindow after the crash that is the last allowed one.
+func (e *partEngines) sendsAfterCrashes() int {
+	from := e.lastAllowedCrash()
+	e.guard.Lock()
+	defer e.guard.Unlock()
+	sends := 0
+	for _, at := range e.partSends {
+		if !from.IsZero() && at.Sub(from) > partWindow {
+			sends++
+		}
+	}
+	return sends
+}
+
+// lastAllowedCrash returns the time of that crash, of the last one if there were fewer,
+// or zero.
+func (e *partEngines) lastAllowedCrash() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.crashes) == 0 {
+		return time.Time{}
+	}
+	return e.crashes[min(len(e.crashes), crashesAllowed)-1]
+}
+
+// eventSink is a Sink that discards the events.
+type eventSink struct{}
+
+func (eventSink) Begin(int, http.Header) error { return nil }
+func (eventSink) Event([]byte) error           { return nil }
+
+// served is the outcome of a sound request.
+type served struct {
+	at      time.Time
+	outcome gateway.Outcome
+}
+
+// partFleet is a fleet of hosts in front of partEngines, with callers.
+type partFleet struct {
+	*crashingFleet
+	engines *partEngines
+
+	guard sync.Mutex // guards all below
+	sent  int
+	sound []served
+}
+
+func startPartFleet(ctx context.Context, hosts int) *partFleet {
+	f := &partFleet{crashingFleet: &crashingFleet{
+		memory: store.NewMemory(), fabric: network.New(network.Options{}), hosts: make([]*Host, hosts), cancels: make([]context.CancelFunc, hosts),
+	}}
+	f.servers = newCrashing(f.memory)
+	f.engines = &partEngines{crashing: f.servers, random: rand.New(rand.NewPCG(1, 2))}
+	f.backend = f.engines
+	f.kind = gateway.Generation
+	for i := range f.hosts {
+		f.startHost(ctx, i)
+	}
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+// serve sends a generation with parts in its prompt to a random host. No two are alike.
+func (f *partFleet) serve(ctx context.Context, events int, parts ...string) gateway.Outcome {
+	f.guard.Lock()
+	f.sent++
+	id, host := fmt.Sprint("g", f.sent), f.hosts[f.engines.random.IntN(len(f.hosts))]
+	f.guard.Unlock()
+	now := time.Now()
+	return host.gateway.Serve(ctx, &gateway.Request{
+		ID: id, Method: http.MethodPost, Host: "h", Path: "/write/" + id, Header: http.Header{}, Key: "key", Body: make([]byte, events),
+		Arrived: now, Deadline: now.Add(20 * time.Second), Prompt: gateway.Prompt{Tokens: 1000, SharedParts: parts},
+	}, eventSink{})
+}
+
+// sendFor sends requests with the part lists in turn, for the duration d, and records
+// the outcomes of the sound ones.
+func (f *partFleet) sendFor(ctx context.Context, d, interval time.Duration, lists ...[]string) {
+	for began, i := time.Now(), 0; time.Since(began) < d; time.Sleep(interval) {
+		events, parts := shortEvents, lists[i%len(lists)]
+		if i++; i%longEvery == 0 {
+			events = longEvents
+		}
+		go func() {
+			at, outcome := time.Now(), f.serve(ctx, events, parts...)
+			if slices.Contains(parts, crashingPart) {
+				return
+			}
+			f.guard.Lock()
+			defer f.guard.Unlock()
+			f.sound = append(f.sound, served{at, outcome})
+		}()
+	}
+}
+
+// soundServed returns the share of the sound requests that were served, of those sent
+// since the given time.
+func (f *partFleet) soundServed(since time.Time) float64 {
+	f.guard.Lock()
+	defer f.guard.Unlock()
+	sent, whole := 0, 0
+	for _, s := range f.sound {
+		if s.at.Before(since) {
+			continue
+		}
+		sent++
+		if s.outcome.Complete {
+			whole++
+		}
+	}
+	return float64(whole) / float64(max(1, sent))
+}
+
+func withPartFleet(t *testing.T, hosts int, test func(ctx context.Context, is *is.I, f *partFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		test(ctx, is.New(t), startPartFleet(ctx, hosts))
+		stop()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
+// promptParts are the part lists of the requests of a scenario.
+type promptParts struct {
+	crashing []string
+	sound    [][]string // share the caller and all other parts
+}
+
+var promptPartCases = map[string]promptParts{
+	"first":  {crashing: []string{crashingPart, "session"}, sound: [][]string{{"system", "session"}, {"system", "other"}}},
+	"middle": {crashing: []string{"system", crashingPart}, sound: [][]string{{"system", "session"}, {"system", "other"}}},
+	"only":   {crashing: []string{crashingPart}, sound: [][]string{{"system"}, {"system", "other"}}},
+}
+
+// Guards against requests that share one part of their prompts, no two alike, and crash
+// one server after another.
+func TestPromptPartThatCrashesServersIsQuarantined(t *testing.T) {
+	for name, parts := range promptPartCases {
+		for _, hosts := range []int{7, 40} {
+			t.Run(fmt.Sprintf("%s/%d", name, hosts), func(t *testing.T) {
+				withPartFleet(t, hosts, func(ctx context.Context, is *is.I, f *partFleet) {
+					go f.sendFor(ctx, 40*time.Second, crashingInterval, parts.crashing)
+					f.sendFor(ctx, 40*time.Second, soundInterval, parts.sound...)
+					time.Sleep(10 * time.Second)
+					t.Logf("%d crashes, %d sends after the fifth, %.3f of the sound ones served", len(f.engines.crashes),
+						f.engines.sendsAfterCrashes(), f.soundServed(f.engines.lastAllowedCrash().Add(2*partWindow)))
+					is.True(f.engines.sendsAfterCrashes() <= sendsAllowed)
+					is.True(f.soundServed(f.engines.lastAllowedCrash().Add(2*partWindow)) >= soundShare)
+				})
+			})
+		}
+	}
+}
