quarantine: parts of prompts that crash servers are quarantined

Callers saw streams that closed before their first event, on one server after another: requests with one part in their prompts, no two alike, crash each server that begins to answer them, and end all other runs there.

Cause: crashes were counted by a hash of the whole request. No two requests of this kind share it, so each had a count of its own that never passed one (22 crashes with 22 fingerprints in the logs of the incident). The class is evidence held under an identity that the next failure does not share.

Hosts now tell each other of each server's crash under a run that had just started, with the parts of that run's prompt, and of runs that went on past their beginning after such a crash. Three crashes of different servers under different requests, apart in time, with no pass of the part since, quarantine it, unless another part of the same crashes is more likely to be at fault: one with more crashes, with no pass or an older one, or a more specific one. Each host reaches the verdict from the shared evidence, one second after a crash, so that acquittals arrive first. Runs that wait are cancelled, those that write are not: they may acquit the part. Later, one request is tried. A run is not moved to its next server while its request is quarantined.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -129,7 +129,7 @@
 	if reply.Status < http.StatusMultipleChoices && !reply.Complete {
 		return t.mayHaveRun(ctx, ReasonBroken)
 	}
-	t.gateway.options.Quarantine.ReportCompleted(t.fingerprint)
+	t.recordAnswer(reply.Status)
 	return attempt{outcome: answer, retryable: failing && t.route.Kind == Idempotent, sent: true}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,10 +126,10 @@
 	organisation  string
 	priority      int
 	service       *Service
-	fingerprint   uint64          // equal for retries by the caller
-	deadline      time.Time       // the earlier of the route's timeout and the caller's deadline
-	sends         int             // sends to servers that may have received it, including those that reported it as not run
-	sentMark      quarantine.Mark // crash history of the request at the last send
+	fingerprint   uint64 // equal for retries by the caller
+	admission     *quarantine.Admission
+	deadline      time.Time // the earlier of the route's timeout and the caller's deadline
+	sends         int       // sends to servers that may have received it, including those that reported it as not run
 	server        fleet.Server
 	tried         []string        // servers that it was sent to or that refused the connection
 	through       string          // entry host through which the last answer came; "": directly
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -12,23 +12,31 @@
 	"github.com/papayasail/papayasail/quarantine"
 )
 
-// earlyRunWindow is the time after a generation's first event during which its run
-// still counts as just started. A run without events, as that of a call, always
-// counts as just started.
-const earlyRunWindow = time.Second
-
 var errQuarantined = errors.New("gateway: request was quarantined while it ran")
 
 // withQuarantine returns a context that is cancelled when the request is
 // quarantined or over is called. If the request is already quarantined, left is
-// the remaining time of the quarantine.
+// the time after which it may be tried again.
 func (t *task) withQuarantine(ctx context.Context) (bounded context.Context, over func(), left time.Duration) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	end, left := t.gateway.options.Quarantine.Admit(t.fingerprint, func() { cancel(errQuarantined) })
+	admission, left := t.gateway.options.Quarantine.Admit(t.subject(), func() { cancel(errQuarantined) })
+	if admission == nil {
+		return ctx, func() { cancel(nil) }, left
+	}
+	t.admission = admission
 	return ctx, func() {
-		end()
+		admission.End()
 		cancel(nil)
-	}, left
+	}, 0
+}
+
+// subject returns what identifies the request to the quarantine.
+func (t *task) subject() quarantine.Subject {
+	subject := quarantine.Subject{Request: t.fingerprint}
+	for _, part := range t.request.Prompt.SharedParts {
+		subject.Parts = append(subject.Parts, quarantine.PartID(t.service.Name, part))
+	}
+	return subject
 }
 
 // quarantinedOutcome returns the outcome of a request that was quarantined while
@@ -41,21 +49,27 @@
 	case t.sends > 0:
 		return failed(http.StatusBadGateway, ReasonQuarantined)
 	}
-	return refused(ReasonQuarantined, t.gateway.options.Quarantine.Quarantined(t.fingerprint))
+	return refused(ReasonQuarantined, t.admission.Left())
+}
+
+// recordAnswer records that a server gave a whole answer with the given status.
+func (t *task) recordAnswer(status int) {
+	if status < http.StatusMultipleChoices {
+		t.admission.Completed()
+		return
+	}
+	t.admission.Answered()
 }
 
 // reportSuspectedCrash reports the request as suspected of having crashed its
 // server, whose connection broke before the end of the answer.
 //
 // A request that crashes every server that runs it is retried by its caller at
-// one host after the other, and each crash ends all other runs on the server.
+// one host after the other, or another one with the same part in its prompt
+// follows, and each crash ends all other runs on the server.
 func (t *task) reportSuspectedCrash(work *fleet.Work) {
 	server, workContext, backend := work.Server(), work.Context(), t.gateway.options.Backend
-	run := quarantine.Run{
-		Fingerprint: t.fingerprint, Sent: t.sentMark, Request: t.request.ID, Server: server.ID,
-		Early: t.firstEvent == 0 || time.Since(t.request.Arrived) < t.firstEvent+earlyRunWindow,
-	}
-	t.gateway.options.Quarantine.ReportBroken(run, func(ctx context.Context) bool {
+	t.admission.Broken(t.request.ID, server.ID, func(ctx context.Context) bool {
 		return workContext.Err() != nil || backend.RefusesConnection(ctx, server)
 	})
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,6 +17,7 @@
 const (
 	msgResumed      = "run goes on at another server"
 	msgResumeFailed = "run could not go on at another server"
+	msgNotResumed   = "run is not moved: its request is quarantined"
 
 	// moveResultWait bounds the wait for the result of a move whose source has
 	// ended the stream; callers disconnect after gaps of two seconds.
@@ -127,7 +128,7 @@
 		t.recordBrokenAnswer(ctx, work, err)
 		return t.mayHaveRun(ctx, ReasonBroken).outcome
 	}
-	t.gateway.options.Quarantine.ReportCompleted(t.fingerprint)
+	t.recordAnswer(reply.Status)
 	work.Outcome(reply.Status >= http.StatusInternalServerError)
 	return Outcome{Status: reply.Status, Header: reply.Header, Body: body, Complete: true}
 }
@@ -159,13 +160,14 @@
 			return err
 		}
 		t.events++
+		t.admission.Wrote()
 		run.recordEvent(next.id)
 	}
 }
 
 func (t *task) completedOutcome(run *run) Outcome {
 	run.recordOutcome(false)
-	t.gateway.options.Quarantine.ReportCompleted(t.fingerprint)
+	t.recordAnswer(http.StatusOK)
 	return Outcome{Status: http.StatusOK, Streamed: true, Complete: true}
 }
 
@@ -199,9 +201,15 @@
 	return transfer{}, false
 }
 
-// resumeMoved resumes a run that has moved.
+// resumeMoved resumes a run that has moved, unless its request is quarantined: it would
+// crash its next server, too.
 func (t *task) resumeMoved(ctx context.Context, run *run, to transfer) (*Reply, bool) {
 	defer run.signalTransferDone()
+	if left := t.admission.Left(); left > 0 {
+		endAll(to.reservations)
+		t.gateway.options.Logger.Warn(msgNotResumed, zap.String("request", t.request.ID), zap.String("from", to.source.ID), zap.Duration("left", left))
+		return nil, false
+	}
 	for i, work := range to.reservations {
 		if reply, ok := t.resume(ctx, run, work, to); ok {
 			endAll(to.reservations[i+1:])
--- a/gatewayhost/quarantine.go
+++ b/gatewayhost/quarantine.go
@@ -43,6 +43,7 @@
 
 type storedRequest struct {
 	Fingerprint string `json:"fingerprint"` // hexadecimal
+	Part        bool   `json:"part,omitempty"`
 	Epoch       uint32 `json:"epoch"`
 	Crashes     uint32 `json:"crashes"`
 	UntilMs     int64  `json:"until_unix_ms"`
@@ -54,7 +55,7 @@
 	content := storedQuarantine{Requests: make([]storedRequest, 0, len(records))}
 	for _, r := range records {
 		content.Requests = append(content.Requests, storedRequest{
-			Fingerprint: strconv.FormatUint(r.Fingerprint, 16), Epoch: r.Epoch, Crashes: r.Crashes, UntilMs: now.Add(r.Remaining).UnixMilli(),
+			Fingerprint: strconv.FormatUint(r.Fingerprint, 16), Part: r.Part, Epoch: r.Epoch, Crashes: r.Crashes, UntilMs: now.Add(r.Remaining).UnixMilli(),
 		})
 	}
 	return json.Marshal(content)
@@ -72,7 +73,7 @@
 			return nil, errors.Wrap(err, "gatewayhost: decode fingerprint of a quarantined request")
 		}
 		records = append(records, quarantine.Record{
-			Fingerprint: fingerprint, Epoch: r.Epoch, Crashes: r.Crashes, Remaining: time.UnixMilli(r.UntilMs).Sub(now),
+			Fingerprint: fingerprint, Part: r.Part, Epoch: r.Epoch, Crashes: r.Crashes, Remaining: time.UnixMilli(r.UntilMs).Sub(now),
 		})
 	}
 	return records, nil
--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -283,7 +283,7 @@
 		is.True(err != nil)
 	}
 	now := time.Now()
-	records := []quarantine.Record{{Fingerprint: 1 << 63, Epoch: 3, Crashes: 2, Remaining: time.Minute}}
+	records := []quarantine.Record{{Fingerprint: 1 << 63, Part: true, Epoch: 3, Crashes: 2, Remaining: time.Minute}}
 	data, err := encodeQuarantine(records, now)
 	is.NoErr(err)
 	read, err := decodeQuarantine(data, now)
@@ -307,7 +307,7 @@
 	}
 	const request = 7
 	for range 2 {
-		h.quarantine.ReportCrash(quarantine.Run{Fingerprint: request, Sent: h.quarantine.Mark(request), Early: true, Request: "r", Server: "i"})
+		h.quarantine.ReportCrash(quarantine.Run{Subject: quarantine.Subject{Request: request}, Sent: h.quarantine.Mark(request), Early: true, Request: "r", Server: "i"})
 	}
 	is.Equal(len(stored()), 1)
 	h.quarantine.ReportCompleted(request)
--- a/peer/options.go
+++ b/peer/options.go
@@ -51,7 +51,7 @@
 	Adopt([]store.Object) (int, error)
 }
 
-// Quarantine is the set of requests that crash backend servers, as needed to
+// Quarantine is the set of requests and prompt parts that crash backend servers, as needed to
 // synchronise it between peers. *quarantine.Table implements it.
 type Quarantine interface {
 	// GossipRecords returns the records to include in the next gossip message.
@@ -61,6 +61,12 @@
 	// Merge merges records received from another host and reports whether any
 	// of them was new.
 	Merge(records []quarantine.Record, source string) bool
+	// GossipEvidence returns the evidence on parts of prompts to include in the next
+	// gossip message.
+	GossipEvidence() quarantine.Evidence
+	// MergeEvidence merges evidence received from another host and reports whether
+	// any of it was new.
+	MergeEvidence(evidence quarantine.Evidence) bool
 }
 
 // RateLimits are the request rates that backend servers accept, as needed to
--- a/peer/server.go
+++ b/peer/server.go
@@ -59,6 +59,8 @@
 		MembershipDigest:     answer.MembershipDigest,
 		Suspects:             answer.Suspects,
 		RateLimits:           answer.RateLimits,
+		ServerCrashes:        answer.ServerCrashes,
+		PartPasses:           answer.PartPasses,
 	}, nil
 }
 
@@ -126,6 +128,7 @@
 // one.
 func (n *Node) newProbe(addressee string) *peerpb.ProbeRequest {
 	_, digest, _ := n.table.summary()
+	crashes, passes := evidenceToProto(n.options.Quarantine.GossipEvidence())
 	return &peerpb.ProbeRequest{
 		From:                 n.senderRecord(addressee).toProto(),
 		News:                 membersToProto(n.table.pickUpdates(addressee)),
@@ -135,6 +138,8 @@
 		MembershipDigest:     digest,
 		Suspects:             quarantineToProto(n.options.Quarantine.GossipRecords()),
 		RateLimits:           rateLimitsToProto(n.options.RateLimits.GossipRateLimits()),
+		ServerCrashes:        crashes,
+		PartPasses:           passes,
 	}
 }
 
@@ -160,6 +165,8 @@
 	GetMembershipDigest() uint64
 	GetSuspects() []*peerpb.Suspect
 	GetRateLimits() []*peerpb.RateLimit
+	GetServerCrashes() []*peerpb.ServerCrash
+	GetPartPasses() []*peerpb.PartPass
 }
 
 // receive processes a probe or its response and returns its sender.
@@ -169,6 +176,7 @@
 	n.table.noteDuplicates(records)
 	n.mergeMembers(append(records, from))
 	n.mergeLeaving(m.GetLeaving())
+	n.mergeEvidence(m.GetServerCrashes(), m.GetPartPasses())
 	n.mergeQuarantine(m.GetSuspects())
 	n.mergeRateLimits(m.GetRateLimits())
 	if n.table.recordExchange(from.Host, from.Incarnation, versionOf(m), time.Now()) {
--- a/quarantine/broken.go
+++ b/quarantine/broken.go
@@ -23,11 +23,13 @@
 
 // Run is one run of a request on a backend server.
 type Run struct {
-	Fingerprint uint64
-	Sent        Mark   // crash history of the request when it was sent
-	Early       bool   // the run had just started, or has had no event
-	Request     string // request ID, for logs; empty: none
-	Server      string
+	Subject  Subject
+	Sent     Mark      // crash history of the request when it was sent
+	Early    bool      // the run had just started, or has had no event
+	Request  string    // request ID, for logs; empty: none
+	Server   string    // ID of its incarnation
+	BrokenAt time.Time // when the connection to the server broke
+	Trials   []uint64  // quarantined parts of the prompt for which the run is a trial
 }
 
 // ReportBroken records that the connection to the server of a run broke before the
@@ -42,7 +44,7 @@
 	select {
 	case t.watched <- struct{}{}:
 	default:
-		t.logger.Warn(msgNotWatched, zap.String("request", run.Request), fingerprintField(run.Fingerprint), zap.String("server", run.Server))
+		t.logger.Warn(msgNotWatched, zap.String("request", run.Request), fingerprintField(run.Subject.Request), zap.String("server", run.Server))
 		return
 	}
 	t.watch(run, ended, checkDelays)
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -41,6 +41,41 @@
 	return news
 }
 
+// GossipEvidence returns the evidence for one gossip message to another host.
+func (t *Table) GossipEvidence() Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parts.gossip(time.Now())
+}
+
+// gossip returns up to maxChangedRecords crashes and as many passes that are still to be
+// gossiped.
+func (e *partEvidence) gossip(now time.Time) Evidence {
+	var evidence Evidence
+	for _, records := range e.crashes {
+		for _, r := range records {
+			if r.retransmitsLeft > 0 && len(evidence.Crashes) < maxChangedRecords {
+				r.retransmitsLeft--
+				crash := r.Crash
+				crash.Age = now.Sub(r.at)
+				evidence.Crashes = append(evidence.Crashes, crash)
+			}
+		}
+	}
+	for part, left := range e.news {
+		if len(evidence.Passes) == maxChangedRecords {
+			break
+		}
+		if e.news[part] = left - 1; left == 1 {
+			delete(e.news, part)
+		}
+		if passed, known := e.passes.Peek(part); known {
+			evidence.Passes = append(evidence.Passes, Pass{part, now.Sub(passed)})
+		}
+	}
+	return evidence
+}
+
 // pendingRecords returns up to maxChangedRecords changed records that are still to
 // be gossiped. Records with more crashes come first; records with equally many
 // crashes are ordered by the number of messages left, highest first. It deletes
--- /dev/null
+++ b/quarantine/parts_test.go
@@ -0,0 +1,356 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Parts of prompts.
+const (
+	badPart uint64 = 100 + iota
+	systemPart
+	sessionPart
+	otherPart
+)
+
+const afterVerdict = verdictDelay + time.Millisecond
+
+// crashInterval is the time between two crashes that count separately.
+const crashInterval = 2 * crashSpacing
+
+// partTable is a table of a host whose runs crash servers.
+type partTable struct {
+	*Table
+	is   *is.I
+	runs uint64
+}
+
+func newPartTable(is *is.I) *partTable { return &partTable{Table: newTable(), is: is} }
+
+// crashes records n crashes, each of another server under another request that had just
+// started, with the parts in its prompt.
+func (t *partTable) crashes(n int, interval time.Duration, parts ...uint64) {
+	for range n {
+		t.runs++
+		t.ReportCrash(partRun(t.runs, parts...))
+		time.Sleep(interval)
+	}
+}
+
+func partRun(number uint64, parts ...uint64) Run {
+	return Run{
+		Subject: Subject{Request: 1000 + number, Parts: parts}, Early: true, Request: "r", Server: fmt.Sprint("i", number), BrokenAt: time.Now(),
+	}
+}
+
+func endedNow(context.Context) bool { return true }
+
+// pass runs a request with the parts to its end.
+func (t *partTable) pass(parts ...uint64) {
+	a := t.admit(parts...)
+	a.Sending()
+	a.Wrote()
+	a.Completed()
+	a.End()
+}
+
+func (t *partTable) admit(parts ...uint64) *Admission {
+	a, left := t.Admit(Subject{Request: 1, Parts: parts}, func() {})
+	t.is.Equal(left, time.Duration(0))
+	return a
+}
+
+// refused reports whether a new request with the parts is refused.
+func (t *partTable) refused(parts ...uint64) bool {
+	a, _ := t.Admit(Subject{Request: 2, Parts: parts}, func() {})
+	if a != nil {
+		a.End()
+	}
+	return a == nil
+}
+
+// Guards against requests that share a part, no two alike, and crash one server after
+// another.
+func TestPartIsQuarantined(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		stored := 0
+		table.QuarantineChanged = func() { stored++ }
+		table.crashes(partCrashThreshold-1, crashInterval, systemPart, badPart)
+		time.Sleep(afterVerdict)
+		is.True(!table.refused(systemPart, badPart))
+		table.crashes(1, 0, systemPart, badPart)
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+		is.True(table.refused(sessionPart, badPart))
+		is.True(!table.refused(systemPart, sessionPart))
+		synctest.Wait()
+		is.Equal(stored, 1)
+		_, left := table.Admit(Subject{Request: 3, Parts: []uint64{badPart}}, nil)
+		is.True(left >= minPartRetry && left <= maxPartRetry)
+	})
+}
+
+// Guards against a quarantine of the sound parts of requests that crash servers.
+func TestSoundPartsBesideACrashingOneAreServed(t *testing.T) {
+	for _, parts := range [][]uint64{{systemPart, badPart, sessionPart}, {badPart, systemPart, sessionPart}, {systemPart, sessionPart, badPart}} {
+		for _, passesBetween := range []bool{true, false} {
+			inBubble(t, func(is *is.I) {
+				table := newPartTable(is)
+				table.pass(systemPart, sessionPart)
+				for range 10 {
+					if !table.refused(badPart) {
+						table.crashes(1, crashInterval, parts...)
+					}
+					if passesBetween {
+						table.pass(systemPart, sessionPart)
+					}
+				}
+				time.Sleep(afterVerdict)
+				is.True(table.refused(badPart))
+				is.True(!table.refused(systemPart, sessionPart))
+			})
+		}
+	}
+}
+
+// Guards against a quarantine of the parts that follow a crashing one, each of which is
+// on few crashed servers.
+func TestSharedPartIsBlamedForCrashesUnderOthers(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for session := range uint64(partCrashThreshold) {
+			table.crashes(1, crashInterval, badPart, sessionPart+session)
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+		is.True(!table.refused(systemPart, sessionPart))
+	})
+}
+
+// Guards against a crashing part that is never blamed because a more specific one
+// explains its first crashes.
+func TestWrongVerdictDoesNotHideTheCrashingPart(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		table.crashes(partCrashThreshold, crashInterval, badPart, sessionPart)
+		time.Sleep(afterVerdict)
+		is.True(table.refused(systemPart, sessionPart))
+		table.crashes(partCrashThreshold, crashInterval, badPart, otherPart)
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+		is.True(!table.refused(systemPart, otherPart))
+	})
+}
+
+// Guards against a quarantine of a part that many requests share when several servers
+// fail together.
+func TestServersThatFailTogetherAccuseNoPart(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		table.crashes(20, crashSpacing/50, systemPart)
+		time.Sleep(afterVerdict)
+		is.True(!table.refused(systemPart))
+	})
+}
+
+// Guards against a quarantine of the parts of a single request that crashes servers.
+func TestRetriesOfOneRequestAccuseNoPart(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for i := range 5 {
+			run := partRun(1, systemPart)
+			run.Server = fmt.Sprint("i", i)
+			table.ReportCrash(run)
+			time.Sleep(crashInterval)
+		}
+		time.Sleep(afterVerdict)
+		is.True(!table.refused(systemPart))
+	})
+}
+
+// Guards against a quarantine of a part because of runs that were well into their answers.
+func TestRunsThatHaveLongBegunAccuseNoPart(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for i := range uint64(10) {
+			a, _ := table.Admit(Subject{Request: i, Parts: []uint64{systemPart}}, func() {})
+			a.Sending()
+			a.Wrote()
+			time.Sleep(earlyRunWindow)
+			a.Broken("r", fmt.Sprint("i", i), endedNow)
+			a.End()
+		}
+		time.Sleep(afterVerdict)
+		is.True(!table.refused(systemPart))
+	})
+}
+
+// Guards against a part that counts as sound because it was before it began to crash
+// servers.
+func TestPartThatBeginsToCrashServersIsQuarantined(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for range 20 {
+			table.pass(badPart, sessionPart)
+			time.Sleep(100 * time.Millisecond)
+		}
+		table.crashes(partCrashThreshold, crashInterval, badPart, sessionPart)
+		table.pass(sessionPart)
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+		is.True(!table.refused(sessionPart))
+	})
+}
+
+// Guards against a quarantine that no host can reach alone because each sees one crash.
+func TestCrashesOfSeveralHostsCount(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		late := newPartTable(is)
+		for i := range uint64(partCrashThreshold) {
+			host := newPartTable(is)
+			host.runs = i
+			host.pass(systemPart)
+			host.crashes(1, crashInterval, systemPart, badPart)
+			is.True(late.MergeEvidence(host.GossipEvidence()))
+			is.True(!late.MergeEvidence(host.GossipEvidence())) // known already
+		}
+		time.Sleep(afterVerdict)
+		is.True(late.refused(badPart))
+		is.True(!late.refused(systemPart))
+	})
+}
+
+// Guards against a part that stays quarantined although another host has seen it pass
+// after the crashes.
+func TestPassAtAnotherHostEndsQuarantine(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table, other := newPartTable(is), newPartTable(is)
+		table.crashes(partCrashThreshold, crashInterval, systemPart)
+		other.MergeEvidence(table.GossipEvidence())
+		other.pass(systemPart)
+		time.Sleep(afterVerdict)
+		is.True(table.refused(systemPart))
+		other.Merge(table.GossipRecords(), "peer")
+		is.True(!other.refused(systemPart))
+		is.True(table.Merge(other.GossipRecords(), "peer"))
+		is.True(!table.refused(systemPart))
+	})
+}
+
+// Guards against a quarantine that cancels the runs that could acquit the part, or that
+// lets waiting ones crash further servers.
+func TestQuarantineOfPartCancelsRunsThatHaveNotBegun(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		cancelled := ""
+		admit := func(name string) *Admission {
+			a, _ := table.Admit(Subject{Request: 1, Parts: []uint64{badPart}}, func() { cancelled += name })
+			a.Sending()
+			return a
+		}
+		admit("waiting")
+		writing := admit("writing")
+		writing.Wrote()
+		table.crashes(partCrashThreshold, crashInterval, badPart)
+		time.Sleep(afterVerdict)
+		synctest.Wait()
+		is.Equal(cancelled, "waiting")
+		is.Equal(writing.Left() > 0, true)
+	})
+}
+
+// Guards against a run that began before the crashes, goes on, and acquits the part.
+func TestRunThatBeganBeforeTheCrashesAcquitsNothing(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		a := table.admit(badPart)
+		a.Sending()
+		a.Wrote()
+		table.crashes(partCrashThreshold, crashInterval, badPart)
+		time.Sleep(earlyRunWindow)
+		a.Wrote()
+		is.True(table.refused(badPart))
+		a.Completed()
+		is.True(table.refused(badPart))
+	})
+}
+
+// Guards against trials that crash several servers at a time, and against parts that stay
+// quarantined after the fault has ended.
+func TestQuarantinedPartIsTriedByOneRequest(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table, other := newPartTable(is), newPartTable(is)
+		other.TrialHost = func(uint64) bool { return false }
+		table.crashes(partCrashThreshold, crashInterval, badPart)
+		for _, hold := range append(partQuarantineDurations, partQuarantineDurations[len(partQuarantineDurations)-1]) {
+			time.Sleep(hold + verdictDelay)
+			other.Merge(table.All(), "peer")
+			is.True(other.refused(badPart))
+			a := table.admit(badPart)
+			a.Sending()
+			is.True(table.refused(badPart))
+			a.Broken("r", fmt.Sprint("trial", hold), endedNow)
+			a.End()
+			is.True(table.refused(badPart))
+		}
+		time.Sleep(partQuarantineDurations[len(partQuarantineDurations)-1])
+		table.pass(badPart)
+		is.True(!table.refused(badPart))
+		is.True(other.Merge(table.GossipRecords(), "peer"))
+		is.True(!other.refused(badPart))
+	})
+}
+
+// Guards against a part that is never tried again because its trial was not placed.
+func TestTrialWithoutResultIsRepeated(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		table.crashes(partCrashThreshold, crashInterval, badPart)
+		time.Sleep(partQuarantineDurations[0] + verdictDelay)
+		table.admit(badPart).End()
+		is.True(table.refused(badPart))
+		time.Sleep(trialSpacing)
+		table.pass(badPart)
+		is.True(!table.refused(badPart))
+	})
+}
+
+// Guards against memory and messages that grow with the number of crashes and parts.
+func TestPartEvidenceIsBounded(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		many := make([]uint64, 4*maxParts)
+		for i := range many {
+			many[i] = uint64(i)
+		}
+		table.admit(many...).Completed()
+		table.crashes(2*maxCrashedServers, time.Millisecond, many[:maxParts]...)
+		is.Equal(len(table.parts.crashes), maxCrashedServers)
+		evidence := table.GossipEvidence()
+		is.Equal(len(evidence.Crashes), maxChangedRecords)
+		is.Equal(len(evidence.Passes), maxChangedRecords)
+		is.True(!table.MergeEvidence(Evidence{Crashes: []Crash{{Server: 1, Request: 1, Parts: many}}}))
+		for part := range uint64(2 * maxPassedParts) {
+			table.pass(part)
+		}
+		is.Equal(table.parts.passes.Len(), maxPassedParts)
+	})
+}
+
+// Guards against quarantined parts that are evicted by requests that were on crashed
+// servers.
+func TestSuspectsEvictNoQuarantinedPart(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		table.crashes(partCrashThreshold, crashInterval, badPart)
+		time.Sleep(partQuarantineDurations[0])
+		table.crashes(maxRequests+10, 0, sessionPart)
+		is.True(table.requests[badPart] != nil)
+	})
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,13 +1,16 @@
 // Package quarantine detects requests that crash the backend servers that run
 // them and blocks further sends. A request is identified by its fingerprint, which
-// is equal for retries by its caller at any entry host.
+// is equal for retries by its caller at any entry host, and by the parts of its
+// prompt, which other requests share.
 package quarantine
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 )
@@ -17,6 +20,10 @@
 	msgQuarantined = "request is quarantined: backend servers crash under it"
 	msgCleared     = "request is cleared: it ran to its end"
 
+	msgPartQuarantined = "prompt part is quarantined: backend servers crash under requests with it"
+	msgPartCleared     = "prompt part is cleared: a run with it went on"
+	msgTrial           = "request with a quarantined prompt part is tried"
+
 	// sourceOwn is the source of records that come from this host's own requests.
 	sourceOwn = "own"
 
@@ -33,23 +40,40 @@
 	// clearedRetention is how long the record of a cleared request is kept to
 	// override older records at other hosts.
 	clearedRetention = time.Minute
-	// maxRequests bounds the table. The entry that expires first is evicted:
-	// usually cleared requests and suspects before quarantined ones.
+	// trialPeriod is how long after a part's time in quarantine single requests with it
+	// are tried, at one host; without a trial in that time, the part is forgotten.
+	trialPeriod = 10 * time.Minute
+	// trialSpacing is the minimum time between two trials of a part.
+	trialSpacing = 30 * time.Second
+	// minPartRetry and maxPartRetry bound the time after which callers of a quarantined
+	// part may try again. When the part will be served is not known.
+	minPartRetry = 15 * time.Second
+	maxPartRetry = 30 * time.Second
+	// maxRequests bounds the table. Records that are not quarantined are evicted first,
+	// of these the one that expires first.
 	maxRequests = 4096
 )
 
-// Record is the crash history of one request. Of two records of a request, the one
-// with the higher Epoch takes precedence; in the same epoch, the one with more
-// Crashes.
+// partQuarantineDurations are how long a part is quarantined before it is tried, by
+// the number of trials that have crashed a server; the last one repeats.
+var partQuarantineDurations = []time.Duration{time.Minute, 10 * time.Minute, 30 * time.Minute}
+
+// Record is the crash history of one request, or of one part of prompts. Of two
+// records of a request or part, the one with the higher Epoch takes precedence; in the
+// same epoch, the one with more Crashes.
 type Record struct {
-	Fingerprint uint64
-	Epoch       uint32        // incremented when the request runs to its end after a crash
-	Crashes     uint32        // consecutive server crashes in this epoch
-	Remaining   time.Duration // remaining time until the record expires
+	Fingerprint uint64 // of the request, or the part's identity
+	Part        bool
+	Epoch       uint32 // incremented when the request runs to its end, or the part passes, after a crash
+	// Crashes is the number of consecutive server crashes in this epoch. For a part it
+	// is how often the part was quarantined: once, and after each trial that crashed a
+	// server.
+	Crashes   uint32
+	Remaining time.Duration // remaining time until the record expires
 }
 
-// Quarantined reports whether the request is quarantined.
-func (r Record) Quarantined() bool { return r.Crashes >= crashThreshold }
+// Quarantined reports whether the request or the part is quarantined.
+func (r Record) Quarantined() bool { return r.Crashes >= crashThreshold || r.Part && r.Crashes > 0 }
 
 func (r Record) newerThan(other Record) bool {
 	if r.Epoch != other.Epoch {
@@ -72,6 +96,9 @@
 	// quarantine, so that the stored quarantined requests must be rewritten; nil:
 	// no call. It must not block.
 	QuarantineChanged func()
+	// TrialHost reports whether this host is the one that tries requests with a
+	// quarantined part; nil: always. It may be called from any goroutine.
+	TrialHost func(part uint64) bool
 
 	logger  *zap.Logger
 	changes *prometheus.CounterVec
@@ -79,24 +106,32 @@
 
 	mu       sync.Mutex // guards all below
 	requests map[uint64]*entry
-	runs     map[uint64]map[*func()]struct{} // functions that cancel the runs in flight, by fingerprint
-	rotation []uint64                        // quarantined requests not yet repeated in this round
+	parts    *partEvidence
+	runs     map[uint64]map[*Admission]struct{} // admitted requests, by fingerprint and by part
+	rotation []uint64                           // quarantined requests and parts not yet repeated in this round
 }
 
 type entry struct {
 	Record          // Remaining is unused (zero); snapshot computes it from expires
 	expires         time.Time
-	retransmitsLeft int // remaining retransmits of the changed record
+	retransmitsLeft int       // remaining retransmits of the changed record
+	nextTrial       time.Time // of a part, at this host
 }
 
+// trialFrom returns when a quarantined part may be tried.
+func (e *entry) trialFrom() time.Time { return e.expires.Add(-trialPeriod) }
+
+// since returns when a part was quarantined.
+func (e *entry) since() time.Time { return e.expires.Add(-lifetime(e.Record)) }
+
 // NewTable returns an empty table.
 func NewTable(logger *zap.Logger, registerer prometheus.Registerer) *Table {
 	t := &Table{
-		logger: logger, requests: map[uint64]*entry{}, runs: map[uint64]map[*func()]struct{}{},
+		logger: logger, requests: map[uint64]*entry{}, parts: newPartEvidence(), runs: map[uint64]map[*Admission]struct{}{},
 		watched: make(chan struct{}, maxWatched),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayasail_quarantine_changes_total",
-			Help: "Changes of the records of requests, own and received: suspected of crashing backend servers, quarantined, or cleared.",
+			Help: "Changes of the records of requests and prompt parts, own and received: suspected of crashing backend servers, quarantined, or cleared.",
 		}, []string{"change"}),
 	}
 	registerer.MustRegister(t.changes)
@@ -107,77 +142,180 @@
 func (t *Table) Mark(fingerprint uint64) Mark {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.markOf(fingerprint)
+}
+
+// markOf is Mark with mu held.
+func (t *Table) markOf(fingerprint uint64) Mark {
 	if e := t.get(fingerprint); e != nil {
 		return Mark{e.Epoch, e.Crashes}
 	}
 	return Mark{}
 }
 
-// Quarantined returns the remaining time of a request's quarantine; zero: it is
-// not quarantined.
+// Quarantined returns the remaining time of a request's quarantine, or of a part's
+// before its trial; zero: it is not quarantined.
 func (t *Table) Quarantined(fingerprint uint64) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.remainingQuarantine(fingerprint)
 }
 
-// remainingQuarantine returns the remaining time of a request's quarantine, or
-// zero. Called with mu held.
+// remainingQuarantine returns the remaining time of a quarantine, or zero. Called
+// with mu held.
 func (t *Table) remainingQuarantine(fingerprint uint64) time.Duration {
-	if e := t.get(fingerprint); e != nil && e.Quarantined() {
-		return time.Until(e.expires)
+	e := t.get(fingerprint)
+	switch {
+	case e == nil || !e.Quarantined():
+		return 0
+	case e.Part:
+		return max(0, time.Until(e.trialFrom()))
 	}
-	return 0
+	return time.Until(e.expires)
 }
 
-// Admit registers a run of a request. If the request is quarantined while the run
-// is registered, cancel is called and must cancel the run. unregister ends the
-// registration. A run of a request that is already quarantined is not registered,
-// and left is the remaining time of the quarantine.
-func (t *Table) Admit(fingerprint uint64, cancel func()) (unregister func(), left time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if left := t.remainingQuarantine(fingerprint); left > 0 {
-		return func() {}, left
-	}
-	key := &cancel
-	if t.runs[fingerprint] == nil {
-		t.runs[fingerprint] = map[*func()]struct{}{}
-	}
-	t.runs[fingerprint][key] = struct{}{}
-	return func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		delete(t.runs[fingerprint], key)
-		if len(t.runs[fingerprint]) == 0 {
-			delete(t.runs, fingerprint)
+// blockedFor returns the time after which a quarantined request may be tried again,
+// or zero. Called with mu held.
+func (t *Table) blockedFor(subject Subject) time.Duration {
+	left := t.remainingQuarantine(subject.Request)
+	for _, part := range subject.Parts {
+		if t.remainingQuarantine(part) > 0 {
+			left = max(left, partRetry())
+		}
+	}
+	return left
+}
+
+// partRetry returns the time after which a caller of a quarantined part may try again.
+func partRetry() time.Duration { return minPartRetry + rand.N(maxPartRetry-minPartRetry) }
+
+// partsOnTrial returns the parts that are quarantined and may be tried. Called with mu
+// held.
+func (t *Table) partsOnTrial(parts []uint64) []uint64 {
+	var onTrial []uint64
+	for _, part := range parts {
+		if e := t.get(part); e != nil && e.Part && e.Quarantined() && t.remainingQuarantine(part) == 0 {
+			onTrial = append(onTrial, part)
+		}
+	}
+	return onTrial
+}
+
+// startTrials starts a trial of the parts and reports whether it may. Called with mu
+// held.
+func (t *Table) startTrials(parts []uint64) bool {
+	now := time.Now()
+	for _, part := range parts {
+		if now.Before(t.requests[part].nextTrial) {
+			return false
 		}
-	}, 0
+	}
+	for _, part := range parts {
+		t.requests[part].nextTrial = now.Add(trialSpacing)
+		t.logger.Info(msgTrial, partField(part))
+	}
+	return true
 }
 
 // ReportCrash records that a server crashed while it ran a run. If the run had not
-// just started, a first crash is not gossiped to other hosts.
+// just started, a first crash is not gossiped to other hosts, and the parts of its
+// prompt are not accused.
 //
 // The crash is added to those that were known when the run was sent, so that
 // servers that crash at the same time count once.
 func (t *Table) ReportCrash(run Run) {
 	t.mu.Lock()
-	updated := Record{Fingerprint: run.Fingerprint, Epoch: run.Sent.epoch, Crashes: run.Sent.crashes + 1}
-	known := t.get(run.Fingerprint)
+	updated := Record{Fingerprint: run.Subject.Request, Epoch: run.Sent.epoch, Crashes: run.Sent.crashes + 1}
+	known := t.get(run.Subject.Request)
 	if known != nil && known.Epoch > updated.Epoch {
 		updated.Epoch, updated.Crashes = known.Epoch, 1
 	}
 	// Each crash is logged, also one that does not change the record because
 	// another run that was sent at the same time has reported one.
-	t.logger.Warn(msgSuspected, zap.String("request", run.Request), fingerprintField(run.Fingerprint), zap.String("server", run.Server),
-		zap.Uint32("in_a_row", updated.Crashes))
-	var cancels []*func()
+	t.logger.Warn(msgSuspected, zap.String("request", run.Request), fingerprintField(run.Subject.Request), zap.String("server", run.Server),
+		zap.Uint32("in_a_row", updated.Crashes), zap.Bool("early", run.Early), zap.Strings("parts", partNames(run.Subject.Parts)))
+	var cancels []func()
 	changed := known == nil || updated.newerThan(known.Record)
+	quarantined := changed && updated.Quarantined()
 	if changed {
 		cancels = t.set(updated, lifetime(updated), run.Early, sourceOwn)
 	}
+	if run.Early && len(run.Subject.Parts) > 0 {
+		crash := Crash{Server: xxhash.Sum64String(run.Server), Request: run.Subject.Request, Parts: run.Subject.Parts}
+		changed = t.addCrash(crash, run.BrokenAt, true) || changed
+		for _, part := range run.Trials {
+			cancels, quarantined = append(cancels, t.quarantinePart(part)...), true
+		}
+	}
 	t.mu.Unlock()
-	t.notify(cancels, changed, changed && updated.Quarantined())
+	t.notify(cancels, changed, quarantined)
+}
+
+// addCrash adds a crash to the evidence on the parts of prompts, reports whether it was
+// new, and schedules the verdict. Called with mu held.
+func (t *Table) addCrash(crash Crash, at time.Time, own bool) bool {
+	t.parts.forgetBefore(time.Now().Add(-suspicionDuration))
+	if !t.parts.addCrash(crash, at, own) {
+		return false
+	}
+	time.AfterFunc(time.Until(at.Add(verdictDelay)), func() { t.judge(crash.Parts) })
+	return true
+}
+
+// judge quarantines those of the parts that are to be blamed for the known crashes. All
+// hosts come to the same verdict; those whose own runs crashed store it.
+func (t *Table) judge(parts []uint64) {
+	t.mu.Lock()
+	until := time.Now().Add(-verdictDelay)
+	quarantined := func(part uint64) bool {
+		e := t.get(part)
+		return e != nil && e.Quarantined()
+	}
+	var cancels []func()
+	changed, stored := false, false
+	for _, part := range parts {
+		if !quarantined(part) && t.parts.blamed(part, until, quarantined) {
+			cancels, changed = append(cancels, t.quarantinePart(part)...), true
+			stored = stored || t.parts.accusedByOwn(part)
+		}
+	}
+	t.mu.Unlock()
+	t.notify(cancels, changed, stored)
+}
+
+// quarantinePart quarantines a part, again after a trial that crashed a server, and
+// returns the functions that cancel runs. Called with mu held.
+func (t *Table) quarantinePart(part uint64) []func() {
+	updated := Record{Fingerprint: part, Part: true, Crashes: 1}
+	if known := t.get(part); known != nil {
+		updated.Epoch, updated.Crashes = known.Epoch, known.Crashes+1
+	}
+	return t.set(updated, lifetime(updated), true, sourceOwn)
+}
+
+// reportPassed records that a run wrote its first event at the given time and went on,
+// and ends the quarantine of the parts of its prompt.
+func (t *Table) reportPassed(parts []uint64, began time.Time) {
+	t.mu.Lock()
+	changed, cleared := false, false
+	for _, part := range parts {
+		changed = t.parts.addPass(part, began) || changed
+		cleared = t.clearPassedPart(part) || cleared
+	}
+	t.mu.Unlock()
+	t.notify(nil, changed || cleared, cleared)
+}
+
+// clearPassedPart ends the quarantine of a part if a run with it that began later has
+// passed, and reports whether it did. Called with mu held.
+func (t *Table) clearPassedPart(part uint64) bool {
+	known := t.get(part)
+	if known == nil || !known.Part || known.Crashes == 0 || !t.parts.passedSince(part, known.since().Add(-acquittalWindow)) {
+		return false
+	}
+	t.logger.Info(msgPartCleared, partField(part), zap.Uint32("in_a_row", known.Crashes))
+	t.set(Record{Fingerprint: part, Part: true, Epoch: known.Epoch + 1}, clearedRetention, true, sourceOwn)
+	return true
 }
 
 // ReportCompleted records that a request ran to its end and clears it of earlier
@@ -200,8 +338,8 @@
 // record is queued for gossip.
 func (t *Table) Merge(records []Record, source string) bool {
 	t.mu.Lock()
-	var cancels []*func()
-	changed := false
+	var cancels []func()
+	changed, cleared := false, false
 	for _, r := range records {
 		known := t.get(r.Fingerprint)
 		switch {
@@ -211,17 +349,35 @@
 		case known == nil || r.newerThan(known.Record):
 			cancels = append(cancels, t.set(r, min(r.Remaining, lifetime(r)), true, source)...)
 			changed = true
+			cleared = t.clearPassedPart(r.Fingerprint) || cleared
 		}
 	}
 	t.mu.Unlock()
-	t.notify(cancels, false, false) // Changed is not called: the caller of Merge forwards new records
+	t.notify(cancels, false, cleared) // OnGossipRecords is not called: the caller of Merge forwards new records
+	return changed
+}
+
+// MergeEvidence merges evidence from another host and reports whether any of it was new.
+func (t *Table) MergeEvidence(evidence Evidence) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, changed := time.Now(), false
+	for _, p := range evidence.Passes {
+		changed = t.parts.addPass(p.Part, now.Add(-p.Age)) || changed
+	}
+	for _, c := range evidence.Crashes {
+		if c.Age < suspicionDuration && len(c.Parts) <= maxParts {
+			changed = t.addCrash(c, now.Add(-c.Age), false) || changed
+		}
+	}
 	return changed
 }
 
 // set stores a record and returns the functions that cancel the runs of a newly
-// quarantined request. The record is gossiped if gossip is set or it is
-// quarantined. Called with mu held.
-func (t *Table) set(r Record, lasts time.Duration, gossip bool, source string) (cancels []*func()) {
+// quarantined request, and those that have not begun of requests with a newly
+// quarantined part. The record is gossiped if gossip is set or it is quarantined.
+// Called with mu held.
+func (t *Table) set(r Record, lasts time.Duration, gossip bool, source string) (cancels []func()) {
 	known := t.get(r.Fingerprint)
 	wasQuarantined := known != nil && known.Quarantined()
 	if known == nil {
@@ -239,21 +395,27 @@
 		known.retransmitsLeft = retransmits
 	}
 	t.changes.WithLabelValues(changeLabel(r)).Inc()
-	if !r.Quarantined() || wasQuarantined {
+	if !r.Quarantined() || wasQuarantined && !r.Part {
 		return nil
 	}
-	t.logger.Warn(msgQuarantined, fingerprintField(r.Fingerprint), zap.Uint32("in_a_row", r.Crashes), zap.Duration("for", lasts),
-		zap.String("source", source), zap.Int("own_runs", len(t.runs[r.Fingerprint])))
-	for cancel := range t.runs[r.Fingerprint] {
-		cancels = append(cancels, cancel)
+	for run := range t.runs[r.Fingerprint] {
+		if !r.Part || !run.begun {
+			cancels = append(cancels, run.cancel)
+		}
+	}
+	message, field := msgQuarantined, fingerprintField(r.Fingerprint)
+	if r.Part {
+		message, field, lasts = msgPartQuarantined, partField(r.Fingerprint), time.Until(known.trialFrom())
 	}
+	t.logger.Warn(message, field, zap.Uint32("in_a_row", r.Crashes), zap.Duration("for", lasts),
+		zap.String("source", source), zap.Int("own_runs", len(cancels)))
 	return cancels
 }
 
 // notify cancels runs and calls the callbacks, which must not happen with mu held.
-func (t *Table) notify(cancels []*func(), changed, quarantineChanged bool) {
+func (t *Table) notify(cancels []func(), changed, quarantineChanged bool) {
 	for _, cancel := range cancels {
-		(*cancel)()
+		cancel()
 	}
 	if changed && t.OnGossipRecords != nil {
 		t.OnGossipRecords()
@@ -273,24 +435,33 @@
 	return e
 }
 
-// evictIfFull evicts the entry that expires first if the table is full. Called
-// with mu held.
+// evictIfFull evicts an entry if the table is full: one that is not quarantined if there
+// is one, of these the one that expires first. Called with mu held.
 func (t *Table) evictIfFull() {
 	if len(t.requests) < maxRequests {
 		return
 	}
 	var first *entry
 	for _, e := range t.requests {
-		if first == nil || e.expires.Before(first.expires) {
+		if first == nil || evictedBefore(e, first) {
 			first = e
 		}
 	}
 	delete(t.requests, first.Fingerprint)
 }
 
+func evictedBefore(e, other *entry) bool {
+	if e.Quarantined() != other.Quarantined() {
+		return !e.Quarantined()
+	}
+	return e.expires.Before(other.expires)
+}
+
 // lifetime returns the time until a new record expires.
 func lifetime(r Record) time.Duration {
 	switch {
+	case r.Part && r.Crashes > 0:
+		return partQuarantineDurations[min(int(r.Crashes), len(partQuarantineDurations))-1] + trialPeriod
 	case r.Quarantined():
 		return quarantineDuration
 	case r.Crashes > 0:
@@ -311,5 +482,17 @@
 }
 
 func fingerprintField(fingerprint uint64) zap.Field {
-	return zap.String("fingerprint", strconv.FormatUint(fingerprint, 16))
+	return zap.String("fingerprint", hexadecimal(fingerprint))
 }
+
+func partField(part uint64) zap.Field { return zap.String("part", hexadecimal(part)) }
+
+func partNames(parts []uint64) []string {
+	var names []string
+	for _, part := range parts {
+		names = append(names, hexadecimal(part))
+	}
+	return names
+}
+
+func hexadecimal(id uint64) string { return strconv.FormatUint(id, 16) }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -17,7 +17,7 @@
 func newTable() *Table { return NewTable(zap.NewNop(), prometheus.NewRegistry()) }
 
 func run(fingerprint uint64, sent Mark, early bool) Run {
-	return Run{Fingerprint: fingerprint, Sent: sent, Early: early, Request: "r", Server: "i"}
+	return Run{Subject: Subject{Request: fingerprint}, Sent: sent, Early: early, Request: "r", Server: "i"}
 }
 
 // crash records a run of the suspect request, sent now, whose server crashes.
@@ -109,10 +109,10 @@
 	inBubble(t, func(is *is.I) {
 		table := newTable()
 		ended := 0
-		table.Admit(suspect, func() { ended++ })
-		over, _ := table.Admit(suspect, func() { ended += 10 })
-		table.Admit(suspect+1, func() { ended += 100 })
-		over()
+		table.Admit(Subject{Request: suspect}, func() { ended++ })
+		over, _ := table.Admit(Subject{Request: suspect}, func() { ended += 10 })
+		table.Admit(Subject{Request: suspect + 1}, func() { ended += 100 })
+		over.End()
 		is.True(table.Merge([]Record{{Fingerprint: suspect, Crashes: crashThreshold, Remaining: time.Minute}}, "peer"))
 		is.Equal(ended, 1)
 		is.True(!table.Merge([]Record{{Fingerprint: suspect, Crashes: crashThreshold, Remaining: time.Minute}}, "peer"))
@@ -126,10 +126,10 @@
 	inBubble(t, func(is *is.I) {
 		table := newTable()
 		table.crash()
-		_, left := table.Admit(suspect, func() {})
+		_, left := table.Admit(Subject{Request: suspect}, func() {})
 		is.Equal(left, time.Duration(0))
 		table.crash()
-		_, left = table.Admit(suspect, func() { is.Fail() })
+		_, left = table.Admit(Subject{Request: suspect}, func() { is.Fail() })
 		is.Equal(left, quarantineDuration)
 		table.crash()
 	})
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -49,7 +49,7 @@
 	if c.table == nil {
 		return
 	}
-	run := quarantine.Run{Fingerprint: c.fingerprint, Sent: c.sentMark, Early: early, Server: address}
+	run := quarantine.Run{Subject: quarantine.Subject{Request: c.fingerprint}, Sent: c.sentMark, Early: early, Server: address}
 	c.table.ReportBroken(run, func(ctx context.Context) bool { return c.backend.RefusesConnection(ctx, address) })
 }
 
