gatewayhost: hosts that are cut off from their peers learn of the quarantine

A host that is cut off from its peers, not from the servers and the store, went on sending requests with a quarantined prompt part: the stored quarantine was read only by hosts that start, and running ones relied on gossip.

The hosts that watch the store now watch the quarantine, too; a host that is cut off becomes a watcher. Others receive the object with the changes that watchers deliver. As each host may want to store the same verdict, one that finds it stored does not write.

--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -27,6 +27,8 @@
 	case object.Kind == objects.Evacuations:
 		h.fleet.SetEvacuated(object.Name, !object.Deleted)
 		h.evacuationRevision.Store(max(h.evacuationRevision.Load(), uint64(object.Version)))
+	case object.Kind == objects.Quarantine && !object.Deleted:
+		h.mergeQuarantine(object)
 	}
 	return nil
 }
--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -176,7 +176,7 @@
 
 // relistExcept makes the followers of all kinds but one list their objects again.
 func (h *Host) relistExcept(kind string) {
-	for _, f := range []*replica.Follower{h.configuration, h.servers, h.evacuations} {
+	for _, f := range []*replica.Follower{h.configuration, h.servers, h.evacuations, h.quarantines} {
 		if f.Kind != kind {
 			f.Relist()
 		}
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -75,7 +75,7 @@
 	// domain. It applies as long as the object exists, whatever its content.
 	Evacuations string
 	// Quarantine is the kind of the single object that stores the quarantined
-	// requests; entry hosts write it.
+	// requests and prompt parts; entry hosts write it.
 	Quarantine        string
 	ReadConfiguration func(data []byte) (*gateway.Configuration, error)
 	ReadServer        func(id string, data []byte) (fleet.Server, error)
@@ -138,6 +138,7 @@
 	configuration      *replica.Follower
 	servers            *replica.Follower
 	evacuations        *replica.Follower
+	quarantines        *replica.Follower
 	evacuationRevision atomic.Uint64 // newest revision of an evacuation order
 	node               atomic.Pointer[peer.Node]
 	summarised         atomic.Pointer[memberSummary]
@@ -175,6 +176,7 @@
 	h.configuration = h.newFollower(o.Objects.Configuration, configurationSpacing)
 	h.servers = h.newFollower(o.Objects.Servers, serversSpacing)
 	h.evacuations = h.newFollower(o.Objects.Evacuations, 0)
+	h.quarantines = h.newFollower(o.Objects.Quarantine, 0)
 	h.fleet = fleet.NewTable(o.Name, o.Logger)
 	h.paths = tunnel.NewNetwork(tunnel.Options{
 		Host: o.Name, Domain: o.Domain, Direct: o.Network, Peers: h, ServiceAt: h.fleet.ServiceAt, Logger: o.Logger, Registerer: o.Registerer,
@@ -255,7 +257,7 @@
 // background returns the background loops; each runs until its context ends.
 func (h *Host) background() []func(context.Context) error {
 	return []func(context.Context) error{
-		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.watch.Run, h.syncQuarantine, h.releaseLostGenerations,
+		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.quarantines.Run, h.watch.Run, h.syncQuarantine, h.releaseLostGenerations,
 		h.runNode, h.allocation.Run, h.allocation.Exchange, h.outageMonitor.Run,
 	}
 }
--- a/gatewayhost/quarantine.go
+++ b/gatewayhost/quarantine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -83,7 +84,8 @@
 // reads the stored object at startup and again after quarantineRereadDelay,
 // repeats the second read until the store answers, and updates the object when
 // this host's quarantine changes. Running hosts receive changes by gossip; the
-// stored object is for hosts that start while no peer is alive.
+// stored object is for hosts that start while no peer is alive, and for those that
+// are cut off from their peers and therefore watch the store.
 func (h *Host) syncQuarantine(ctx context.Context) error {
 	h.readQuarantine(ctx)
 	reread := time.NewTimer(quarantineRereadDelay)
@@ -132,15 +134,30 @@
 	return err == nil
 }
 
-// mergeQuarantine merges a stored object. One that cannot be decoded is ignored,
-// as another writer may have overwritten it.
-func (h *Host) mergeQuarantine(object store.Object) {
+// mergeQuarantine merges a stored object and returns its records. One that cannot be
+// decoded is ignored, as another writer may have overwritten it.
+func (h *Host) mergeQuarantine(object store.Object) []quarantine.Record {
 	records, err := decodeQuarantine(object.Value, time.Now())
 	if err != nil {
 		h.logger.Warn(msgQuarantineUnreadable, zap.Uint64("revision", uint64(object.Version)), zap.Error(err))
-		return
+		return nil
 	}
 	h.quarantine.Merge(records, quarantineSource)
+	return records
+}
+
+// sameRecords reports whether two lists have the same records, regardless of their
+// order and of the time that remains.
+func sameRecords(a, b []quarantine.Record) bool {
+	set := func(records []quarantine.Record) map[quarantine.Record]bool {
+		all := make(map[quarantine.Record]bool, len(records))
+		for _, r := range records {
+			r.Remaining = 0
+			all[r] = true
+		}
+		return all
+	}
+	return maps.Equal(set(a), set(b))
 }
 
 // storeQuarantine merges the stored object with this host's quarantine and
@@ -153,10 +170,15 @@
 	if err != nil && !errors.Is(err, store.ErrNoObject) {
 		return err
 	}
+	var stored []quarantine.Record
 	if err == nil {
-		h.mergeQuarantine(object)
+		stored = h.mergeQuarantine(object)
+	}
+	current := h.quarantine.All()
+	if sameRecords(stored, current) {
+		return nil // another host has stored the same change
 	}
-	value, err := encodeQuarantine(h.quarantine.All(), time.Now())
+	value, err := encodeQuarantine(current, time.Now())
 	if err != nil {
 		return err
 	}
--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -171,8 +171,11 @@
 	return f
 }
 
+// hostAddress returns the address of the host with the given number, from zero.
+func hostAddress(number int) string { return fmt.Sprintf("10.0.0.%d", number+1) }
+
 func (f *crashingFleet) startHost(ctx context.Context, i int) {
-	address := fmt.Sprintf("10.0.0.%d", i+1)
+	address := hostAddress(i)
 	h := newHostWith(f.backend, fmt.Sprintf("h%02d", i), f.fabric.Host(address), address, f.memory, "10.0.0.1"+peerPort, "10.0.0.2"+peerPort)
 	route := &gateway.Route{
 		Name: "write", Host: "h", PathPrefix: "/write/", Kind: f.kind, Timeout: 20 * time.Second, Goal: time.Second, Attempts: 1,
@@ -183,7 +186,7 @@
 	h.booting.Store(true)
 	f.hosts[i] = h
 	ctx, f.cancels[i] = context.WithCancel(ctx)
-	for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.evacuations.Run, h.syncQuarantine, h.watch.Run} {
+	for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.evacuations.Run, h.quarantines.Run, h.syncQuarantine, h.watch.Run} {
 		go func() { _ = run(ctx) }()
 	}
 }
--- a/gatewayhost/sharedpart_test.go
+++ b/gatewayhost/sharedpart_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,7 +47,8 @@
 // request with crashingPart.
 type partEngines struct {
 	*crashing
-	random *rand.Rand
+	random   *rand.Rand
+	repaired atomic.Bool // requests with crashingPart crash no servers any more
 
 	guard     sync.Mutex // guards all below
 	partSends []time.Time
@@ -57,6 +59,7 @@
 		return nil, &backend.CallError{Evidence: backend.NothingSent, Err: errors.New("refused")}
 	}
 	bad := slices.Contains(call.Request.Prompt.SharedParts, crashingPart)
+	crashes := bad && !e.repaired.Load()
 	e.guard.Lock()
 	prefill := time.Duration(e.random.Int64N(int64(maxPrefill)))
 	if bad {
@@ -71,16 +74,16 @@
 		return nil, &backend.CallError{Evidence: backend.Broken, Err: ctx.Err()}
 	case <-time.After(prefill):
 	}
-	if bad {
+	if crashes {
 		time.AfterFunc(crashAfter, func() { e.crash(call.Server.ID) })
 	}
 	reader, writer := io.Pipe()
-	go e.write(ctx, call.Request, bad, ended, writer)
+	go e.write(ctx, call.Request, crashes, ended, writer)
 	return &gateway.Reply{Status: http.StatusOK, Header: http.Header{}, Body: reader, Complete: true}, nil
 }
 
 // write writes the events of a generation; the number of events is the request's body.
-func (e *partEngines) write(ctx context.Context, request *gateway.Request, bad bool, ended chan struct{}, writer *io.PipeWriter) {
+func (e *partEngines) write(ctx context.Context, request *gateway.Request, crashes bool, ended chan struct{}, writer *io.PipeWriter) {
 	for i := range len(request.Body) {
 		select {
 		case <-ended:
@@ -91,7 +94,7 @@
 			return
 		case <-time.After(eventInterval):
 		}
-		if bad {
+		if crashes {
 			<-ended
 			continue
 		}
@@ -258,3 +261,41 @@
 		}
 	}
 }
+
+// Guards against hosts that are cut off from their peers, not from the servers or the
+// store, and send what the others have quarantined.
+func TestQuarantinedPartReachesHostsCutOffFromPeers(t *testing.T) {
+	withPartFleet(t, 7, func(ctx context.Context, is *is.I, f *partFleet) {
+		for i := range 3 {
+			f.cutOff(i)
+		}
+		go f.sendFor(ctx, 30*time.Second, crashingInterval, []string{"system", crashingPart})
+		f.sendFor(ctx, 30*time.Second, soundInterval, []string{"system", "session"})
+		time.Sleep(10 * time.Second)
+		t.Logf("%d crashes, %d sends after the fifth", len(f.engines.crashes), f.engines.sendsAfterCrashes())
+		is.True(f.engines.sendsAfterCrashes() <= sendsAllowed)
+	})
+}
+
+// cutOff cuts a host off from all others.
+func (f *partFleet) cutOff(host int) {
+	for i := range f.hosts {
+		if i != host {
+			f.fabric.Cut(hostAddress(host), hostAddress(i))
+		}
+	}
+}
+
+// Guards against a quarantined part that is sent again after all hosts were killed at once.
+func TestQuarantinedPartSurvivesRestartOfAllHosts(t *testing.T) {
+	withPartFleet(t, 7, func(ctx context.Context, is *is.I, f *partFleet) {
+		for range 3 {
+			go f.sendFor(ctx, 10*time.Second, soundInterval, []string{"system", "session"})
+			f.sendFor(ctx, 10*time.Second, crashingInterval, []string{"system", crashingPart})
+			f.restartAll(ctx)
+		}
+		f.sendFor(ctx, 10*time.Second, crashingInterval, []string{"system", crashingPart})
+		is.True(f.engines.sendsAfterCrashes() <= sendsAllowed)
+		is.True(f.serve(ctx, shortEvents, "system", "session").Complete)
+	})
+}
