--- a/gatewayhost/sharedpart_test.go
+++ b/gatewayhost/sharedpart_test.go
@@ -299,3 +299,19 @@
 		is.True(f.serve(ctx, shortEvents, "system", "session").Complete)
 	})
 }
+
+// Guards against a fleet in which each host tries a quarantined part, and against one that
+// never tries it again.
+func TestQuarantinedPartIsTriedOnceInTheFleet(t *testing.T) {
+	withPartFleet(t, 7, func(ctx context.Context, is *is.I, f *partFleet) {
+		parts := []string{"system", crashingPart}
+		go f.sendFor(ctx, 10*time.Second, soundInterval, []string{"system", "session"})
+		f.sendFor(ctx, 10*time.Second, crashingInterval, parts)
+		sent := len(f.engines.partSends)
+		f.sendFor(ctx, 5*time.Minute, crashingInterval/10, parts)
+		is.Equal(len(f.engines.partSends)-sent, 1)
+		f.engines.repaired.Store(true)
+		f.sendFor(ctx, 20*time.Minute, time.Second, parts)
+		is.True(f.serve(ctx, shortEvents, parts...).Complete)
+	})
+}
