relay, entryhost, fake/engine: prompt prefixes that crash engines are quarantined

On our own interface prompts are text, and crashes were counted by a hash of the whole request, as on the users' platform: generations whose prompts share a beginning, no two alike, crash one engine after another.

The longest one that all crashes share and no run has passed with is blamed. A run that waits when its request is quarantined is cancelled here, too, and its caller is told that it has not run, or that this is unknown. As an engine keeps its address over restarts, crashes of one address more than a second apart count as different ones. The stand-in engine ends when it begins to write an answer to a prompt with a given text.

--- a/fake/engine/config.go
+++ b/fake/engine/config.go
@@ -47,6 +47,12 @@
 	LoadTime    time.Duration // duration of loading or unloading a model
 	HonourFence bool          // refuse orders with a stale fencing number
 	OrderToken  string        // bearer token required for orders; empty: none
+
+	// CrashingPart is a text that crashes the engine when it begins to write an answer
+	// to a prompt with it; empty: none. OnCrashingPrompt is called when such a
+	// generation arrives.
+	CrashingPart     string
+	OnCrashingPrompt func()
 }
 
 const (
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -192,6 +192,9 @@
 		changed:      make(chan struct{}),
 	}
 	e.generations[g.id] = g
+	if e.crashes(g) && e.config.OnCrashingPrompt != nil {
+		e.config.OnCrashingPrompt()
+	}
 	e.queueLocked(g)
 	e.journal.started(g)
 	e.reports.record(time.Now(), e.reportLocked())
--- a/fake/engine/step.go
+++ b/fake/engine/step.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/papayasail/papayasail/backend"
@@ -49,6 +51,10 @@
 		return
 	}
 	e.preemptLocked()
+	if slices.ContainsFunc(e.running, e.crashes) {
+		go func() { _ = e.Close() }() // the error is that of a listener that is closed already
+		return
+	}
 	for _, g := range append([]*generation(nil), e.running...) {
 		g.produced++
 		e.journal.token(g)
@@ -64,6 +70,11 @@
 	e.reports.record(time.Now(), e.reportLocked())
 }
 
+// crashes reports whether the engine crashes when it writes the answer to a generation.
+func (e *Engine) crashes(g *generation) bool {
+	return e.config.CrashingPart != "" && strings.Contains(g.prompt, e.config.CrashingPart)
+}
+
 // preemptLocked preempts generations until memory has room for one more token of
 // each running one. A victim loses its memory, which is computed again when it is
 // admitted; it keeps the tokens produced so far.
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -52,8 +52,8 @@
 // gossiped.
 func (e *partEvidence) gossip(now time.Time) Evidence {
 	var evidence Evidence
-	for _, records := range e.crashes {
-		for _, r := range records {
+	for _, c := range e.crashes {
+		for _, r := range c.runs {
 			if r.retransmitsLeft > 0 && len(evidence.Crashes) < maxChangedRecords {
 				r.retransmitsLeft--
 				crash := r.Crash
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -22,11 +22,14 @@
 	// acquittalWindow is how long before the verdict on a part a run with it may have
 	// begun to write so that it still acquits the part.
 	acquittalWindow = 10 * time.Second
+	// sameCrashWindow is the maximum difference between the times at which hosts see one
+	// crash. A server whose identity survives a restart may crash again after that.
+	sameCrashWindow = time.Second
 	// maxParts bounds the parts of one prompt that count.
 	maxParts = 32
-	// maxCrashedServers and maxRunsPerCrash bound the crashes that are remembered.
-	maxCrashedServers = 128
-	maxRunsPerCrash   = 8
+	// maxCrashes and maxRunsPerCrash bound the crashes that are remembered.
+	maxCrashes      = 128
+	maxRunsPerCrash = 8
 	// maxPassedParts bounds the parts that are remembered as sound; the ones used least
 	// recently are forgotten.
 	maxPassedParts = 4096
@@ -65,14 +68,31 @@
 	Passes  []Pass
 }
 
-// crashRecord is a Crash with its local time; Age is unused.
-type crashRecord struct {
+// serverCrash is one crash of a server, with the runs that had just started there.
+type serverCrash struct {
+	server uint64
+	at     time.Time
+	runs   []*crashedRun
+}
+
+// crashedRun is a Crash with its local time; Age is unused.
+type crashedRun struct {
 	Crash
 	at              time.Time
 	own             bool // the run was this host's
 	retransmitsLeft int
 }
 
+// accuses returns the position of a part in the prompt of a run, or -1.
+func (c *serverCrash) accuses(part uint64) (depth int, run *crashedRun) {
+	for _, r := range c.runs {
+		if i := slices.Index(r.Parts, part); i >= 0 {
+			return i, r
+		}
+	}
+	return -1, nil
+}
+
 // partEvidence is the evidence for and against the parts of prompts. It is guarded by
 // the table's mu.
 //
@@ -80,7 +100,7 @@
 // that crashes every server never passes, so any pass after a crash acquits a part of
 // that crash, and one part that explains all crashes of another acquits the other.
 type partEvidence struct {
-	crashes map[uint64][]*crashRecord         // by server
+	crashes []*serverCrash
 	passes  *simplelru.LRU[uint64, time.Time] // last known pass of a part
 	news    map[uint64]int                    // parts whose pass is to be gossiped, with the retransmits left
 }
@@ -90,20 +110,17 @@
 	if err != nil {
 		panic(err) // only if the size is not positive
 	}
-	return &partEvidence{crashes: map[uint64][]*crashRecord{}, passes: passes, news: map[uint64]int{}}
+	return &partEvidence{passes: passes, news: map[uint64]int{}}
 }
 
 // addCrash adds a crash and reports whether it was new.
 func (e *partEvidence) addCrash(c Crash, at time.Time, own bool) bool {
-	known := e.crashes[c.Server]
-	if len(known) >= maxRunsPerCrash || slices.ContainsFunc(known, func(r *crashRecord) bool { return r.Request == c.Request }) {
+	known := e.crashOf(c.Server, at)
+	if len(known.runs) >= maxRunsPerCrash || slices.ContainsFunc(known.runs, func(r *crashedRun) bool { return r.Request == c.Request }) {
 		return false
 	}
-	if known == nil && len(e.crashes) >= maxCrashedServers {
-		e.forgetOldest()
-	}
 	c.Age = 0
-	e.crashes[c.Server] = append(known, &crashRecord{Crash: c, at: at, own: own, retransmitsLeft: suspectRetransmits})
+	known.runs = append(known.runs, &crashedRun{Crash: c, at: at, own: own, retransmitsLeft: suspectRetransmits})
 	// Hosts that do not know that a part passed before the crash could blame it.
 	for _, part := range c.Parts {
 		if _, passed := e.passes.Peek(part); passed {
@@ -113,25 +130,25 @@
 	return true
 }
 
-// forgetOldest forgets the server that crashed first.
-func (e *partEvidence) forgetOldest() {
-	var first uint64
-	var at time.Time
-	for server, records := range e.crashes {
-		if at.IsZero() || records[0].at.Before(at) {
-			first, at = server, records[0].at
+// crashOf returns the crash of a server at about the given time, a new one if there is
+// none.
+func (e *partEvidence) crashOf(server uint64, at time.Time) *serverCrash {
+	for _, c := range e.crashes {
+		if c.server == server && at.Sub(c.at).Abs() < sameCrashWindow {
+			return c
 		}
 	}
-	delete(e.crashes, first)
+	if len(e.crashes) >= maxCrashes {
+		e.crashes = slices.Delete(e.crashes, 0, 1)
+	}
+	c := &serverCrash{server: server, at: at}
+	e.crashes = append(e.crashes, c)
+	return c
 }
 
 // forgetBefore forgets crashes before the given time.
 func (e *partEvidence) forgetBefore(limit time.Time) {
-	for server, records := range e.crashes {
-		if records[0].at.Before(limit) {
-			delete(e.crashes, server)
-		}
-	}
+	e.crashes = slices.DeleteFunc(e.crashes, func(c *serverCrash) bool { return c.at.Before(limit) })
 }
 
 // addPass records that a part passed and reports whether this acquits it of a crash,
@@ -151,58 +168,47 @@
 // accusedBetween reports whether a crash after the first and up to the second time
 // accuses a part.
 func (e *partEvidence) accusedBetween(part uint64, after, until time.Time) bool {
-	for _, records := range e.crashes {
-		for _, r := range records {
-			if r.at.After(after) && !r.at.After(until) && slices.Contains(r.Parts, part) {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(e.crashes, func(c *serverCrash) bool {
+		_, run := c.accuses(part)
+		return run != nil && run.at.After(after) && !run.at.After(until)
+	})
 }
 
 // accusedByOwn reports whether a run of this host accuses a part.
 func (e *partEvidence) accusedByOwn(part uint64) bool {
-	for _, records := range e.crashes {
-		if slices.ContainsFunc(records, func(r *crashRecord) bool { return r.own && slices.Contains(r.Parts, part) }) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(e.crashes, func(c *serverCrash) bool {
+		return slices.ContainsFunc(c.runs, func(r *crashedRun) bool { return r.own && slices.Contains(r.Parts, part) })
+	})
 }
 
 // passedSince reports whether a run with the part wrote its first event after the given
 // time and after the last crash that accuses the part, and went on.
 func (e *partEvidence) passedSince(part uint64, since time.Time) bool {
 	passed, known := e.passes.Peek(part)
-	if !known || !passed.After(since) {
-		return false
-	}
-	return !e.accusedBetween(part, passed, time.Now())
+	return known && passed.After(since) && !e.accusedBetween(part, passed, time.Now())
 }
 
 // accusation is a crash that accuses a part.
 type accusation struct {
-	server, request uint64
-	at              time.Time
-	depth           int // position of the part in the prompt
+	crash   *serverCrash
+	request uint64
+	at      time.Time
+	depth   int // position of the part in the prompt
 }
 
 // accusations returns the crashes up to the given time that accuse a part and happened
-// after its last pass, in order, one for each server.
+// after its last pass, in order.
 func (e *partEvidence) accusations(part uint64, until time.Time) []accusation {
 	passed, _ := e.passes.Peek(part)
 	var all []accusation
-	for server, records := range e.crashes {
-		for _, r := range records {
-			depth := slices.Index(r.Parts, part)
-			if depth >= 0 && r.at.After(passed) && !r.at.After(until) {
-				all = append(all, accusation{server, r.Request, r.at, depth})
-				break
-			}
+	for _, c := range e.crashes {
+		if depth, run := c.accuses(part); run != nil && run.at.After(passed) && !run.at.After(until) {
+			all = append(all, accusation{c, run.Request, run.at, depth})
 		}
 	}
-	slices.SortFunc(all, func(a, b accusation) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.server, b.server)) })
+	slices.SortFunc(all, func(a, b accusation) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.crash.server, b.crash.server))
+	})
 	return all
 }
 
@@ -224,13 +230,13 @@
 func (e *partEvidence) blamed(part uint64, until time.Time, quarantined func(uint64) bool) bool {
 	all := e.accusations(part, until)
 	open := slices.DeleteFunc(slices.Clone(all), func(c accusation) bool {
-		return slices.ContainsFunc(e.accusedWith(part, c.server), quarantined)
+		return slices.ContainsFunc(c.crash.accusedWith(part), quarantined)
 	})
 	if countSeparate(open) < partCrashThreshold {
 		return false
 	}
 	own := e.suspicionOf(part, all)
-	for _, other := range e.accusedWith(part, open[len(open)-1].server) {
+	for _, other := range open[len(open)-1].crash.accusedWith(part) {
 		others := e.accusations(other, until)
 		if covers(others, open) && e.suspicionOf(other, others).compare(own) > 0 {
 			return false
@@ -239,10 +245,10 @@
 	return true
 }
 
-// accusedWith returns the other parts that the crash of a server accuses.
-func (e *partEvidence) accusedWith(part, server uint64) []uint64 {
+// accusedWith returns the other parts that a crash accuses.
+func (c *serverCrash) accusedWith(part uint64) []uint64 {
 	var others []uint64
-	for _, r := range e.crashes[server] {
+	for _, r := range c.runs {
 		for _, other := range r.Parts {
 			if other != part && !slices.Contains(others, other) {
 				others = append(others, other)
@@ -252,10 +258,10 @@
 	return others
 }
 
-// covers reports whether accusations include all servers of others.
+// covers reports whether accusations include all crashes of others.
 func covers(accusations, others []accusation) bool {
 	for _, o := range others {
-		if !slices.ContainsFunc(accusations, func(a accusation) bool { return a.server == o.server }) {
+		if !slices.ContainsFunc(accusations, func(a accusation) bool { return a.crash == o.crash }) {
 			return false
 		}
 	}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -174,6 +174,22 @@
 	})
 }
 
+// Guards against crashes that count once because the server has the same identity after
+// each restart.
+func TestEachCrashOfARestartedServerCounts(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for i := range uint64(partCrashThreshold) {
+			run := partRun(i, badPart)
+			run.Server = "10.0.0.1:9000"
+			table.ReportCrash(run)
+			time.Sleep(sameCrashWindow)
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+	})
+}
+
 // Guards against a quarantine of a part because of runs that were well into their answers.
 func TestRunsThatHaveLongBegunAccuseNoPart(t *testing.T) {
 	inBubble(t, func(is *is.I) {
@@ -330,8 +346,8 @@
 			many[i] = uint64(i)
 		}
 		table.admit(many...).Completed()
-		table.crashes(2*maxCrashedServers, time.Millisecond, many[:maxParts]...)
-		is.Equal(len(table.parts.crashes), maxCrashedServers)
+		table.crashes(2*maxCrashes, time.Millisecond, many[:maxParts]...)
+		is.Equal(len(table.parts.crashes), maxCrashes)
 		evidence := table.GossipEvidence()
 		is.Equal(len(evidence.Crashes), maxChangedRecords)
 		is.Equal(len(evidence.Passes), maxChangedRecords)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -91,14 +91,22 @@
 }
 
 // newAttempts returns the attempt state of a new request and counts the request
-// in the retry budget.
-func (r *Relay) newAttempts(document *contract.Document, request *peerpb.ForwardRequest, idempotent bool) *attempts {
+// in the retry budget; prompt is empty for calls. The context, in which the request must
+// be run, is cancelled when the request is quarantined; end must be called when the
+// request has ended.
+func (r *Relay) newAttempts(ctx context.Context, document *contract.Document, request *peerpb.ForwardRequest, prompt string, idempotent bool) (bounded context.Context, tries *attempts, end func()) {
 	evaluator := r.evaluators.forService(document)
 	evaluator.CountRequest(request.GetOrganisation())
-	return &attempts{
-		evaluator: evaluator, servers: len(document.BackendServers), crashes: r.newCrashTracker(request),
+	ctx, cancel := context.WithCancelCause(ctx)
+	tries = &attempts{
+		evaluator: evaluator, servers: len(document.BackendServers),
+		crashes: r.newCrashTracker(request, prompt, func() { cancel(errQuarantined) }),
 		subject: retry.Subject{Organisation: request.GetOrganisation(), Idempotent: idempotent},
 	}
+	return ctx, tries, func() {
+		tries.crashes.end()
+		cancel(nil)
+	}
 }
 
 // awaitRetry reports whether a request that failed on a server may be retried. It
@@ -142,8 +150,8 @@
 }
 
 // finalRefusal returns the refusal of a request that is not retried after err.
-func (a *attempts) finalRefusal(err error) *contract.Refusal {
-	return a.adjustOutcome(attemptRefusal(err))
+func (a *attempts) finalRefusal(ctx context.Context, err error) *contract.Refusal {
+	return a.adjustOutcome(a.crashes.cancelled(ctx, attemptRefusal(err)))
 }
 
 // adjustOutcome derives the refusal of the request from the refusal of its last
--- a/relay/call.go
+++ b/relay/call.go
@@ -108,14 +108,15 @@
 func (r *Relay) tryCall(ctx context.Context, document *contract.Document, request *peerpb.ForwardRequest, idempotent bool) record.Answer {
 	ctx, stop := context.WithTimeout(ctx, document.Deadlines.Queue+document.Deadlines.Total)
 	defer stop()
-	tries := r.newAttempts(document, request, idempotent)
+	ctx, tries, end := r.newAttempts(ctx, document, request, "", idempotent)
+	defer end()
 	for {
 		grant, err := r.acquire(ctx, tries, routing.Request{
 			Service: document.Service, Organisation: request.GetOrganisation(),
 			Deadline: time.Now().Add(document.Deadlines.Queue),
 		})
 		if err != nil {
-			return record.Answer{Refusal: tries.adjustOutcome(asRefusal(err))}
+			return record.Answer{Refusal: tries.adjustOutcome(tries.crashes.cancelled(ctx, asRefusal(err)))}
 		}
 		answer, err := r.callServer(ctx, grant.Address(), document, request)
 		r.OnBackend(grant.Address(), err)
@@ -126,7 +127,7 @@
 		}
 		tries.crashes.sendFailed(ctx, grant.Address(), err)
 		if !tries.awaitRetry(ctx, grant.Server(), err) {
-			return record.Answer{Refusal: tries.finalRefusal(err)}
+			return record.Answer{Refusal: tries.finalRefusal(ctx, err)}
 		}
 		r.Metrics.retries.WithLabelValues(document.Service).Inc()
 	}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,21 +14,30 @@
 	"github.com/papayasail/papayasail/quarantine"
 )
 
+const quarantinedDetail = "backend servers crash under this request, or under others with the same beginning of the prompt"
+
+var errQuarantined = errors.New("relay: request was quarantined while it ran")
+
 // crashTracker reports to the quarantine table whether backend servers crash while
 // they run one request.
 //
 // Guards against a request that crashes every server that runs it: retries by
-// this host and by the caller would take down one server after another.
+// this host and by the caller, and other requests whose prompts begin alike, would take
+// down one server after another.
 type crashTracker struct {
-	table       *quarantine.Table // nil: crashes are not tracked
-	backend     *backend.Client
-	fingerprint uint64
-	sentMark    quarantine.Mark // state of the table when the request was last sent
+	table     *quarantine.Table // nil: crashes are not tracked
+	backend   *backend.Client
+	subject   quarantine.Subject
+	cancel    func()                // cancels the run
+	admission *quarantine.Admission // nil until the first send
 }
 
-func (r *Relay) newCrashTracker(request *peerpb.ForwardRequest) *crashTracker {
+// newCrashTracker returns the tracker of a request; prompt is empty for calls. cancel
+// must cancel the run.
+func (r *Relay) newCrashTracker(request *peerpb.ForwardRequest, prompt string, cancel func()) *crashTracker {
 	hash := fingerprintOf(request)
-	return &crashTracker{table: r.Quarantine, backend: r.Backend, fingerprint: binary.BigEndian.Uint64(hash[:])}
+	subject := quarantine.Subject{Request: binary.BigEndian.Uint64(hash[:]), Parts: promptParts(request.GetService(), prompt)}
+	return &crashTracker{table: r.Quarantine, backend: r.Backend, subject: subject, cancel: cancel}
 }
 
 // refusal returns a refusal if the request is quarantined, else nil. It must be
@@ -36,35 +46,62 @@
 	if c.table == nil {
 		return nil
 	}
-	if left := c.table.Quarantined(c.fingerprint); left > 0 {
-		return contract.NotRun(contract.ReasonQuarantined, left, "backend servers crash under this request")
+	var left time.Duration
+	if c.admission == nil {
+		c.admission, left = c.table.Admit(c.subject, c.cancel)
+	} else {
+		left = c.admission.Left()
 	}
-	c.sentMark = c.table.Mark(c.fingerprint)
+	if left > 0 {
+		return contract.NotRun(contract.ReasonQuarantined, left, quarantinedDetail)
+	}
+	c.admission.Sending()
 	return nil
 }
 
+// cancelled returns the refusal of a request that was quarantined while it waited or
+// ran, and the given one for any other request. It must be called before end.
+func (c *crashTracker) cancelled(ctx context.Context, refusal *contract.Refusal) *contract.Refusal {
+	if c.admission == nil || context.Cause(ctx) != errQuarantined {
+		return refusal
+	}
+	return contract.NotRun(contract.ReasonQuarantined, c.admission.Left(), quarantinedDetail)
+}
+
+// end must be called when the request has ended.
+func (c *crashTracker) end() {
+	if c.admission != nil {
+		c.admission.End()
+	}
+}
+
 // connectionBroke reports that the connection to a server broke before the end of
-// the response; early is set if no token had arrived, and for every plain response.
-func (c *crashTracker) connectionBroke(address string, early bool) {
-	if c.table == nil {
-		return
+// the response.
+func (c *crashTracker) connectionBroke(address string) {
+	if c.admission != nil {
+		c.admission.Broken("", address, func(ctx context.Context) bool { return c.backend.RefusesConnection(ctx, address) })
 	}
-	run := quarantine.Run{Subject: quarantine.Subject{Request: c.fingerprint}, Sent: c.sentMark, Early: early, Server: address}
-	c.table.ReportBroken(run, func(ctx context.Context) bool { return c.backend.RefusesConnection(ctx, address) })
 }
 
 // sendFailed reports a broken connection if err is evidence of one and ctx has not
-// ended. It counts as early, even if part of a plain response had arrived.
+// ended.
 func (c *crashTracker) sendFailed(ctx context.Context, address string, err error) {
 	if evidenceOf(err) == backend.Broken && ctx.Err() == nil {
-		c.connectionBroke(address, true)
+		c.connectionBroke(address)
+	}
+}
+
+// wrote records that a token has arrived.
+func (c *crashTracker) wrote() {
+	if c.admission != nil {
+		c.admission.Wrote()
 	}
 }
 
 // completed reports that the request ran to completion.
 func (c *crashTracker) completed() {
-	if c.table != nil {
-		c.table.ReportCompleted(c.fingerprint)
+	if c.admission != nil {
+		c.admission.Completed()
 	}
 }
 
@@ -75,5 +112,5 @@
 		c.completed()
 		return
 	}
-	c.connectionBroke(s.ref.Server, s.nextOffset == 0)
+	c.connectionBroke(s.ref.Server)
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -127,7 +127,8 @@
 // generateIdempotent starts a generation and delivers it. It may start the
 // generation again, on another server if there is one, until a token has been read.
 func (r *Relay) generateIdempotent(ctx context.Context, document *contract.Document, forward *peerpb.ForwardRequest, request *GenerateRequest, out *eventWriter) *contract.Refusal {
-	tries := r.newAttempts(document, forward, true)
+	ctx, tries, end := r.newAttempts(ctx, document, forward, request.Prompt, true)
+	defer end()
 	for {
 		server, read, refusal := r.generateOnServer(ctx, forward.GetOrganisation(), document, request, tries, out)
 		if refusal == nil || read > 0 || server == "" || ctx.Err() != nil {
@@ -151,12 +152,15 @@
 	}
 	tries.mayHaveRun = true
 	refusal := r.deliver(ctx, stop, started.stream, out, started)
+	if refusal != nil {
+		refusal = tries.adjustOutcome(tries.crashes.cancelled(ctx, refusal))
+	}
 	started.finish(refusal)
 	switch {
 	case refusal == nil:
 		tries.crashes.completed()
 	case refusal.Reason == contract.ReasonBackendFailed:
-		tries.crashes.connectionBroke(started.stream.ref.Server, started.stream.nextOffset == 0)
+		tries.crashes.connectionBroke(started.stream.ref.Server)
 	}
 	if refusal != nil && started.stream.nextOffset == 0 {
 		r.cancel(started.stream.ref)
--- a/relay/once.go
+++ b/relay/once.go
@@ -61,7 +61,8 @@
 		entry.Finish(record.Answer{Refusal: refusal})
 		return
 	}
-	tries := r.newAttempts(document, request, false)
+	ctx, tries, end := r.newAttempts(ctx, document, request, parsed.Prompt, false)
+	defer end()
 	started, err := r.startGeneration(ctx, request.GetOrganisation(), document, parsed, tries)
 	if err != nil {
 		entry.Finish(storedAnswer(record.Answer{Refusal: asRefusal(err)}))
@@ -73,6 +74,9 @@
 		chunk, err := started.stream.Next(ctx)
 		if err != nil {
 			tries.crashes.streamEnded(started.stream, err)
+			if context.Cause(ctx) == errQuarantined {
+				r.cancel(started.stream.ref)
+			}
 			started.finish(nil)
 			return
 		}
--- a/relay/running.go
+++ b/relay/running.go
@@ -23,6 +23,7 @@
 	complete  bool // it ended with finishStop
 	preempted int  // highest count of preemptions reported by the engine
 	gaps      gapTimer
+	crashes   *crashTracker
 }
 
 // recordChunk reports a chunk to routing and returns the time since the previous one.
@@ -32,6 +33,7 @@
 		g.complete = reason == finishStop
 		return 0
 	}
+	g.crashes.wrote()
 	gap := g.gaps.gap()
 	g.grant.Progress(chunk.Index+1, gap)
 	return gap
@@ -72,7 +74,7 @@
 			Priority:   limit.Priority, Deadline: time.Now().Add(document.Deadlines.Queue),
 		})
 		if err != nil {
-			return nil, tries.adjustOutcome(asRefusal(err))
+			return nil, tries.adjustOutcome(tries.crashes.cancelled(ctx, asRefusal(err)))
 		}
 		ref := GenerationRef{Organisation: organisation, Service: document.Service, Server: grant.Address(), Generation: uuid.NewString()}
 		current, err := r.Backend.Start(ctx, ref.Server, backend.CompletionRequest{
@@ -83,7 +85,7 @@
 		if err == nil {
 			source := r.newStream(document, ref, 0)
 			source.setConnection(current)
-			return &startedGeneration{grant: grant, stream: source}, nil
+			return &startedGeneration{grant: grant, stream: source, crashes: tries.crashes}, nil
 		}
 		grant.Done(routing.Result{Failed: true, NotRun: provenNotRun(err)})
 		tries.crashes.sendFailed(ctx, ref.Server, err)
@@ -91,7 +93,7 @@
 			r.cancel(ref) // the generation may run without a reader
 		}
 		if !tries.awaitRetry(ctx, grant.Server(), err) {
-			return nil, tries.finalRefusal(err)
+			return nil, tries.finalRefusal(ctx, err)
 		}
 		r.Metrics.retries.WithLabelValues(document.Service).Inc()
 	}
