quarantine: a suspected prompt part is sent one request at a time

Many requests with a crashing part at the same time end all servers at once, too close together to count as separate crashes, and again when these are back: in TestQuarantineOfPartAtAnyRate, with 50 of them a second before eight servers, 18 to 22 were sent later than 3 s after the fifth crash (three allowed). From the fifth server on, unless all failed at one moment, requests with the part that explains the crashes best are sent one at a time by one host, and none within two seconds of a crash, so that the verdict comes first. After: none, at intervals from 20 ms to 20 s. Servers that fail for other reasons quarantine nothing (TestFailingServersQuarantineNoSharedPart: a rack, one after the other, all at once, ten times each).

--- a/gatewayhost/sharedpart_test.go
+++ b/gatewayhost/sharedpart_test.go
@@ -315,3 +315,62 @@
 		is.True(f.serve(ctx, shortEvents, parts...).Complete)
 	})
 }
+
+// Guards against a quarantine that comes too late when requests with the part are rare,
+// many at once, or the only ones.
+func TestQuarantineOfPartAtAnyRate(t *testing.T) {
+	for _, interval := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 2 * time.Second, 20 * time.Second} {
+		for _, sound := range []time.Duration{soundInterval, time.Second} {
+			t.Run(fmt.Sprintf("%s/%s", interval, sound), func(t *testing.T) {
+				withPartFleet(t, 7, func(ctx context.Context, is *is.I, f *partFleet) {
+					lasts := max(20*time.Second, 20*interval)
+					go f.sendFor(ctx, lasts, sound, []string{"system", "session"}, []string{"system", "other"})
+					f.sendFor(ctx, lasts, interval, []string{"system", crashingPart})
+					t.Logf("%d crashes, %d sends after the fifth, %.3f of the sound ones served", len(f.engines.crashes),
+						f.engines.sendsAfterCrashes(), f.soundServed(f.engines.lastAllowedCrash().Add(2*partWindow)))
+					is.True(f.engines.sendsAfterCrashes() <= sendsAllowed)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a quarantine of a part that most requests share when servers fail for
+// other reasons: together, one after the other, and all of them.
+func TestFailingServersQuarantineNoSharedPart(t *testing.T) {
+	for name, count := range map[string]int{"rack": 4, "single": 1, "all": serverCount} {
+		t.Run(name, func(t *testing.T) {
+			withPartFleet(t, 7, func(ctx context.Context, is *is.I, f *partFleet) {
+				go f.sendFor(ctx, 40*time.Second, soundInterval/2, []string{"system", "session"}, []string{"system", "other"}, []string{"system"})
+				for range 10 {
+					f.failServers(count)
+					time.Sleep(3500 * time.Millisecond)
+				}
+				time.Sleep(5 * time.Second)
+				is.True(f.serve(ctx, shortEvents, "system", "session").Complete)
+				is.True(f.serve(ctx, shortEvents, "system", "other").Complete)
+				for _, h := range f.hosts {
+					is.Equal(len(h.quarantine.All()), 0)
+				}
+			})
+		})
+	}
+}
+
+// failServers ends servers at once; their replacements start later.
+func (f *partFleet) failServers(count int) {
+	f.engines.mu.Lock()
+	var running []string
+	for id, ended := range f.engines.crashSignals {
+		select {
+		case <-ended:
+		default:
+			running = append(running, id)
+		}
+	}
+	f.engines.mu.Unlock()
+	slices.Sort(running)
+	for _, id := range running[:min(count, len(running))] {
+		f.engines.crash(id)
+	}
+}
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -41,21 +42,24 @@
 func (t *Table) Admit(subject Subject, cancel func()) (admission *Admission, left time.Duration) {
 	subject.Parts = subject.Parts[:min(len(subject.Parts), maxParts)]
 	t.mu.Lock()
-	onTrial := t.partsOnTrial(subject.Parts)
+	quarantined, suspected := t.partsOnTrial(subject.Parts)
 	t.mu.Unlock()
 	// TrialHost must not be called with mu held: it reads the membership.
-	refused := slices.ContainsFunc(onTrial, func(part uint64) bool { return t.TrialHost != nil && !t.TrialHost(part) })
+	elsewhere := slices.ContainsFunc(slices.Concat(quarantined, suspected), func(part uint64) bool { return t.TrialHost != nil && !t.TrialHost(part) })
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if left := t.blockedFor(subject); left > 0 {
 		return nil, left
 	}
-	onTrial = t.partsOnTrial(subject.Parts)
-	if len(onTrial) > 0 && (refused || !t.startTrials(onTrial)) {
-		return nil, partRetry()
+	quarantined, suspected = t.partsOnTrial(subject.Parts)
+	if len(quarantined)+len(suspected) > 0 && (elsewhere || !t.startTrials(quarantined, suspected)) {
+		if len(quarantined) > 0 {
+			return nil, partRetry()
+		}
+		return nil, suspectSpacing + rand.N(suspectSpacing)
 	}
-	a := &Admission{table: t, subject: subject, cancel: cancel, trials: onTrial}
+	a := &Admission{table: t, subject: subject, cancel: cancel, trials: quarantined}
 	t.eachIdentity(subject, func(id uint64) {
 		if t.runs[id] == nil {
 			t.runs[id] = map[*Admission]struct{}{}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -13,6 +13,9 @@
 	// partCrashThreshold is the number of servers that must have crashed one after the
 	// other, under different requests, before a part that they share is quarantined.
 	partCrashThreshold = 3
+	// suspectThreshold is the number of crashed servers, not all of them at once, from
+	// which requests with a part are sent one at a time, from one host.
+	suspectThreshold = 5
 	// crashSpacing is the minimum time between two crashes that count separately:
 	// servers that fail together say little about the requests on them.
 	crashSpacing = 200 * time.Millisecond
@@ -228,14 +231,33 @@
 // blamed reports whether a part is to be blamed for crashes up to the given time. Parts
 // for which quarantined returns true explain the crashes that accuse them.
 func (e *partEvidence) blamed(part uint64, until time.Time, quarantined func(uint64) bool) bool {
-	all := e.accusations(part, until)
-	open := slices.DeleteFunc(slices.Clone(all), func(c accusation) bool {
-		return slices.ContainsFunc(c.crash.accusedWith(part), quarantined)
-	})
-	if countSeparate(open) < partCrashThreshold {
+	open := e.unexplained(part, until, quarantined)
+	return countSeparate(open) >= partCrashThreshold && e.explainsBest(part, open, until)
+}
+
+// suspected reports whether requests with a part may be about to crash all servers, before
+// there is a verdict.
+func (e *partEvidence) suspected(part uint64, quarantined func(uint64) bool) bool {
+	if len(e.crashes) < suspectThreshold {
 		return false
 	}
-	own := e.suspicionOf(part, all)
+	now := time.Now()
+	open := e.unexplained(part, now, quarantined)
+	return len(open) >= suspectThreshold && countSeparate(open) > 1 && e.explainsBest(part, open, now)
+}
+
+// unexplained returns the accusations of a part without the crashes that accuse a
+// quarantined part, too.
+func (e *partEvidence) unexplained(part uint64, until time.Time, quarantined func(uint64) bool) []accusation {
+	return slices.DeleteFunc(e.accusations(part, until), func(a accusation) bool {
+		return slices.ContainsFunc(a.crash.accusedWith(part), quarantined)
+	})
+}
+
+// explainsBest reports whether no other part that explains the given accusations of a
+// part is more likely to be at fault.
+func (e *partEvidence) explainsBest(part uint64, open []accusation, until time.Time) bool {
+	own := e.suspicionOf(part, e.accusations(part, until))
 	for _, other := range open[len(open)-1].crash.accusedWith(part) {
 		others := e.accusations(other, until)
 		if covers(others, open) && e.suspicionOf(other, others).compare(own) > 0 {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -174,6 +174,40 @@
 	})
 }
 
+// Guards against many requests with a part at the same time that crash all servers before
+// there is a verdict, each time that these come back.
+func TestSuspectedPartIsSentOneAtATime(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table, other := newPartTable(is), newPartTable(is)
+		other.TrialHost = func(uint64) bool { return false }
+		table.crashes(2*suspectThreshold, crashSpacing/suspectThreshold, badPart)
+		other.MergeEvidence(table.GossipEvidence())
+		time.Sleep(suspectSpacing)
+		is.True(other.refused(badPart))
+		a := table.admit(badPart)
+		is.True(table.refused(badPart))
+		a.Sending()
+		a.Broken("r", "trial", endedNow)
+		a.End()
+		is.True(table.refused(badPart))
+		time.Sleep(afterVerdict)
+		is.Equal(len(table.All()), 1)
+	})
+}
+
+// Guards against sound parts that only one host serves because they are on the crashed
+// servers, too.
+func TestPartsOfExplainedCrashesAreNotSuspected(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		table.TrialHost = func(uint64) bool { return false }
+		table.crashes(2*suspectThreshold, crashSpacing/suspectThreshold, systemPart, badPart)
+		is.True(!table.refused(systemPart))
+		time.Sleep(afterVerdict)
+		is.True(!table.refused(systemPart))
+	})
+}
+
 // Guards against crashes that count once because the server has the same identity after
 // each restart.
 func TestEachCrashOfARestartedServerCounts(t *testing.T) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -45,6 +46,9 @@
 	trialPeriod = 10 * time.Minute
 	// trialSpacing is the minimum time between two trials of a part.
 	trialSpacing = 30 * time.Second
+	// suspectSpacing is the minimum time from a crash to the next run with a suspected
+	// part, so that the verdict comes first.
+	suspectSpacing = 2 * verdictDelay
 	// minPartRetry and maxPartRetry bound the time after which callers of a quarantined
 	// part may try again. When the part will be served is not known.
 	minPartRetry = 15 * time.Second
@@ -189,34 +193,49 @@
 // partRetry returns the time after which a caller of a quarantined part may try again.
 func partRetry() time.Duration { return minPartRetry + rand.N(maxPartRetry-minPartRetry) }
 
-// partsOnTrial returns the parts that are quarantined and may be tried. Called with mu
-// held.
-func (t *Table) partsOnTrial(parts []uint64) []uint64 {
-	var onTrial []uint64
+// partsOnTrial returns the parts that may be tried, by one request at a time: those
+// whose time in quarantine is over, and those that are suspected. Called with mu held.
+func (t *Table) partsOnTrial(parts []uint64) (quarantined, suspected []uint64) {
 	for _, part := range parts {
-		if e := t.get(part); e != nil && e.Part && e.Quarantined() && t.remainingQuarantine(part) == 0 {
-			onTrial = append(onTrial, part)
+		switch {
+		case t.isQuarantined(part):
+			if t.remainingQuarantine(part) == 0 {
+				quarantined = append(quarantined, part)
+			}
+		case t.parts.suspected(part, t.isQuarantined):
+			suspected = append(suspected, part)
 		}
 	}
-	return onTrial
+	return quarantined, suspected
 }
 
-// startTrials starts a trial of the parts and reports whether it may. Called with mu
-// held.
-func (t *Table) startTrials(parts []uint64) bool {
+// startTrials starts a trial of the parts whose time in quarantine is over, and reports
+// whether it may. Called with mu held.
+func (t *Table) startTrials(quarantined, suspected []uint64) bool {
 	now := time.Now()
-	for _, part := range parts {
-		if now.Before(t.requests[part].nextTrial) {
-			return false
-		}
+	busy := slices.ContainsFunc(suspected, func(part uint64) bool {
+		return t.hasWaitingRun(part) || t.parts.accusedBetween(part, now.Add(-suspectSpacing), now)
+	})
+	if busy || slices.ContainsFunc(quarantined, func(part uint64) bool { return now.Before(t.requests[part].nextTrial) }) {
+		return false
 	}
-	for _, part := range parts {
+	for _, part := range quarantined {
 		t.requests[part].nextTrial = now.Add(trialSpacing)
 		t.logger.Info(msgTrial, partField(part))
 	}
 	return true
 }
 
+// hasWaitingRun reports whether a run with the part has not begun. Called with mu held.
+func (t *Table) hasWaitingRun(part uint64) bool {
+	for run := range t.runs[part] {
+		if !run.begun {
+			return true
+		}
+	}
+	return false
+}
+
 // ReportCrash records that a server crashed while it ran a run. If the run had not
 // just started, a first crash is not gossiped to other hosts, and the parts of its
 // prompt are not accused.
@@ -267,14 +286,10 @@
 func (t *Table) judge(parts []uint64) {
 	t.mu.Lock()
 	until := time.Now().Add(-verdictDelay)
-	quarantined := func(part uint64) bool {
-		e := t.get(part)
-		return e != nil && e.Quarantined()
-	}
 	var cancels []func()
 	changed, stored := false, false
 	for _, part := range parts {
-		if !quarantined(part) && t.parts.blamed(part, until, quarantined) {
+		if !t.isQuarantined(part) && t.parts.blamed(part, until, t.isQuarantined) {
 			cancels, changed = append(cancels, t.quarantinePart(part)...), true
 			stored = stored || t.parts.accusedByOwn(part)
 		}
@@ -283,6 +298,12 @@
 	t.notify(cancels, changed, stored)
 }
 
+// isQuarantined reports whether a request or a part is quarantined. Called with mu held.
+func (t *Table) isQuarantined(id uint64) bool {
+	e := t.get(id)
+	return e != nil && e.Quarantined()
+}
+
 // quarantinePart quarantines a part, again after a trial that crashed a server, and
 // returns the functions that cancel runs. Called with mu held.
 func (t *Table) quarantinePart(part uint64) []func() {
