quarantine: runs that wait, and requests that crash servers alone, acquit parts

Three causes, one class: evidence that does not tell who was at fault. - A run counted as past its beginning only after a second, longer than engines lived then. It is now 300 ms, for accusing and for acquitting. - Runs that waited accused as much as the one that the server had begun to answer. The latter goes first now. - Crashes by a single request explained nothing. Hosts report them with the others, and a crash counts against no part if a quarantined request without that part was on the server. Requests with the part do not count here: each is quarantined, too, after its own retries.

--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -32,6 +32,7 @@
 		end()
 		return nil, err
 	}
+	t.admission.Answering()
 	t.through, t.framing = reply.Through, reply.Framing
 	t.recordServerState(call.Server, reply, sent)
 	reply.Body = &boundBody{ReadCloser: reply.Body, end: end}
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -7,10 +7,15 @@
 	"time"
 )
 
-// earlyRunWindow is the time after the first event of a run during which the run
-// still counts as just started. A run without events, as that of a call, always
-// counts as just started.
-const earlyRunWindow = time.Second
+const (
+	// earlyRunWindow is the time after the first event of a run during which the run
+	// still counts as just started. A run without events, as that of a call, always
+	// counts as just started.
+	earlyRunWindow = time.Second
+	// beginWindow is the time after the first event of a run during which it is still in
+	// its beginning: a crash accuses the parts of its prompt, and it acquits none.
+	beginWindow = 300 * time.Millisecond
+)
 
 // Subject is what identifies a request to the table.
 type Subject struct {
@@ -28,9 +33,10 @@
 	cancel  func()
 	trials  []uint64 // parts for which the request is a trial
 
-	sent    Mark      // crash history of the request at the last send
-	wroteAt time.Time // first event of the current run; zero: none
-	passed  bool      // the current run was reported as past its beginning
+	sent      Mark      // crash history of the request at the last send
+	answering bool      // the server has begun to answer the current run
+	wroteAt   time.Time // first event of the current run; zero: none
+	passed    bool      // the current run was reported as past its beginning
 
 	begun bool // the current run has written an event; guarded by the table's mu
 }
@@ -69,6 +75,12 @@
 	return a, 0
 }
 
+// startedWithin reports whether the run has written no event, or its first one within
+// the given time.
+func (a *Admission) startedWithin(window time.Duration) bool {
+	return a.wroteAt.IsZero() || time.Since(a.wroteAt) < window
+}
+
 // End must be called when the request has ended.
 func (a *Admission) End() {
 	t := a.table
@@ -100,13 +112,16 @@
 
 // Sending must be called before each send: a new run begins.
 func (a *Admission) Sending() {
-	a.wroteAt, a.passed = time.Time{}, false
+	a.answering, a.wroteAt, a.passed = false, time.Time{}, false
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
 	a.begun = false
 	a.sent = a.table.markOf(a.subject.Request)
 }
 
+// Answering must be called when the head of a server's answer has arrived.
+func (a *Admission) Answering() { a.answering = true }
+
 // Wrote must be called for each event that the run has written.
 func (a *Admission) Wrote() {
 	now := time.Now()
@@ -116,7 +131,7 @@
 		a.table.mu.Lock()
 		defer a.table.mu.Unlock()
 		a.begun = true
-	case !a.passed && now.Sub(a.wroteAt) >= earlyRunWindow:
+	case !a.passed && now.Sub(a.wroteAt) >= beginWindow:
 		a.passed = true
 		a.table.reportPassed(a.subject.Parts, a.wroteAt)
 	}
@@ -145,6 +160,6 @@
 	now := time.Now()
 	a.table.ReportBroken(Run{
 		Subject: a.subject, Sent: a.sent, Request: request, Server: server, BrokenAt: now, Trials: a.trials,
-		Early: a.wroteAt.IsZero() || now.Sub(a.wroteAt) < earlyRunWindow,
+		Early: a.startedWithin(earlyRunWindow), Beginning: a.startedWithin(beginWindow), Answering: a.answering,
 	}, ended)
 }
--- a/quarantine/broken.go
+++ b/quarantine/broken.go
@@ -23,13 +23,16 @@
 
 // Run is one run of a request on a backend server.
 type Run struct {
-	Subject  Subject
-	Sent     Mark      // crash history of the request when it was sent
-	Early    bool      // the run had just started, or has had no event
-	Request  string    // request ID, for logs; empty: none
-	Server   string    // ID of its incarnation
-	BrokenAt time.Time // when the connection to the server broke
-	Trials   []uint64  // quarantined parts of the prompt for which the run is a trial
+	Subject Subject
+	Sent    Mark // crash history of the request when it was sent
+	Early   bool // the run had just started, or has had no event
+	// Beginning is set if the run was still in its beginning, Answering if the server had
+	// begun to answer it.
+	Beginning, Answering bool
+	Request              string    // request ID, for logs; empty: none
+	Server               string    // ID of its incarnation
+	BrokenAt             time.Time // when the connection to the server broke
+	Trials               []uint64  // quarantined parts of the prompt for which the run is a trial
 }
 
 // ReportBroken records that the connection to the server of a run broke before the
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -49,16 +49,18 @@
 }
 
 // gossip returns up to maxChangedRecords crashes and as many passes that are still to be
-// gossiped.
+// gossiped, first the crashes under runs that the servers had begun to answer.
 func (e *partEvidence) gossip(now time.Time) Evidence {
 	var evidence Evidence
-	for _, c := range e.crashes {
-		for _, r := range c.runs {
-			if r.retransmitsLeft > 0 && len(evidence.Crashes) < maxChangedRecords {
-				r.retransmitsLeft--
-				crash := r.Crash
-				crash.Age = now.Sub(r.at)
-				evidence.Crashes = append(evidence.Crashes, crash)
+	for _, answering := range []bool{true, false} {
+		for _, c := range e.crashes {
+			for _, r := range c.runs {
+				if r.Answering == answering && r.retransmitsLeft > 0 && len(evidence.Crashes) < maxChangedRecords {
+					r.retransmitsLeft--
+					crash := r.Crash
+					crash.Age = now.Sub(r.at)
+					evidence.Crashes = append(evidence.Crashes, crash)
+				}
 			}
 		}
 	}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -32,7 +32,7 @@
 	maxParts = 32
 	// maxCrashes and maxRunsPerCrash bound the crashes that are remembered.
 	maxCrashes      = 128
-	maxRunsPerCrash = 8
+	maxRunsPerCrash = 64
 	// maxPassedParts bounds the parts that are remembered as sound; the ones used least
 	// recently are forgotten.
 	maxPassedParts = 4096
@@ -51,12 +51,13 @@
 	return d.Sum64()
 }
 
-// Crash is a server's crash under a run that had just started.
+// Crash is a server's crash under a run that was in its beginning.
 type Crash struct {
-	Server  uint64 // hash of its ID
-	Request uint64
-	Parts   []uint64 // of the request's prompt
-	Age     time.Duration
+	Server    uint64 // hash of its ID
+	Request   uint64
+	Parts     []uint64 // of the request's prompt
+	Answering bool     // the server had begun to answer the run
+	Age       time.Duration
 }
 
 // Pass is news that a run with a part in its prompt went on past its beginning.
@@ -86,22 +87,33 @@
 	retransmitsLeft int
 }
 
-// accuses returns the position of a part in the prompt of a run, or -1.
-func (c *serverCrash) accuses(part uint64) (depth int, run *crashedRun) {
+// accuses returns the run that accuses a part, one that the server had begun to answer if
+// there is one, and the position of the part in its prompt; nil: the crash does not
+// accuse the part.
+func (c *serverCrash) accuses(part uint64) (run *crashedRun, depth int) {
 	for _, r := range c.runs {
-		if i := slices.Index(r.Parts, part); i >= 0 {
-			return i, r
+		i := slices.Index(r.Parts, part)
+		if i >= 0 && (run == nil || r.Answering && !run.Answering) {
+			run, depth = r, i
 		}
 	}
-	return -1, nil
+	return run, depth
+}
+
+// explained reports whether another part, or a request without the part, is quarantined
+// and explains a crash that accuses the part.
+func (c *serverCrash) explained(part uint64, quarantined func(uint64) bool) bool {
+	return slices.ContainsFunc(c.accusedWith(part), quarantined) || slices.ContainsFunc(c.runs, func(r *crashedRun) bool {
+		return quarantined(r.Request) && !slices.Contains(r.Parts, part)
+	})
 }
 
 // partEvidence is the evidence for and against the parts of prompts. It is guarded by
 // the table's mu.
 //
-// A crash accuses all parts of all runs that had just started on the server. A part
-// that crashes every server never passes, so any pass after a crash acquits a part of
-// that crash, and one part that explains all crashes of another acquits the other.
+// A crash accuses all parts of all runs that were in their beginning on the server. A
+// part that crashes every server never passes, so any pass after a crash acquits a part
+// of that crash, and one part that explains all crashes of another acquits the other.
 type partEvidence struct {
 	crashes []*serverCrash
 	passes  *simplelru.LRU[uint64, time.Time] // last known pass of a part
@@ -172,7 +184,7 @@
 // accuses a part.
 func (e *partEvidence) accusedBetween(part uint64, after, until time.Time) bool {
 	return slices.ContainsFunc(e.crashes, func(c *serverCrash) bool {
-		_, run := c.accuses(part)
+		run, _ := c.accuses(part)
 		return run != nil && run.at.After(after) && !run.at.After(until)
 	})
 }
@@ -193,10 +205,9 @@
 
 // accusation is a crash that accuses a part.
 type accusation struct {
-	crash   *serverCrash
-	request uint64
-	at      time.Time
-	depth   int // position of the part in the prompt
+	crash *serverCrash
+	run   *crashedRun
+	depth int // position of the part in the prompt
 }
 
 // accusations returns the crashes up to the given time that accuse a part and happened
@@ -205,12 +216,12 @@
 	passed, _ := e.passes.Peek(part)
 	var all []accusation
 	for _, c := range e.crashes {
-		if depth, run := c.accuses(part); run != nil && run.at.After(passed) && !run.at.After(until) {
-			all = append(all, accusation{c, run.Request, run.at, depth})
+		if run, depth := c.accuses(part); run != nil && run.at.After(passed) && !run.at.After(until) {
+			all = append(all, accusation{c, run, depth})
 		}
 	}
 	slices.SortFunc(all, func(a, b accusation) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.crash.server, b.crash.server))
+		return cmp.Or(a.run.at.Compare(b.run.at), cmp.Compare(a.crash.server, b.crash.server))
 	})
 	return all
 }
@@ -220,7 +231,9 @@
 func countSeparate(crashes []accusation) int {
 	var counted []accusation
 	for _, c := range crashes {
-		if slices.ContainsFunc(counted, func(o accusation) bool { return o.request == c.request || c.at.Sub(o.at) < crashSpacing }) {
+		if slices.ContainsFunc(counted, func(o accusation) bool {
+			return o.run.Request == c.run.Request || c.run.at.Sub(o.run.at) < crashSpacing
+		}) {
 			continue
 		}
 		counted = append(counted, c)
@@ -229,7 +242,7 @@
 }
 
 // blamed reports whether a part is to be blamed for crashes up to the given time. Parts
-// for which quarantined returns true explain the crashes that accuse them.
+// and requests for which quarantined returns true explain the crashes that accuse them.
 func (e *partEvidence) blamed(part uint64, until time.Time, quarantined func(uint64) bool) bool {
 	open := e.unexplained(part, until, quarantined)
 	return countSeparate(open) >= partCrashThreshold && e.explainsBest(part, open, until)
@@ -246,11 +259,11 @@
 	return len(open) >= suspectThreshold && countSeparate(open) > 1 && e.explainsBest(part, open, now)
 }
 
-// unexplained returns the accusations of a part without the crashes that accuse a
-// quarantined part, too.
+// unexplained returns the accusations of a part without the crashes that quarantined
+// parts or requests explain.
 func (e *partEvidence) unexplained(part uint64, until time.Time, quarantined func(uint64) bool) []accusation {
 	return slices.DeleteFunc(e.accusations(part, until), func(a accusation) bool {
-		return slices.ContainsFunc(a.crash.accusedWith(part), quarantined)
+		return a.crash.explained(part, quarantined)
 	})
 }
 
@@ -292,18 +305,25 @@
 
 // suspicion orders parts that explain the same crashes.
 type suspicion struct {
-	crashes int
-	passed  time.Time // zero: never
-	depth   int
+	answering int // crashes under runs that the server had begun to answer
+	crashes   int
+	passed    time.Time // zero: never
+	depth     int
 }
 
 func (e *partEvidence) suspicionOf(part uint64, accusations []accusation) suspicion {
 	passed, _ := e.passes.Peek(part)
-	return suspicion{countSeparate(accusations), passed, accusations[len(accusations)-1].depth}
+	answering := 0
+	for _, a := range accusations {
+		if a.run.Answering {
+			answering++
+		}
+	}
+	return suspicion{answering, countSeparate(accusations), passed, accusations[len(accusations)-1].depth}
 }
 
-// compare ranks the part with more crashes higher, then the one whose last pass is
-// older, then the more specific one.
+// compare ranks the part with more crashes higher, first of runs that the server had
+// begun to answer, then the one whose last pass is older, then the more specific one.
 func (s suspicion) compare(other suspicion) int {
-	return cmp.Or(cmp.Compare(s.crashes, other.crashes), other.passed.Compare(s.passed), cmp.Compare(s.depth, other.depth))
+	return cmp.Or(cmp.Compare(s.answering, other.answering), cmp.Compare(s.crashes, other.crashes), other.passed.Compare(s.passed), cmp.Compare(s.depth, other.depth))
 }
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -44,7 +44,7 @@
 
 func partRun(number uint64, parts ...uint64) Run {
 	return Run{
-		Subject: Subject{Request: 1000 + number, Parts: parts}, Early: true, Request: "r", Server: fmt.Sprint("i", number), BrokenAt: time.Now(),
+		Subject: Subject{Request: 1000 + number, Parts: parts}, Early: true, Beginning: true, Answering: true, Request: "r", Server: fmt.Sprint("i", number), BrokenAt: time.Now(),
 	}
 }
 
@@ -208,6 +208,60 @@
 	})
 }
 
+// Guards against a quarantine of the parts of requests that waited on servers that another
+// part crashed.
+func TestPartsOfWaitingRunsAreServed(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for i := range uint64(partCrashThreshold) {
+			waiting := partRun(i, systemPart, sessionPart)
+			waiting.Subject.Request, waiting.Answering = 500+i, false
+			table.ReportCrash(waiting)
+			table.ReportCrash(partRun(i, badPart))
+			time.Sleep(crashInterval)
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+		is.True(!table.refused(systemPart, sessionPart))
+	})
+}
+
+// Guards against a quarantine of the parts of requests that were on servers that a single
+// request crashed.
+func TestQuarantinedRequestExplainsCrashes(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for i := range uint64(partCrashThreshold) {
+			table.ReportCrash(partRun(i, systemPart))
+			crashing := partRun(i)
+			crashing.Subject.Request, crashing.Sent = suspect, table.Mark(suspect)
+			table.ReportCrash(crashing)
+			time.Sleep(crashInterval)
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.Quarantined(suspect) > 0)
+		is.True(!table.refused(systemPart))
+	})
+}
+
+// Guards against crashes that do not count for a part because each request with it was
+// retried and is quarantined itself.
+func TestQuarantinedRequestsDoNotExplainTheirOwnPart(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for i := range uint64(partCrashThreshold) {
+			for attempt := range uint64(crashThreshold) {
+				run := partRun(i, badPart)
+				run.Server, run.Sent = fmt.Sprint("i", i, attempt), table.Mark(run.Subject.Request)
+				table.ReportCrash(run)
+				time.Sleep(crashInterval)
+			}
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+	})
+}
+
 // Guards against crashes that count once because the server has the same identity after
 // each restart.
 func TestEachCrashOfARestartedServerCounts(t *testing.T) {
@@ -232,7 +286,7 @@
 			a, _ := table.Admit(Subject{Request: i, Parts: []uint64{systemPart}}, func() {})
 			a.Sending()
 			a.Wrote()
-			time.Sleep(earlyRunWindow)
+			time.Sleep(beginWindow)
 			a.Broken("r", fmt.Sprint("i", i), endedNow)
 			a.End()
 		}
@@ -323,7 +377,7 @@
 		a.Sending()
 		a.Wrote()
 		table.crashes(partCrashThreshold, crashInterval, badPart)
-		time.Sleep(earlyRunWindow)
+		time.Sleep(afterVerdict)
 		a.Wrote()
 		is.True(table.refused(badPart))
 		a.Completed()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -237,8 +237,8 @@
 }
 
 // ReportCrash records that a server crashed while it ran a run. If the run had not
-// just started, a first crash is not gossiped to other hosts, and the parts of its
-// prompt are not accused.
+// just started, a first crash is not gossiped to other hosts. The parts of its prompt are
+// accused only if it was still in its beginning.
 //
 // The crash is added to those that were known when the run was sent, so that
 // servers that crash at the same time count once.
@@ -259,8 +259,8 @@
 	if changed {
 		cancels = t.set(updated, lifetime(updated), run.Early, sourceOwn)
 	}
-	if run.Early && len(run.Subject.Parts) > 0 {
-		crash := Crash{Server: xxhash.Sum64String(run.Server), Request: run.Subject.Request, Parts: run.Subject.Parts}
+	if run.Beginning {
+		crash := Crash{Server: xxhash.Sum64String(run.Server), Request: run.Subject.Request, Parts: run.Subject.Parts, Answering: run.Answering}
 		changed = t.addCrash(crash, run.BrokenAt, true) || changed
 		for _, part := range run.Trials {
 			cancels, quarantined = append(cancels, t.quarantinePart(part)...), true
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// answering records that a server has begun to answer.
+func (c *crashTracker) answering() {
+	if c.admission != nil {
+		c.admission.Answering()
+	}
+}
+
 // wrote records that a token has arrived.
 func (c *crashTracker) wrote() {
 	if c.admission != nil {
--- a/relay/running.go
+++ b/relay/running.go
@@ -83,6 +83,7 @@
 		})
 		r.OnBackend(ref.Server, err)
 		if err == nil {
+			tries.crashes.answering()
 			source := r.newStream(document, ref, 0)
 			source.setConnection(current)
 			return &startedGeneration{grant: grant, stream: source, crashes: tries.crashes}, nil
