gateway: tests of moves, retries and waiting runs with a quarantined prompt part

The places where a run meets its next server: a move, a retry within one attempt, a queue. TestRunWithQuarantinedPartIsNotMoved fails without the check before a run goes on elsewhere (two sends in place of one).

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/papayasail/papayasail/backend"
+	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/quarantine"
 )
 
@@ -150,3 +151,108 @@
 		})
 	}
 }
+
+// quarantinePart quarantines a part of prompts at the service llm, as another host does.
+func (w *harness) quarantinePart(part string) {
+	w.gateway.options.Quarantine.Merge([]quarantine.Record{
+		{Fingerprint: quarantine.PartID("llm", part), Part: true, Crashes: 1, Remaining: time.Hour},
+	}, "peer")
+}
+
+// serveParts serves a generation with parts in its prompt.
+func (w *harness) serveParts(parts ...string) Outcome {
+	request := w.request("/letter/1")
+	request.Prompt.SharedParts = parts
+	return w.gateway.Serve(context.Background(), request, &recorder{})
+}
+
+// Guards against a run that moves and crashes its next server.
+func TestRunWithQuarantinedPartIsNotMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newHarness()
+		first := newGeneration(1, 100, 5*gap)
+		w.send = func(context.Context, Call) (*Reply, error) { return first.reply(), nil }
+		w.copy = func(_, _ fleet.Server, last bool) (CopyResult, error) {
+			if last {
+				w.quarantinePart("bad")
+				close(first.interrupt)
+			}
+			return CopyResult{Handle: "h", Done: true}, nil
+		}
+		time.AfterFunc(15*time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
+		o := w.serveParts("system", "bad")
+		is.True(o.Streamed && !o.Complete)
+		is.Equal(len(w.calls), 1)
+		synctest.Wait()
+		is.Equal(w.turns, 0)
+		for _, candidate := range w.fleet.Candidates("llm", "d1") {
+			is.Equal(candidate.Running, 0) // no reservation is left
+		}
+	})
+}
+
+// Guards against waiting runs that crash further servers, and against the loss of runs that
+// could acquit the part.
+func TestQuarantineOfPartCancelsWaitingRuns(t *testing.T) {
+	for _, writing := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is, w := is.New(t), newHarness()
+			w.send = func(ctx context.Context, _ Call) (*Reply, error) {
+				between := time.Hour
+				if writing {
+					between = gap
+				}
+				g := newGeneration(1, 10, between)
+				context.AfterFunc(ctx, func() { g.reader.CloseWithError(io.ErrClosedPipe) })
+				return g.reply(), nil
+			}
+			time.AfterFunc(3*gap, func() { w.quarantinePart("bad") })
+			began := time.Now()
+			o := w.serveParts("bad")
+			is.Equal(o.Complete, writing)
+			if !writing {
+				is.Equal(o.Reason, ReasonQuarantined)
+				is.Equal(time.Since(began), 3*gap)
+			}
+			time.Sleep(time.Hour)
+		})
+	}
+}
+
+// Guards against retries within one attempt that send a quarantined part to a further
+// server.
+func TestQuarantineOfPartEndsRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newHarness()
+		w.send = func(_ context.Context, call Call) (*Reply, error) {
+			w.crash(call)
+			w.gateway.options.Quarantine.Merge([]quarantine.Record{
+				{Fingerprint: quarantine.PartID("plain", "bad"), Part: true, Crashes: 1, Remaining: time.Hour},
+			}, "peer")
+			return nil, broken(backend.Broken)
+		}
+		request := w.request("/read/1")
+		request.Prompt.SharedParts = []string{"bad"}
+		is.True(!w.gateway.Serve(context.Background(), request, &recorder{}).NotRun)
+		is.Equal(len(w.calls), 1)
+		request = w.request("/read/2")
+		request.Prompt.SharedParts = []string{"bad", "other"}
+		o := w.gateway.Serve(context.Background(), request, &recorder{})
+		is.True(o.NotRun)
+		is.True(o.RetryAfter > time.Second && o.RetryAfter < time.Minute)
+		is.Equal(len(w.calls), 1)
+	})
+}
+
+// Guards against a part that counts as sound at one service because it is at another.
+func TestPartIsQuarantinedForOneService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newHarness()
+		w.quarantinePart("bad")
+		w.send = func(context.Context, Call) (*Reply, error) { return answer(http.StatusOK, "ok"), nil }
+		request := w.request("/read/1")
+		request.Prompt.SharedParts = []string{"bad"}
+		is.True(w.gateway.Serve(context.Background(), request, &recorder{}).Complete)
+		is.Equal(w.serveParts("bad").Reason, ReasonQuarantined)
+	})
+}
