backend, entryhost: an engine that starts again is not ejected for crashes

On our own interface a server is known by its address. Three streams that break with a crash eject the address, for 2 s the first time and twice as long each further time, up to 30 s, although the process that starts there next has done nothing: requests that crash engines take sound ones away from use. A success did not reset this if exactly three streams had broken. TestRestartedServerIsNotBlamedForCrashes fails without the reset.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -322,6 +322,23 @@
 	p.invalidate(server)
 }
 
+// RecordCrash records that the process of the server at address has ended. Its failures
+// say nothing of the process that starts there next; the server gets no work until it
+// answers, or for UnreachableFor.
+func (p *Pool) RecordCrash(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	server := p.servers[address]
+	if server == nil {
+		return
+	}
+	server.failures, server.ejections, server.ejectedUntil = 0, 0, time.Time{}
+	if server.refusals == 0 {
+		server.recordRefusal(time.Now(), p.options.UnreachableFor)
+	}
+	p.invalidate(server)
+}
+
 // mayEject reports whether the limit on ejected servers allows one more. A
 // shared cause, such as a bad request or a slow link of this host, makes requests
 // fail on every server: without a limit all of them would be ejected and no work
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -53,6 +53,26 @@
 	})
 }
 
+// Guards against a server that is ejected for ever longer because requests crashed the
+// processes that ran at its address before.
+func TestRestartedServerIsNotBlamedForCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		pool := poolOf(8)
+		for sequence := range uint64(6) {
+			for range defaultEjectAfter { // streams that break with the process
+				pool.RecordFailure("10.0.0.0:80", FailureReset)
+				pool.RecordCrash("10.0.0.0:80")
+			}
+			is.Equal(stateOf(pool, 0), StateUnreachable)
+			time.Sleep(3 * time.Second)
+			pool.Report("10.0.0.0:80", LoadReport{Sequence: sequence + 1}, time.Now())
+			is.Equal(stateOf(pool, 0), StateReady)
+			pool.RecordSuccess("10.0.0.0:80")
+		}
+	})
+}
+
 // Guards against an operator's drain that is ended by another source, such as
 // the host list or the server's own report.
 func TestLeavingFromAnySourceWins(t *testing.T) {
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -103,6 +103,7 @@
 	})
 	h.quarantine = quarantine.NewTable(o.Logger, o.Registry)
 	h.quarantine.OnGossipRecords = func() { h.node.Announce() }
+	h.quarantine.CrashDetected = h.pool.RecordCrash
 	h.quarantine.TrialHost = func(part uint64) bool { return domain.TrialHost(h.Members(), part) == o.Settings.Host }
 	h.relay = h.newRelay()
 	router := &homeRouter{self: o.Settings.Host, ledger: h.ledger, local: h.relay}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -100,6 +100,9 @@
 	// quarantine, so that the stored quarantined requests must be rewritten; nil:
 	// no call. It must not block.
 	QuarantineChanged func()
+	// CrashDetected is called with the server of each crashed run of this host; nil: no
+	// call. It must not block.
+	CrashDetected func(server string)
 	// TrialHost reports whether this host is the one that tries requests with a
 	// quarantined part; nil: always. It may be called from any goroutine.
 	TrialHost func(part uint64) bool
@@ -268,6 +271,9 @@
 	}
 	t.mu.Unlock()
 	t.notify(cancels, changed, quarantined)
+	if t.CrashDetected != nil {
+		t.CrashDetected(run.Server)
+	}
 }
 
 // addCrash adds a crash to the evidence on the parts of prompts, reports whether it was
