gateway: a moved run goes on only with the server's own stream of events

A caller could have seen its stream end as complete before its last event: after a move any 200 was taken for the rest of the run, without the checks of a first answer. Of the class of answers that are joined or ended wrongly; resume now asks for what relay asks for: the server's mark and a stream of events. The new test failed before, with an unmarked answer and one of another media type.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -240,9 +240,9 @@
 		t.gateway.options.Logger.Warn(msgResumeFailed, append(fields, zap.Error(err))...)
 		return nil, false
 	}
-	if reply.Status != http.StatusOK || reply.NotRun || reply.WrongServer {
+	if reply.Status != http.StatusOK || !accepted(reply) || !reply.Complete || !isEventStream(reply.Header) {
 		reply.Body.Close()
-		t.gateway.options.Logger.Warn(msgResumeFailed, append(fields, zap.Int("status", reply.Status))...)
+		t.gateway.options.Logger.Warn(msgResumeFailed, append(fields, zap.Int("status", reply.Status), zap.Bool("complete", reply.Complete))...)
 		return nil, false
 	}
 	run.moveTo(work)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -52,6 +52,48 @@
 	})
 }
 
+// Guards against an answer without the server's mark, or one that is no stream of events,
+// that is taken for the rest of a moved run and ends the stream as complete.
+func TestMovedRunGoesOnOnlyWithAStreamOfTheServer(t *testing.T) {
+	for name, wrong := range map[string]func() *Reply{
+		"unmarked": func() *Reply {
+			r := answer(http.StatusOK, "")
+			r.Complete = false
+			return r
+		},
+		"no events": func() *Reply {
+			r := answer(http.StatusOK, "")
+			r.Header.Set("Content-Type", "text/html")
+			return r
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, w := is.New(t), newHarness()
+				first := newGeneration(1, 100, gap)
+				w.send = func(_ context.Context, call Call) (*Reply, error) {
+					if call.Resume == nil {
+						return first.reply(), nil
+					}
+					return wrong(), nil
+				}
+				w.copy = func(_, _ fleet.Server, last bool) (CopyResult, error) {
+					if last {
+						close(first.interrupt)
+					}
+					return CopyResult{Handle: "h", Done: true}, nil
+				}
+				time.AfterFunc(time.Second, func() { w.fleet.MarkLeaving(w.calls[0].Server.Incarnation(), fleet.SourceList) })
+				o := w.serve("/letter/1")
+				is.True(o.Streamed && !o.Complete)
+				is.Equal(o.Reason, ReasonMoveFailed)
+				synctest.Wait()
+				is.Equal(w.turns, 0)
+			})
+		})
+	}
+}
+
 // Guards against reservations that remain for runs whose callers have disconnected.
 func TestMoveForDisconnectedCallerLeavesNoReservation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
