quarantine: one review of all evidence, at most every 200 ms

Each crash that a host learned of was judged for each part of its prompt, and each request asked whether its parts are suspected.

The stored quarantine keeps parts first: the many requests that crash servers alone have longer quarantines and would push them out (TestStoredPartsAreKeptFirst).

--- a/gatewayhost/quarantine.go
+++ b/gatewayhost/quarantine.go
@@ -25,8 +25,8 @@
 	// quarantineName is the name of the single object of its kind.
 	quarantineName   = "requests"
 	quarantineSource = "store"
-	// maxStoredRequests bounds the number of requests in the object; those whose
-	// quarantine ends last are kept.
+	// maxStoredRequests bounds the number of records in the object; parts of prompts, then
+	// requests whose quarantine ends last are kept.
 	maxStoredRequests = 512
 	// quarantineRereadDelay is the delay after which a started host reads the
 	// object again: the first read may have returned data that is some seconds
@@ -51,7 +51,15 @@
 }
 
 func encodeQuarantine(records []quarantine.Record, now time.Time) ([]byte, error) {
-	slices.SortFunc(records, func(a, b quarantine.Record) int { return cmp.Compare(b.Remaining, a.Remaining) })
+	slices.SortFunc(records, func(a, b quarantine.Record) int {
+		switch {
+		case a.Part && !b.Part:
+			return -1
+		case b.Part && !a.Part:
+			return 1
+		}
+		return cmp.Compare(b.Remaining, a.Remaining)
+	})
 	records = records[:min(len(records), maxStoredRequests)]
 	content := storedQuarantine{Requests: make([]storedRequest, 0, len(records))}
 	for _, r := range records {
--- a/gatewayhost/quarantine_test.go
+++ b/gatewayhost/quarantine_test.go
@@ -296,6 +296,22 @@
 	is.Equal(read, records)
 }
 
+// Guards against stored parts of prompts that give way to the many requests that crash
+// servers alone.
+func TestStoredPartsAreKeptFirst(t *testing.T) {
+	is := is.New(t)
+	records := []quarantine.Record{{Fingerprint: 1, Part: true, Crashes: 1, Remaining: time.Minute}}
+	for i := range uint64(2 * maxStoredRequests) {
+		records = append(records, quarantine.Record{Fingerprint: 10 + i, Crashes: 2, Remaining: time.Hour})
+	}
+	data, err := encodeQuarantine(records, time.Now())
+	is.NoErr(err)
+	read, err := decodeQuarantine(data, time.Now())
+	is.NoErr(err)
+	is.Equal(len(read), maxStoredRequests)
+	is.True(read[0].Part)
+}
+
 // Guards against an ended quarantine that is restored from the store.
 func TestEndOfAQuarantineIsStored(t *testing.T) {
 	is := is.New(t)
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -13,9 +13,11 @@
 	// partCrashThreshold is the number of servers that must have crashed one after the
 	// other, under different requests, before a part that they share is quarantined.
 	partCrashThreshold = 3
-	// suspectThreshold is the number of crashed servers, not all of them at once, from
-	// which requests with a part are sent one at a time, from one host.
+	// suspectThreshold is the number of crashed servers, and suspectSeparate that of
+	// separate crashes among them, from which requests with a part are sent one at a
+	// time, from one host.
 	suspectThreshold = 5
+	suspectSeparate  = 2
 	// crashSpacing is the minimum time between two crashes that count separately:
 	// servers that fail together say little about the requests on them.
 	crashSpacing = 200 * time.Millisecond
@@ -25,14 +27,17 @@
 	// acquittalWindow is how long before the verdict on a part a run with it may have
 	// begun to write so that it still acquits the part.
 	acquittalWindow = 10 * time.Second
+	// reviewInterval is the time between two reviews of the evidence while crashes are
+	// recent.
+	reviewInterval = 200 * time.Millisecond
 	// sameCrashWindow is the maximum difference between the times at which hosts see one
 	// crash. A server whose identity survives a restart may crash again after that.
 	sameCrashWindow = time.Second
 	// maxParts bounds the parts of one prompt that count.
 	maxParts = 32
 	// maxCrashes and maxRunsPerCrash bound the crashes that are remembered.
-	maxCrashes      = 128
-	maxRunsPerCrash = 64
+	maxCrashes      = 64
+	maxRunsPerCrash = 32
 	// maxPassedParts bounds the parts that are remembered as sound; the ones used least
 	// recently are forgotten.
 	maxPassedParts = 4096
@@ -87,27 +92,6 @@
 	retransmitsLeft int
 }
 
-// accuses returns the run that accuses a part, one that the server had begun to answer if
-// there is one, and the position of the part in its prompt; nil: the crash does not
-// accuse the part.
-func (c *serverCrash) accuses(part uint64) (run *crashedRun, depth int) {
-	for _, r := range c.runs {
-		i := slices.Index(r.Parts, part)
-		if i >= 0 && (run == nil || r.Answering && !run.Answering) {
-			run, depth = r, i
-		}
-	}
-	return run, depth
-}
-
-// explained reports whether another part, or a request without the part, is quarantined
-// and explains a crash that accuses the part.
-func (c *serverCrash) explained(part uint64, quarantined func(uint64) bool) bool {
-	return slices.ContainsFunc(c.accusedWith(part), quarantined) || slices.ContainsFunc(c.runs, func(r *crashedRun) bool {
-		return quarantined(r.Request) && !slices.Contains(r.Parts, part)
-	})
-}
-
 // partEvidence is the evidence for and against the parts of prompts. It is guarded by
 // the table's mu.
 //
@@ -118,6 +102,9 @@
 	crashes []*serverCrash
 	passes  *simplelru.LRU[uint64, time.Time] // last known pass of a part
 	news    map[uint64]int                    // parts whose pass is to be gossiped, with the retransmits left
+	// suspected are the parts of which requests are sent one at a time, as of the last
+	// review.
+	suspected map[uint64]struct{}
 }
 
 func newPartEvidence() *partEvidence {
@@ -175,6 +162,7 @@
 	}
 	if acquits = e.accusedBetween(part, before, at); acquits {
 		e.news[part] = suspectRetransmits
+		delete(e.suspected, part)
 	}
 	e.passes.Add(part, at)
 	return acquits
@@ -183,17 +171,18 @@
 // accusedBetween reports whether a crash after the first and up to the second time
 // accuses a part.
 func (e *partEvidence) accusedBetween(part uint64, after, until time.Time) bool {
-	return slices.ContainsFunc(e.crashes, func(c *serverCrash) bool {
-		run, _ := c.accuses(part)
-		return run != nil && run.at.After(after) && !run.at.After(until)
+	return e.anyRun(func(r *crashedRun) bool {
+		return r.at.After(after) && !r.at.After(until) && slices.Contains(r.Parts, part)
 	})
 }
 
 // accusedByOwn reports whether a run of this host accuses a part.
 func (e *partEvidence) accusedByOwn(part uint64) bool {
-	return slices.ContainsFunc(e.crashes, func(c *serverCrash) bool {
-		return slices.ContainsFunc(c.runs, func(r *crashedRun) bool { return r.own && slices.Contains(r.Parts, part) })
-	})
+	return e.anyRun(func(r *crashedRun) bool { return r.own && slices.Contains(r.Parts, part) })
+}
+
+func (e *partEvidence) anyRun(matches func(*crashedRun) bool) bool {
+	return slices.ContainsFunc(e.crashes, func(c *serverCrash) bool { return slices.ContainsFunc(c.runs, matches) })
 }
 
 // passedSince reports whether a run with the part wrote its first event after the given
@@ -205,104 +194,141 @@
 
 // accusation is a crash that accuses a part.
 type accusation struct {
-	crash *serverCrash
-	run   *crashedRun
-	depth int // position of the part in the prompt
+	crash int         // index in the evidence
+	run   *crashedRun // that accuses the part: one that the server had begun to answer, if any
+	depth int         // position of the part in the prompt
 }
 
-// accusations returns the crashes up to the given time that accuse a part and happened
-// after its last pass, in order.
-func (e *partEvidence) accusations(part uint64, until time.Time) []accusation {
-	passed, _ := e.passes.Peek(part)
-	var all []accusation
-	for _, c := range e.crashes {
-		if run, depth := c.accuses(part); run != nil && run.at.After(passed) && !run.at.After(until) {
-			all = append(all, accusation{c, run, depth})
+// review is the evidence as it stands up to a point in time.
+type review struct {
+	evidence *partEvidence
+	// accusations are those since the last pass, by part, in ascending order of the crash;
+	// one for each crash.
+	accusations map[uint64][]accusation
+	suspicions  map[uint64]suspicion  // of the accused parts, once they were needed
+	quarantined func(id uint64) bool  // of a part or a request
+	explained   map[int][]*crashedRun // by crash: runs that are quarantined, or have a part that is
+}
+
+// reviewUntil returns the evidence up to the given time.
+func (e *partEvidence) reviewUntil(until time.Time, quarantined func(id uint64) bool) *review {
+	r := &review{
+		evidence: e, accusations: map[uint64][]accusation{}, suspicions: map[uint64]suspicion{},
+		quarantined: quarantined, explained: map[int][]*crashedRun{},
+	}
+	for crash, c := range e.crashes {
+		for _, run := range c.runs {
+			if run.at.After(until) {
+				continue
+			}
+			if quarantined(run.Request) || slices.ContainsFunc(run.Parts, quarantined) {
+				r.explained[crash] = append(r.explained[crash], run)
+			}
+			for depth, part := range run.Parts {
+				if passed, _ := e.passes.Peek(part); run.at.After(passed) {
+					r.accuse(part, accusation{crash, run, depth})
+				}
+			}
 		}
 	}
-	slices.SortFunc(all, func(a, b accusation) int {
-		return cmp.Or(a.run.at.Compare(b.run.at), cmp.Compare(a.crash.server, b.crash.server))
-	})
-	return all
+	return r
 }
 
-// countSeparate counts the crashes at least crashSpacing apart, each under another
-// request.
-func countSeparate(crashes []accusation) int {
-	var counted []accusation
-	for _, c := range crashes {
-		if slices.ContainsFunc(counted, func(o accusation) bool {
-			return o.run.Request == c.run.Request || c.run.at.Sub(o.run.at) < crashSpacing
-		}) {
-			continue
-		}
-		counted = append(counted, c)
+func (r *review) accuse(part uint64, a accusation) {
+	known := r.accusations[part]
+	last := len(known) - 1
+	switch {
+	case last < 0 || known[last].crash != a.crash:
+		r.accusations[part] = append(known, a)
+	case a.run.Answering && !known[last].run.Answering:
+		known[last] = a
 	}
-	return len(counted)
 }
 
-// blamed reports whether a part is to be blamed for crashes up to the given time. Parts
-// and requests for which quarantined returns true explain the crashes that accuse them.
-func (e *partEvidence) blamed(part uint64, until time.Time, quarantined func(uint64) bool) bool {
-	open := e.unexplained(part, until, quarantined)
-	return countSeparate(open) >= partCrashThreshold && e.explainsBest(part, open, until)
+// blamed returns the parts that are to be blamed for crashes and are not quarantined yet.
+func (r *review) blamed() []uint64 {
+	return r.worst(partCrashThreshold, partCrashThreshold)
 }
 
-// suspected reports whether requests with a part may be about to crash all servers, before
-// there is a verdict.
-func (e *partEvidence) suspected(part uint64, quarantined func(uint64) bool) bool {
-	if len(e.crashes) < suspectThreshold {
-		return false
+// suspected returns the parts with which requests may be about to crash all servers.
+func (r *review) suspected() []uint64 {
+	return r.worst(suspectThreshold, suspectSeparate)
+}
+
+// worst returns the parts that are not quarantined and explain best at least the given
+// numbers of crashes, and of separate ones, that nothing quarantined explains.
+func (r *review) worst(crashes, separate int) []uint64 {
+	var worst []uint64
+	for part, all := range r.accusations {
+		if len(all) < crashes || r.quarantined(part) {
+			continue
+		}
+		open := slices.DeleteFunc(slices.Clone(all), func(a accusation) bool { return r.explains(part, a.crash) })
+		if len(open) >= crashes && countSeparate(open) >= separate && r.explainsBest(part, open) {
+			worst = append(worst, part)
+		}
 	}
-	now := time.Now()
-	open := e.unexplained(part, now, quarantined)
-	return len(open) >= suspectThreshold && countSeparate(open) > 1 && e.explainsBest(part, open, now)
+	return worst
 }
 
-// unexplained returns the accusations of a part without the crashes that quarantined
-// parts or requests explain.
-func (e *partEvidence) unexplained(part uint64, until time.Time, quarantined func(uint64) bool) []accusation {
-	return slices.DeleteFunc(e.accusations(part, until), func(a accusation) bool {
-		return a.crash.explained(part, quarantined)
+// explains reports whether another part, or a request without the part, is quarantined
+// and explains a crash that accuses the part.
+func (r *review) explains(part uint64, crash int) bool {
+	return slices.ContainsFunc(r.explained[crash], func(run *crashedRun) bool {
+		other := slices.ContainsFunc(run.Parts, func(id uint64) bool { return id != part && r.quarantined(id) })
+		return other || r.quarantined(run.Request) && !slices.Contains(run.Parts, part)
 	})
 }
 
 // explainsBest reports whether no other part that explains the given accusations of a
 // part is more likely to be at fault.
-func (e *partEvidence) explainsBest(part uint64, open []accusation, until time.Time) bool {
-	own := e.suspicionOf(part, e.accusations(part, until))
-	for _, other := range open[len(open)-1].crash.accusedWith(part) {
-		others := e.accusations(other, until)
-		if covers(others, open) && e.suspicionOf(other, others).compare(own) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// accusedWith returns the other parts that a crash accuses.
-func (c *serverCrash) accusedWith(part uint64) []uint64 {
-	var others []uint64
-	for _, r := range c.runs {
-		for _, other := range r.Parts {
-			if other != part && !slices.Contains(others, other) {
-				others = append(others, other)
+func (r *review) explainsBest(part uint64, open []accusation) bool {
+	own := r.suspicionOf(part)
+	for _, run := range r.evidence.crashes[open[len(open)-1].crash].runs {
+		for _, other := range run.Parts {
+			if other == part || len(r.accusations[other]) < len(open) {
+				continue
+			}
+			if r.suspicionOf(other).compare(own) > 0 && covers(r.accusations[other], open) {
+				return false
 			}
 		}
 	}
-	return others
+	return true
 }
 
-// covers reports whether accusations include all crashes of others.
+// covers reports whether accusations include all crashes of others. Both are in ascending
+// order of the crash.
 func covers(accusations, others []accusation) bool {
+	i := 0
 	for _, o := range others {
-		if !slices.ContainsFunc(accusations, func(a accusation) bool { return a.crash == o.crash }) {
+		for i < len(accusations) && accusations[i].crash < o.crash {
+			i++
+		}
+		if i == len(accusations) || accusations[i].crash != o.crash {
 			return false
 		}
 	}
 	return true
 }
 
+// countSeparate counts the crashes at least crashSpacing apart, each under another
+// request.
+func countSeparate(crashes []accusation) int {
+	ordered := slices.SortedFunc(slices.Values(crashes), func(a, b accusation) int {
+		return cmp.Or(a.run.at.Compare(b.run.at), cmp.Compare(a.run.Server, b.run.Server))
+	})
+	var counted []accusation
+	for _, c := range ordered {
+		if !slices.ContainsFunc(counted, func(o accusation) bool {
+			return o.run.Request == c.run.Request || c.run.at.Sub(o.run.at) < crashSpacing
+		}) {
+			counted = append(counted, c)
+		}
+	}
+	return len(counted)
+}
+
 // suspicion orders parts that explain the same crashes.
 type suspicion struct {
 	answering int // crashes under runs that the server had begun to answer
@@ -311,19 +337,26 @@
 	depth     int
 }
 
-func (e *partEvidence) suspicionOf(part uint64, accusations []accusation) suspicion {
-	passed, _ := e.passes.Peek(part)
+func (r *review) suspicionOf(part uint64) suspicion {
+	if known, ok := r.suspicions[part]; ok {
+		return known
+	}
+	accusations := r.accusations[part]
 	answering := 0
 	for _, a := range accusations {
 		if a.run.Answering {
 			answering++
 		}
 	}
-	return suspicion{answering, countSeparate(accusations), passed, accusations[len(accusations)-1].depth}
+	passed, _ := r.evidence.passes.Peek(part)
+	s := suspicion{answering, countSeparate(accusations), passed, accusations[len(accusations)-1].depth}
+	r.suspicions[part] = s
+	return s
 }
 
 // compare ranks the part with more crashes higher, first of runs that the server had
 // begun to answer, then the one whose last pass is older, then the more specific one.
 func (s suspicion) compare(other suspicion) int {
-	return cmp.Or(cmp.Compare(s.answering, other.answering), cmp.Compare(s.crashes, other.crashes), other.passed.Compare(s.passed), cmp.Compare(s.depth, other.depth))
+	return cmp.Or(cmp.Compare(s.answering, other.answering), cmp.Compare(s.crashes, other.crashes),
+		other.passed.Compare(s.passed), cmp.Compare(s.depth, other.depth))
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -114,8 +114,11 @@
 	mu       sync.Mutex // guards all below
 	requests map[uint64]*entry
 	parts    *partEvidence
-	runs     map[uint64]map[*Admission]struct{} // admitted requests, by fingerprint and by part
-	rotation []uint64                           // quarantined requests and parts not yet repeated in this round
+	// reviewsLeft is the number of reviews of the evidence that follow; one of them is
+	// scheduled.
+	reviewsLeft int
+	runs        map[uint64]map[*Admission]struct{} // admitted requests, by fingerprint and by part
+	rotation    []uint64                           // quarantined requests and parts not yet repeated in this round
 }
 
 type entry struct {
@@ -205,8 +208,10 @@
 			if t.remainingQuarantine(part) == 0 {
 				quarantined = append(quarantined, part)
 			}
-		case t.parts.suspected(part, t.isQuarantined):
-			suspected = append(suspected, part)
+		default:
+			if _, ok := t.parts.suspected[part]; ok {
+				suspected = append(suspected, part)
+			}
 		}
 	}
 	return quarantined, suspected
@@ -277,28 +282,37 @@
 }
 
 // addCrash adds a crash to the evidence on the parts of prompts, reports whether it was
-// new, and schedules the verdict. Called with mu held.
+// new, and starts reviews. Called with mu held.
 func (t *Table) addCrash(crash Crash, at time.Time, own bool) bool {
 	t.parts.forgetBefore(time.Now().Add(-suspicionDuration))
 	if !t.parts.addCrash(crash, at, own) {
 		return false
 	}
-	time.AfterFunc(time.Until(at.Add(verdictDelay)), func() { t.judge(crash.Parts) })
+	if t.reviewsLeft == 0 {
+		time.AfterFunc(reviewInterval, t.review)
+	}
+	t.reviewsLeft = int(verdictDelay/reviewInterval) + 1
 	return true
 }
 
-// judge quarantines those of the parts that are to be blamed for the known crashes. All
-// hosts come to the same verdict; those whose own runs crashed store it.
-func (t *Table) judge(parts []uint64) {
+// review quarantines the parts that are to be blamed for the known crashes, and repeats
+// this until the newest crash is older than verdictDelay. All hosts come to the same
+// verdict; those whose own runs crashed store it.
+func (t *Table) review() {
 	t.mu.Lock()
-	until := time.Now().Add(-verdictDelay)
+	now := time.Now()
 	var cancels []func()
 	changed, stored := false, false
-	for _, part := range parts {
-		if !t.isQuarantined(part) && t.parts.blamed(part, until, t.isQuarantined) {
-			cancels, changed = append(cancels, t.quarantinePart(part)...), true
-			stored = stored || t.parts.accusedByOwn(part)
-		}
+	for _, part := range t.parts.reviewUntil(now.Add(-verdictDelay), t.isQuarantined).blamed() {
+		cancels, changed = append(cancels, t.quarantinePart(part)...), true
+		stored = stored || t.parts.accusedByOwn(part)
+	}
+	t.parts.suspected = map[uint64]struct{}{}
+	for _, part := range t.parts.reviewUntil(now, t.isQuarantined).suspected() {
+		t.parts.suspected[part] = struct{}{}
+	}
+	if t.reviewsLeft--; t.reviewsLeft > 0 {
+		time.AfterFunc(reviewInterval, t.review)
 	}
 	t.mu.Unlock()
 	t.notify(cancels, changed, stored)
