quarantine: only runs that a server had just begun to answer accuse their parts

Where a crash has runs that the server had begun to answer and that have no event yet, only these accuse: runs that wait, and runs that have written, are bystanders. Without such a run all in their beginning do, as before. The first trial of a part comes after 20 s instead of a minute: a wrong verdict refuses all its callers, a right one costs one server more. The lines of crashes say whether the run was being answered, and how long after the break the crash was detected. The virtual tests of hosts draw from one generator under its lock.

--- a/gatewayhost/sharedpart_test.go
+++ b/gatewayhost/sharedpart_test.go
@@ -47,10 +47,10 @@
 // request with crashingPart.
 type partEngines struct {
 	*crashing
-	random   *rand.Rand
 	repaired atomic.Bool // requests with crashingPart crash no servers any more
 
 	guard     sync.Mutex // guards all below
+	random    *rand.Rand
 	partSends []time.Time
 }
 
@@ -61,11 +61,11 @@
 	bad := slices.Contains(call.Request.Prompt.SharedParts, crashingPart)
 	crashes := bad && !e.repaired.Load()
 	e.guard.Lock()
-	prefill := time.Duration(e.random.Int64N(int64(maxPrefill)))
 	if bad {
 		e.partSends = append(e.partSends, time.Now())
 	}
 	e.guard.Unlock()
+	prefill := time.Duration(e.draw(int(maxPrefill)))
 	ended := e.crashSignal(call.Server.ID)
 	select {
 	case <-ended:
@@ -82,6 +82,13 @@
 	return &gateway.Reply{Status: http.StatusOK, Header: http.Header{}, Body: reader, Complete: true}, nil
 }
 
+// draw returns a random number below n.
+func (e *partEngines) draw(n int) int {
+	e.guard.Lock()
+	defer e.guard.Unlock()
+	return e.random.IntN(n)
+}
+
 // write writes the events of a generation; the number of events is the request's body.
 func (e *partEngines) write(ctx context.Context, request *gateway.Request, crashes bool, ended chan struct{}, writer *io.PipeWriter) {
 	for i := range len(request.Body) {
@@ -172,7 +179,7 @@
 func (f *partFleet) serve(ctx context.Context, events int, parts ...string) gateway.Outcome {
 	f.guard.Lock()
 	f.sent++
-	id, host := fmt.Sprint("g", f.sent), f.hosts[f.engines.random.IntN(len(f.hosts))]
+	id, host := fmt.Sprint("g", f.sent), f.hosts[f.engines.draw(len(f.hosts))]
 	f.guard.Unlock()
 	now := time.Now()
 	return host.gateway.Serve(ctx, &gateway.Request{
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -160,6 +160,6 @@
 	now := time.Now()
 	a.table.ReportBroken(Run{
 		Subject: a.subject, Sent: a.sent, Request: request, Server: server, BrokenAt: now, Trials: a.trials,
-		Early: a.startedWithin(earlyRunWindow), Beginning: a.startedWithin(beginWindow), Answering: a.answering,
+		Early: a.startedWithin(earlyRunWindow), Beginning: a.startedWithin(beginWindow), Answering: a.answering && a.wroteAt.IsZero(),
 	}, ended)
 }
--- a/quarantine/broken.go
+++ b/quarantine/broken.go
@@ -27,7 +27,7 @@
 	Sent    Mark // crash history of the request when it was sent
 	Early   bool // the run had just started, or has had no event
 	// Beginning is set if the run was still in its beginning, Answering if the server had
-	// begun to answer it.
+	// begun to answer it and there was no event yet.
 	Beginning, Answering bool
 	Request              string    // request ID, for logs; empty: none
 	Server               string    // ID of its incarnation
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -49,7 +49,7 @@
 }
 
 // gossip returns up to maxChangedRecords crashes and as many passes that are still to be
-// gossiped, first the crashes under runs that the servers had begun to answer.
+// gossiped, first the crashes under runs that the servers had just begun to answer.
 func (e *partEvidence) gossip(now time.Time) Evidence {
 	var evidence Evidence
 	for _, answering := range []bool{true, false} {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -61,7 +61,7 @@
 	Server    uint64 // hash of its ID
 	Request   uint64
 	Parts     []uint64 // of the request's prompt
-	Answering bool     // the server had begun to answer the run
+	Answering bool     // the server had begun to answer the run, and there was no event yet
 	Age       time.Duration
 }
 
@@ -95,9 +95,10 @@
 // partEvidence is the evidence for and against the parts of prompts. It is guarded by
 // the table's mu.
 //
-// A crash accuses all parts of all runs that were in their beginning on the server. A
-// part that crashes every server never passes, so any pass after a crash acquits a part
-// of that crash, and one part that explains all crashes of another acquits the other.
+// A crash accuses the parts of the runs that the server had just begun to answer or, if
+// there is none, of all runs that were in their beginning. A part that crashes every
+// server never passes, so any pass after a crash acquits a part of that crash, and one
+// part that explains all crashes of another acquits the other.
 type partEvidence struct {
 	crashes []*serverCrash
 	passes  *simplelru.LRU[uint64, time.Time] // last known pass of a part
@@ -195,7 +196,7 @@
 // accusation is a crash that accuses a part.
 type accusation struct {
 	crash int         // index in the evidence
-	run   *crashedRun // that accuses the part: one that the server had begun to answer, if any
+	run   *crashedRun // that accuses the part
 	depth int         // position of the part in the prompt
 }
 
@@ -217,16 +218,19 @@
 		quarantined: quarantined, explained: map[int][]*crashedRun{},
 	}
 	for crash, c := range e.crashes {
+		answering := slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering && !run.at.After(until) })
 		for _, run := range c.runs {
-			if run.at.After(until) {
+			if run.at.After(until) || answering && !run.Answering {
 				continue
 			}
 			if quarantined(run.Request) || slices.ContainsFunc(run.Parts, quarantined) {
 				r.explained[crash] = append(r.explained[crash], run)
 			}
 			for depth, part := range run.Parts {
-				if passed, _ := e.passes.Peek(part); run.at.After(passed) {
-					r.accuse(part, accusation{crash, run, depth})
+				known := r.accusations[part]
+				counted := len(known) > 0 && known[len(known)-1].crash == crash
+				if passed, _ := e.passes.Peek(part); run.at.After(passed) && !counted {
+					r.accusations[part] = append(known, accusation{crash, run, depth})
 				}
 			}
 		}
@@ -234,17 +238,6 @@
 	return r
 }
 
-func (r *review) accuse(part uint64, a accusation) {
-	known := r.accusations[part]
-	last := len(known) - 1
-	switch {
-	case last < 0 || known[last].crash != a.crash:
-		r.accusations[part] = append(known, a)
-	case a.run.Answering && !known[last].run.Answering:
-		known[last] = a
-	}
-}
-
 // blamed returns the parts that are to be blamed for crashes and are not quarantined yet.
 func (r *review) blamed() []uint64 {
 	return r.worst(partCrashThreshold, partCrashThreshold)
@@ -331,7 +324,7 @@
 
 // suspicion orders parts that explain the same crashes.
 type suspicion struct {
-	answering int // crashes under runs that the server had begun to answer
+	answering int // crashes under runs that the server had just begun to answer
 	crashes   int
 	passed    time.Time // zero: never
 	depth     int
@@ -354,7 +347,7 @@
 	return s
 }
 
-// compare ranks the part with more crashes higher, first of runs that the server had
+// compare ranks the part with more crashes higher, first of runs that the server had just
 // begun to answer, then the one whose last pass is older, then the more specific one.
 func (s suspicion) compare(other suspicion) int {
 	return cmp.Or(cmp.Compare(s.answering, other.answering), cmp.Compare(s.crashes, other.crashes),
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -59,8 +59,9 @@
 )
 
 // partQuarantineDurations are how long a part is quarantined before it is tried, by
-// the number of trials that have crashed a server; the last one repeats.
-var partQuarantineDurations = []time.Duration{time.Minute, 10 * time.Minute, 30 * time.Minute}
+// the number of trials that have crashed a server; the last one repeats. The first one is
+// short, as a wrong verdict refuses all requests with the part.
+var partQuarantineDurations = []time.Duration{20 * time.Second, 5 * time.Minute, 30 * time.Minute}
 
 // Record is the crash history of one request, or of one part of prompts. Of two
 // records of a request or part, the one with the higher Epoch takes precedence; in the
@@ -260,7 +261,7 @@
 	// Each crash is logged, also one that does not change the record because
 	// another run that was sent at the same time has reported one.
 	t.logger.Warn(msgSuspected, zap.String("request", run.Request), fingerprintField(run.Subject.Request), zap.String("server", run.Server),
-		zap.Uint32("in_a_row", updated.Crashes), zap.Bool("early", run.Early), zap.Strings("parts", partNames(run.Subject.Parts)))
+		zap.Uint32("in_a_row", updated.Crashes), zap.Bool("early", run.Early), zap.Bool("answering", run.Answering), zap.Duration("detected_after", time.Since(run.BrokenAt)), zap.Strings("parts", partNames(run.Subject.Parts)))
 	var cancels []func()
 	changed := known == nil || updated.newerThan(known.Record)
 	quarantined := changed && updated.Quarantined()
