quarantine: a suspicion ends; files by concept

A part stayed suspected, and was sent by one host only, until a run with it passed there: with hundreds of hosts a request with a rare part seldom reaches that host. It now ends ten seconds after the last crash that accuses the part (TestSuspicionEnds fails without that).

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -195,6 +195,20 @@
 	})
 }
 
+// Guards against a part that stays suspected because the host that may try it gets no
+// request with it.
+func TestSuspicionEnds(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		table.TrialHost = func(uint64) bool { return false }
+		table.crashes(suspectThreshold, crashSpacing/(suspectThreshold-1), badPart)
+		time.Sleep(reviewInterval)
+		is.True(table.refused(badPart))
+		time.Sleep(suspectDuration)
+		is.True(!table.refused(badPart))
+	})
+}
+
 // Guards against sound parts that only one host serves because they are on the crashed
 // servers, too.
 func TestPartsOfExplainedCrashesAreNotSuspected(t *testing.T) {
--- /dev/null
+++ b/quarantine/review.go
@@ -0,0 +1,168 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// accusation is a crash that accuses a part.
+type accusation struct {
+	crash int         // index in the evidence
+	run   *crashedRun // that accuses the part
+	depth int         // position of the part in the prompt
+}
+
+// review is the evidence as it stands up to a point in time.
+type review struct {
+	evidence *partEvidence
+	// accusations are those since the last pass, by part, in ascending order of the crash;
+	// one for each crash.
+	accusations map[uint64][]accusation
+	suspicions  map[uint64]suspicion  // of the accused parts, once they were needed
+	quarantined func(id uint64) bool  // of a part or a request
+	explained   map[int][]*crashedRun // by crash: runs that are quarantined, or have a part that is
+}
+
+// reviewUntil returns the evidence up to the given time.
+func (e *partEvidence) reviewUntil(until time.Time, quarantined func(id uint64) bool) *review {
+	r := &review{
+		evidence: e, accusations: map[uint64][]accusation{}, suspicions: map[uint64]suspicion{},
+		quarantined: quarantined, explained: map[int][]*crashedRun{},
+	}
+	for crash, c := range e.crashes {
+		answering := slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering && !run.at.After(until) })
+		for _, run := range c.runs {
+			if run.at.After(until) || answering && !run.Answering {
+				continue
+			}
+			if quarantined(run.Request) || slices.ContainsFunc(run.Parts, quarantined) {
+				r.explained[crash] = append(r.explained[crash], run)
+			}
+			for depth, part := range run.Parts {
+				known := r.accusations[part]
+				counted := len(known) > 0 && known[len(known)-1].crash == crash
+				if passed, _ := e.passes.Peek(part); run.at.After(passed) && !counted {
+					r.accusations[part] = append(known, accusation{crash, run, depth})
+				}
+			}
+		}
+	}
+	return r
+}
+
+// blamed returns the parts that are to be blamed for crashes and are not quarantined yet.
+func (r *review) blamed() []uint64 {
+	return r.worst(partCrashThreshold, partCrashThreshold)
+}
+
+// suspected returns the parts with which requests may be about to crash all servers.
+func (r *review) suspected() []uint64 {
+	return r.worst(suspectThreshold, suspectSeparate)
+}
+
+// worst returns the parts that are not quarantined and explain best at least the given
+// numbers of crashes, and of separate ones, that nothing quarantined explains.
+func (r *review) worst(crashes, separate int) []uint64 {
+	var worst []uint64
+	for part, all := range r.accusations {
+		if len(all) < crashes || r.quarantined(part) {
+			continue
+		}
+		open := slices.DeleteFunc(slices.Clone(all), func(a accusation) bool { return r.explains(part, a.crash) })
+		if len(open) >= crashes && countSeparate(open) >= separate && r.explainsBest(part, open) {
+			worst = append(worst, part)
+		}
+	}
+	return worst
+}
+
+// explains reports whether another part, or a request without the part, is quarantined
+// and explains a crash that accuses the part.
+func (r *review) explains(part uint64, crash int) bool {
+	return slices.ContainsFunc(r.explained[crash], func(run *crashedRun) bool {
+		other := slices.ContainsFunc(run.Parts, func(id uint64) bool { return id != part && r.quarantined(id) })
+		return other || r.quarantined(run.Request) && !slices.Contains(run.Parts, part)
+	})
+}
+
+// explainsBest reports whether no other part that explains the given accusations of a
+// part is more likely to be at fault.
+func (r *review) explainsBest(part uint64, open []accusation) bool {
+	own := r.suspicionOf(part)
+	for _, run := range r.evidence.crashes[open[len(open)-1].crash].runs {
+		for _, other := range run.Parts {
+			if other == part || len(r.accusations[other]) < len(open) {
+				continue
+			}
+			if r.suspicionOf(other).compare(own) > 0 && covers(r.accusations[other], open) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// covers reports whether accusations include all crashes of others. Both are in ascending
+// order of the crash.
+func covers(accusations, others []accusation) bool {
+	i := 0
+	for _, o := range others {
+		for i < len(accusations) && accusations[i].crash < o.crash {
+			i++
+		}
+		if i == len(accusations) || accusations[i].crash != o.crash {
+			return false
+		}
+	}
+	return true
+}
+
+// countSeparate counts the crashes at least crashSpacing apart, each under another
+// request.
+func countSeparate(crashes []accusation) int {
+	ordered := slices.SortedFunc(slices.Values(crashes), func(a, b accusation) int {
+		return cmp.Or(a.run.at.Compare(b.run.at), cmp.Compare(a.run.Server, b.run.Server))
+	})
+	var counted []accusation
+	for _, c := range ordered {
+		if !slices.ContainsFunc(counted, func(o accusation) bool {
+			return o.run.Request == c.run.Request || c.run.at.Sub(o.run.at) < crashSpacing
+		}) {
+			counted = append(counted, c)
+		}
+	}
+	return len(counted)
+}
+
+// suspicion orders parts that explain the same crashes.
+type suspicion struct {
+	answering int // crashes under runs that the server had just begun to answer
+	crashes   int
+	passed    time.Time // zero: never
+	depth     int
+}
+
+func (r *review) suspicionOf(part uint64) suspicion {
+	if known, ok := r.suspicions[part]; ok {
+		return known
+	}
+	accusations := r.accusations[part]
+	answering := 0
+	for _, a := range accusations {
+		if a.run.Answering {
+			answering++
+		}
+	}
+	passed, _ := r.evidence.passes.Peek(part)
+	s := suspicion{answering, countSeparate(accusations), passed, accusations[len(accusations)-1].depth}
+	r.suspicions[part] = s
+	return s
+}
+
+// compare ranks the part with more crashes higher, first of runs that the server had just
+// begun to answer, then the one whose last pass is older, then the more specific one.
+func (s suspicion) compare(other suspicion) int {
+	return cmp.Or(cmp.Compare(s.answering, other.answering), cmp.Compare(s.crashes, other.crashes),
+		other.passed.Compare(s.passed), cmp.Compare(s.depth, other.depth))
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -5,8 +5,6 @@
 package quarantine
 
 import (
-	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -41,28 +39,11 @@
 	// clearedRetention is how long the record of a cleared request is kept to
 	// override older records at other hosts.
 	clearedRetention = time.Minute
-	// trialPeriod is how long after a part's time in quarantine single requests with it
-	// are tried, at one host; without a trial in that time, the part is forgotten.
-	trialPeriod = 10 * time.Minute
-	// trialSpacing is the minimum time between two trials of a part.
-	trialSpacing = 30 * time.Second
-	// suspectSpacing is the minimum time from a crash to the next run with a suspected
-	// part, so that the verdict comes first.
-	suspectSpacing = 2 * verdictDelay
-	// minPartRetry and maxPartRetry bound the time after which callers of a quarantined
-	// part may try again. When the part will be served is not known.
-	minPartRetry = 15 * time.Second
-	maxPartRetry = 30 * time.Second
 	// maxRequests bounds the table. Records that are not quarantined are evicted first,
 	// of these the one that expires first.
 	maxRequests = 4096
 )
 
-// partQuarantineDurations are how long a part is quarantined before it is tried, by
-// the number of trials that have crashed a server; the last one repeats. The first one is
-// short, as a wrong verdict refuses all requests with the part.
-var partQuarantineDurations = []time.Duration{20 * time.Second, 5 * time.Minute, 30 * time.Minute}
-
 // Record is the crash history of one request, or of one part of prompts. Of two
 // records of a request or part, the one with the higher Epoch takes precedence; in the
 // same epoch, the one with more Crashes.
@@ -93,8 +74,8 @@
 // Table is an entry host's table of suspected, quarantined and cleared requests.
 // All methods may be called from any goroutine.
 type Table struct {
-	// OnGossipRecords is called when a run of this host has changed a record, so that
-	// the record can be gossiped early; nil: no call. It must not block. It is
+	// OnGossipRecords is called when a run of this host has changed a record or the
+	// evidence, so that it can be gossiped early; nil: no call. It must not block. It is
 	// also called for a first crash that is not gossiped.
 	OnGossipRecords func()
 	// QuarantineChanged is called when this host's own requests have started or ended a
@@ -197,54 +178,6 @@
 	return left
 }
 
-// partRetry returns the time after which a caller of a quarantined part may try again.
-func partRetry() time.Duration { return minPartRetry + rand.N(maxPartRetry-minPartRetry) }
-
-// partsOnTrial returns the parts that may be tried, by one request at a time: those
-// whose time in quarantine is over, and those that are suspected. Called with mu held.
-func (t *Table) partsOnTrial(parts []uint64) (quarantined, suspected []uint64) {
-	for _, part := range parts {
-		switch {
-		case t.isQuarantined(part):
-			if t.remainingQuarantine(part) == 0 {
-				quarantined = append(quarantined, part)
-			}
-		default:
-			if _, ok := t.parts.suspected[part]; ok {
-				suspected = append(suspected, part)
-			}
-		}
-	}
-	return quarantined, suspected
-}
-
-// startTrials starts a trial of the parts whose time in quarantine is over, and reports
-// whether it may. Called with mu held.
-func (t *Table) startTrials(quarantined, suspected []uint64) bool {
-	now := time.Now()
-	busy := slices.ContainsFunc(suspected, func(part uint64) bool {
-		return t.hasWaitingRun(part) || t.parts.accusedBetween(part, now.Add(-suspectSpacing), now)
-	})
-	if busy || slices.ContainsFunc(quarantined, func(part uint64) bool { return now.Before(t.requests[part].nextTrial) }) {
-		return false
-	}
-	for _, part := range quarantined {
-		t.requests[part].nextTrial = now.Add(trialSpacing)
-		t.logger.Info(msgTrial, partField(part))
-	}
-	return true
-}
-
-// hasWaitingRun reports whether a run with the part has not begun. Called with mu held.
-func (t *Table) hasWaitingRun(part uint64) bool {
-	for run := range t.runs[part] {
-		if !run.begun {
-			return true
-		}
-	}
-	return false
-}
-
 // ReportCrash records that a server crashed while it ran a run. If the run had not
 // just started, a first crash is not gossiped to other hosts. The parts of its prompt are
 // accused only if it was still in its beginning.
@@ -261,7 +194,8 @@
 	// Each crash is logged, also one that does not change the record because
 	// another run that was sent at the same time has reported one.
 	t.logger.Warn(msgSuspected, zap.String("request", run.Request), fingerprintField(run.Subject.Request), zap.String("server", run.Server),
-		zap.Uint32("in_a_row", updated.Crashes), zap.Bool("early", run.Early), zap.Bool("answering", run.Answering), zap.Duration("detected_after", time.Since(run.BrokenAt)), zap.Strings("parts", partNames(run.Subject.Parts)))
+		zap.Uint32("in_a_row", updated.Crashes), zap.Bool("early", run.Early), zap.Bool("answering", run.Answering),
+		zap.Duration("detected_after", time.Since(run.BrokenAt)), zap.Strings("parts", partNames(run.Subject.Parts)))
 	var cancels []func()
 	changed := known == nil || updated.newerThan(known.Record)
 	quarantined := changed && updated.Quarantined()
@@ -282,84 +216,12 @@
 	}
 }
 
-// addCrash adds a crash to the evidence on the parts of prompts, reports whether it was
-// new, and starts reviews. Called with mu held.
-func (t *Table) addCrash(crash Crash, at time.Time, own bool) bool {
-	t.parts.forgetBefore(time.Now().Add(-suspicionDuration))
-	if !t.parts.addCrash(crash, at, own) {
-		return false
-	}
-	if t.reviewsLeft == 0 {
-		time.AfterFunc(reviewInterval, t.review)
-	}
-	t.reviewsLeft = int(verdictDelay/reviewInterval) + 1
-	return true
-}
-
-// review quarantines the parts that are to be blamed for the known crashes, and repeats
-// this until the newest crash is older than verdictDelay. All hosts come to the same
-// verdict; those whose own runs crashed store it.
-func (t *Table) review() {
-	t.mu.Lock()
-	now := time.Now()
-	var cancels []func()
-	changed, stored := false, false
-	for _, part := range t.parts.reviewUntil(now.Add(-verdictDelay), t.isQuarantined).blamed() {
-		cancels, changed = append(cancels, t.quarantinePart(part)...), true
-		stored = stored || t.parts.accusedByOwn(part)
-	}
-	t.parts.suspected = map[uint64]struct{}{}
-	for _, part := range t.parts.reviewUntil(now, t.isQuarantined).suspected() {
-		t.parts.suspected[part] = struct{}{}
-	}
-	if t.reviewsLeft--; t.reviewsLeft > 0 {
-		time.AfterFunc(reviewInterval, t.review)
-	}
-	t.mu.Unlock()
-	t.notify(cancels, changed, stored)
-}
-
 // isQuarantined reports whether a request or a part is quarantined. Called with mu held.
 func (t *Table) isQuarantined(id uint64) bool {
 	e := t.get(id)
 	return e != nil && e.Quarantined()
 }
 
-// quarantinePart quarantines a part, again after a trial that crashed a server, and
-// returns the functions that cancel runs. Called with mu held.
-func (t *Table) quarantinePart(part uint64) []func() {
-	updated := Record{Fingerprint: part, Part: true, Crashes: 1}
-	if known := t.get(part); known != nil {
-		updated.Epoch, updated.Crashes = known.Epoch, known.Crashes+1
-	}
-	return t.set(updated, lifetime(updated), true, sourceOwn)
-}
-
-// reportPassed records that a run wrote its first event at the given time and went on,
-// and ends the quarantine of the parts of its prompt.
-func (t *Table) reportPassed(parts []uint64, began time.Time) {
-	t.mu.Lock()
-	changed, cleared := false, false
-	for _, part := range parts {
-		changed = t.parts.addPass(part, began) || changed
-		cleared = t.clearPassedPart(part) || cleared
-	}
-	t.mu.Unlock()
-	t.notify(nil, changed || cleared, cleared)
-}
-
-// clearPassedPart ends the quarantine of a part if a run with it that began later has
-// passed, and reports whether it did. Called with mu held.
-func (t *Table) clearPassedPart(part uint64) bool {
-	known := t.get(part)
-	if known == nil || !known.Part || known.Crashes == 0 || !t.parts.passedSince(part, known.since().Add(-acquittalWindow)) {
-		return false
-	}
-	t.logger.Info(msgPartCleared, partField(part), zap.Uint32("in_a_row", known.Crashes))
-	t.set(Record{Fingerprint: part, Part: true, Epoch: known.Epoch + 1}, clearedRetention, true, sourceOwn)
-	return true
-}
-
 // ReportCompleted records that a request ran to its end and clears it of earlier
 // crashes.
 func (t *Table) ReportCompleted(fingerprint uint64) {
@@ -399,22 +261,6 @@
 	return changed
 }
 
-// MergeEvidence merges evidence from another host and reports whether any of it was new.
-func (t *Table) MergeEvidence(evidence Evidence) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now, changed := time.Now(), false
-	for _, p := range evidence.Passes {
-		changed = t.parts.addPass(p.Part, now.Add(-p.Age)) || changed
-	}
-	for _, c := range evidence.Crashes {
-		if c.Age < suspicionDuration && len(c.Parts) <= maxParts {
-			changed = t.addCrash(c, now.Add(-c.Age), false) || changed
-		}
-	}
-	return changed
-}
-
 // set stores a record and returns the functions that cancel the runs of a newly
 // quarantined request, and those that have not begun of requests with a newly
 // quarantined part. The record is gossiped if gossip is set or it is quarantined.
