--- a/entryhost/sharedprefix_test.go
+++ b/entryhost/sharedprefix_test.go
@@ -125,9 +125,8 @@
 	group.Wait()
 }
 
-// result returns how many generations with the text were started later than prefixWindow
-// after the last allowed crash, and the share of the sound ones that were served from
-// twice that time.
+// result returns the starts with the text later than prefixWindow after the last allowed
+// crash, and the share of the sound ones that were served from twice that time.
 func (p *prefixService) result() (starts int, served float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gatewayhost/sharedpart_test.go
+++ b/gatewayhost/sharedpart_test.go
@@ -33,8 +33,8 @@
 	eventInterval    = 20 * time.Millisecond
 	maxPrefill       = 300 * time.Millisecond
 
-	// crashesAllowed is the number of crashes after which, with partWindow, requests with
-	// the part have to be refused; sendsAllowed bounds those sent later.
+	// Of the requests sent later than partWindow after this many crashes, sendsAllowed may
+	// have the part.
 	crashesAllowed = 5
 	partWindow     = 3 * time.Second
 	sendsAllowed   = 3
