--- a/entryhost/sharedprefix_test.go
+++ b/entryhost/sharedprefix_test.go
@@ -125,9 +125,9 @@
 	group.Wait()
 }
 
-// result returns the starts with the text later than prefixWindow after the last allowed
-// crash, and the share of the sound ones that were served from twice that time.
-func (p *prefixService) result() (starts int, served float64) {
+// result returns the crashes, the starts with the text later than prefixWindow after the last
+// allowed one, and the share of the sound ones that were served from twice that time.
+func (p *prefixService) result() (crashes, starts int, served float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	from := p.crashes[min(len(p.crashes), crashesAllowed)-1]
@@ -145,7 +145,7 @@
 			}
 		}
 	}
-	return starts, float64(whole) / float64(max(1, sent))
+	return len(p.crashes), starts, float64(whole) / float64(max(1, sent))
 }
 
 // Guards against generations whose prompts share a beginning, no two alike, and crash one
@@ -162,8 +162,8 @@
 				defer p.close()
 				go p.sendFor(30*time.Second, crashingInterval, beginning)
 				p.sendFor(30*time.Second, soundInterval, system+other)
-				starts, served := p.result()
-				t.Logf("%d crashes, %d started after the fifth, %.3f of the sound ones served", len(p.crashes), starts, served)
+				crashes, starts, served := p.result()
+				t.Logf("%d crashes, %d started after the fifth, %.3f of the sound ones served", crashes, starts, served)
 				s.is.True(starts <= startsAllowed)
 				s.is.True(served >= soundShare)
 			})
--- a/gatewayhost/sharedpart_test.go
+++ b/gatewayhost/sharedpart_test.go
@@ -127,6 +127,20 @@
 	return sends
 }
 
+// partSendCount returns how many requests with crashingPart were sent.
+func (e *partEngines) partSendCount() int {
+	e.guard.Lock()
+	defer e.guard.Unlock()
+	return len(e.partSends)
+}
+
+// crashCount returns how many servers have crashed.
+func (e *partEngines) crashCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.crashes)
+}
+
 // lastAllowedCrash returns the time of that crash, of the last one if there were fewer,
 // or zero.
 func (e *partEngines) lastAllowedCrash() time.Time {
@@ -259,7 +273,7 @@
 					go f.sendFor(ctx, 40*time.Second, crashingInterval, parts.crashing)
 					f.sendFor(ctx, 40*time.Second, soundInterval, parts.sound...)
 					time.Sleep(10 * time.Second)
-					t.Logf("%d crashes, %d sends after the fifth, %.3f of the sound ones served", len(f.engines.crashes),
+					t.Logf("%d crashes, %d sends after the fifth, %.3f of the sound ones served", f.engines.crashCount(),
 						f.engines.sendsAfterCrashes(), f.soundServed(f.engines.lastAllowedCrash().Add(2*partWindow)))
 					is.True(f.engines.sendsAfterCrashes() <= sendsAllowed)
 					is.True(f.soundServed(f.engines.lastAllowedCrash().Add(2*partWindow)) >= soundShare)
@@ -279,7 +293,7 @@
 		go f.sendFor(ctx, 30*time.Second, crashingInterval, []string{"system", crashingPart})
 		f.sendFor(ctx, 30*time.Second, soundInterval, []string{"system", "session"})
 		time.Sleep(10 * time.Second)
-		t.Logf("%d crashes, %d sends after the fifth", len(f.engines.crashes), f.engines.sendsAfterCrashes())
+		t.Logf("%d crashes, %d sends after the fifth", f.engines.crashCount(), f.engines.sendsAfterCrashes())
 		is.True(f.engines.sendsAfterCrashes() <= sendsAllowed)
 	})
 }
@@ -314,9 +328,9 @@
 		parts := []string{"system", crashingPart}
 		go f.sendFor(ctx, 10*time.Second, soundInterval, []string{"system", "session"})
 		f.sendFor(ctx, 10*time.Second, crashingInterval, parts)
-		sent := len(f.engines.partSends)
+		sent := f.engines.partSendCount()
 		f.sendFor(ctx, 5*time.Minute, crashingInterval/10, parts)
-		is.Equal(len(f.engines.partSends)-sent, 1)
+		is.Equal(f.engines.partSendCount()-sent, 1)
 		f.engines.repaired.Store(true)
 		f.sendFor(ctx, 20*time.Minute, time.Second, parts)
 		is.True(f.serve(ctx, shortEvents, parts...).Complete)
@@ -333,7 +347,7 @@
 					lasts := max(20*time.Second, 20*interval)
 					go f.sendFor(ctx, lasts, sound, []string{"system", "session"}, []string{"system", "other"})
 					f.sendFor(ctx, lasts, interval, []string{"system", crashingPart})
-					t.Logf("%d crashes, %d sends after the fifth, %.3f of the sound ones served", len(f.engines.crashes),
+					t.Logf("%d crashes, %d sends after the fifth, %.3f of the sound ones served", f.engines.crashCount(),
 						f.engines.sendsAfterCrashes(), f.soundServed(f.engines.lastAllowedCrash().Add(2*partWindow)))
 					is.True(f.engines.sendsAfterCrashes() <= sendsAllowed)
 				})
