sharing, fleet: shares of brittle and cold servers add up while hosts come and go

Each host divided a server's places by the hosts that were alive in its own view. While a host was away the others' shares grew (8, 8, 6 in flight and, 0.2 s after the fourth had started again, its 3: 25 at a server of 24 slots and a queue of 1). A host that had just started also knew neither its peers nor that the servers were brittle; the first answer takes 1.2 s there.

- Package sharing counts the hosts that divide a bound, once for brittle and cold servers, rate limits, retry budgets, and on our own interface the limits of organisations and load polls.
A host counts at once, also while it is suspected or stops, and keeps its share for a minute after it is gone.
A starting host assumes many others until it has met its peers, counts those that are just gone, and takes no allocator's share before.
- Before the first answer of a plain service, and ten seconds after the last one, its servers count as brittle without room for queued requests.

--- a/allocation/client.go
+++ b/allocation/client.go
@@ -120,11 +120,13 @@
 const allocatorsColdShare = 0.5
 
 // coldShare returns the share of cold servers' request rate in a part that this host may use.
+// A host that has not met its peers yet does not know who the allocator is.
 func (c *Client) coldShare(part Part) float64 {
-	if c.preferredAllocator(part) == c.host {
+	sharers := c.fleet.Sharers()
+	if !sharers.Joining() && c.preferredAllocator(part) == c.host {
 		return allocatorsColdShare
 	}
-	return (1 - allocatorsColdShare) / float64(max(1, c.hostCount()))
+	return (1 - allocatorsColdShare) / float64(max(c.hostCount(), sharers.Count()))
 }
 
 // Place chooses a server for a generation. It returns "" if none has capacity.
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -24,6 +24,7 @@
 	"github.com/papayasail/papayasail/replica"
 	"github.com/papayasail/papayasail/routing"
 	"github.com/papayasail/papayasail/settings"
+	"github.com/papayasail/papayasail/sharing"
 	"github.com/papayasail/papayasail/store"
 	"github.com/papayasail/papayasail/tunnel"
 )
@@ -64,12 +65,12 @@
 	server          *link.DrainServer
 	inFlight        *inFlightCounter
 
-	liveHosts atomic.Int64 // number of live entry hosts in the membership
-	refusing  atomic.Bool  // new work is refused
-	leaving   atomic.Bool  // reported as not ready
-	closing   atomic.Bool  // records have been handed over
-	stop      context.CancelFunc
-	stopped   chan struct{} // closed when Run has returned
+	sharers  *sharing.Hosts // the entry hosts that divide limits and load polls
+	refusing atomic.Bool    // new work is refused
+	leaving  atomic.Bool    // reported as not ready
+	closing  atomic.Bool    // records have been handed over
+	stop     context.CancelFunc
+	stopped  chan struct{} // closed when Run has returned
 }
 
 // New returns a host that is not yet running. Run starts it.
@@ -81,7 +82,8 @@
 	h := &Host{
 		options: o, settings: o.Settings, tokens: o.Settings.Tokens(), logger: o.Logger,
 		table: configuration.NewTable(contract.ParseDocument), distances: distancesOf(o.Settings),
-		pool: backend.NewPool(backend.PoolOptions{Logger: o.Logger}), inFlight: newInFlightCounter(), stopped: make(chan struct{}),
+		pool: backend.NewPool(backend.PoolOptions{Logger: o.Logger}), inFlight: newInFlightCounter(), sharers: sharing.NewHosts(o.Settings.Host),
+		stopped: make(chan struct{}),
 	}
 	h.paths = tunnel.NewNetwork(tunnel.Options{
 		Host: o.Settings.Host, Domain: o.Settings.FailureDomain, Direct: o.Network, Peers: h, ServiceAt: h.pool.ServiceAt,
@@ -215,30 +217,29 @@
 	return changed, nil
 }
 
-// updateLiveHosts updates the number of live hosts. Each routing decision needs
-// it, and copying the membership each time would cost more than the decision
-// itself.
-func (h *Host) updateLiveHosts() {
-	live := int64(0)
+// updateSharers updates the hosts that divide limits. Suspected and leaving hosts still
+// take requests.
+func (h *Host) updateSharers() {
+	var present []string
 	for _, member := range h.node.Members() {
-		if member.State == peer.StateAlive {
-			live++
+		if member.State != peer.StateGone {
+			present = append(present, member.Host)
 		}
 	}
-	h.liveHosts.Store(live)
+	h.sharers.SetPresent(present)
 }
 
 // limitShare returns this host's share of each limit that a document sets for the
 // whole fleet.
-func (h *Host) limitShare() float64 { return 1 / float64(max(h.liveHosts.Load(), 1)) }
+func (h *Host) limitShare() float64 { return 1 / float64(h.sharers.Count()) }
 
-// pollsPerSecond returns the rate of load polls, by default from the number of
-// live hosts.
+// pollsPerSecond returns the rate of load polls, by default from the number of hosts
+// that poll.
 func (h *Host) pollsPerSecond() float64 {
 	if h.options.PollsPerSecond > 0 {
 		return h.options.PollsPerSecond
 	}
-	return backend.PollsPerSecond(int(h.liveHosts.Load()))
+	return backend.PollsPerSecond(h.sharers.Count())
 }
 
 // followsStore reports whether this host watches the documents in the store: it
@@ -260,7 +261,7 @@
 	// announced to peers: after the end of a drain, an announcement would stay in
 	// effect on the peers until it expires.
 	h.pool.OnChange(func() { announcer.announce(h.pool.Leaving(backend.SourceOperator), time.Now()) })
-	h.node.Watch(h.updateLiveHosts)
+	h.node.Watch(h.updateSharers)
 	h.node.Watch(func() {
 		for _, server := range h.node.LeavingServers() {
 			h.pool.MarkLeaving(server.Server, backend.SourcePeer, server.Until)
--- a/fleet/brittle.go
+++ b/fleet/brittle.go
@@ -18,6 +18,9 @@
 	// nothing to a brittle server after a rejection.
 	minRejectionPause = 500 * time.Millisecond
 	maxRejectionPause = time.Minute
+	// answerLifetime is how long an answer of a plain service shows that its servers are
+	// not brittle.
+	answerLifetime = 10 * time.Second
 )
 
 // Brittleness is what a server says about the requests that it can reject.
@@ -55,7 +58,9 @@
 	if e == nil {
 		return
 	}
-	t.service(e.server.Service).brittle.update(said, sent)
+	s := t.service(e.server.Service)
+	s.answered = time.Now()
+	s.brittle.update(said, sent)
 	if !e.brittle.update(said, sent) {
 		return
 	}
@@ -118,12 +123,19 @@
 // queueLimit returns how many requests may be queued on a server, or -1 if that is not
 // limited here. The queue of a brittle server may shrink at any time; what it holds
 // beyond that is rejected. Requires mu.
-func (t *Table) queueLimit(e *entry) int {
+//
+// A host that has just started, or has sent a plain service nothing for a while, does not
+// know whether its servers are brittle; until the first answer, which may take a second,
+// it uses them as if they were.
+func (t *Table) queueLimit(e *entry, now time.Time) int {
 	said := t.brittleOf(e)
-	if !said.Brittle {
-		return -1
+	switch s := t.service(e.server.Service); {
+	case said.Brittle:
+		return int(brittleShare * float64(said.RejectsPerSecond))
+	case s.memoryTokens == 0 && now.Sub(s.answered) > answerLifetime:
+		return 0
 	}
-	return int(brittleShare * float64(said.RejectsPerSecond))
+	return -1
 }
 
 // usedCapacity is the fraction of a brittle plain server's throughput that all hosts
--- a/fleet/brittle_test.go
+++ b/fleet/brittle_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+
+	"github.com/papayasail/papayasail/placement"
 )
 
 // Guards against an overtaken answer that ends what a later one said, and against a
@@ -80,3 +82,39 @@
 		is.True(table.Begin("b", Work{ID: "3"}, false) != nil)
 	})
 }
+
+// Guards against a host that starts, or has been idle, and sends a burst to servers of
+// which it does not know that they are brittle.
+func TestServersCountAsBrittleBeforeTheFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable("h", zap.NewNop())
+		table.SetMemory("llm", 1000)
+		table.Put(Server{ID: "a", Service: "plain", Slots: 24})
+		table.Put(Server{ID: "e", Service: "llm", Slots: 24})
+		sent := func() (count int) {
+			var running []*Work
+			for {
+				c := table.CandidatesFor(Query{Service: "plain", Hosts: 4})[0]
+				if placement.Pick(placement.Need{}, []placement.Candidate{c}, placement.DefaultLimits, func(int) int { return 0 }) < 0 {
+					break
+				}
+				running = append(running, table.Begin("a", Work{}, false))
+			}
+			for _, w := range running {
+				w.End()
+			}
+			return len(running)
+		}
+		is.Equal(sent(), 6) // a quarter of the slots
+		is.True(!table.CandidatesFor(Query{Service: "llm", Hosts: 4})[0].QueueLimited)
+		table.SetBrittleness("a", Brittleness{}, time.Now())
+		is.True(sent() > 24)
+		time.Sleep(answerLifetime + time.Second)
+		is.Equal(sent(), 6)
+		w := table.Begin("a", Work{}, false)
+		w.Outcome(false)
+		w.End()
+		is.True(sent() > 24) // an answer that says nothing of brittleness
+	})
+}
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		c := t.candidate(e, s, q.Domain, now)
-		if limit := t.queueLimit(e); limit >= 0 {
+		if limit := t.queueLimit(e, now); limit >= 0 {
 			c.QueueLimited, c.QueueLimit = true, limit
 			c.AtOwnShare = c.MemoryTokens == 0 && q.Hosts > 1 && e.atOwnShare(c.Slots+limit, q.Hosts, now)
 		}
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
+
+	"github.com/papayasail/papayasail/sharing"
 )
 
 const (
@@ -30,16 +32,13 @@
 	otherSendersShare = 1.0 / 8
 	// rateBurst is the time over which a host may save up its share.
 	rateBurst = 500 * time.Millisecond
-	// absentHostShare is how long a host that is no longer live keeps its share: it may
-	// be on the other side of a partition and use it.
-	absentHostShare = time.Minute
 	// removedLimitRetention is how long the end of a limit is kept to override older
 	// records at other hosts.
 	removedLimitRetention = time.Minute
 	// absentLimitRetention is how long the limit of a server is kept that is not in
 	// the table. An entry that expired during a store outage returns within that time.
 	absentLimitRetention = 30 * time.Minute
-	// pruneInterval is the minimum time between two checks for hosts and limits to drop.
+	// pruneInterval is the minimum time between two checks for limits to drop.
 	pruneInterval = time.Second
 	// maxRateLimits bounds the limits learned from other hosts.
 	maxRateLimits = 4096
@@ -69,52 +68,36 @@
 	retransmitsLeft int // remaining messages in which the change has priority
 }
 
-// KnowsRateLimits reports whether any server limits its request rate, or did so within
-// removedLimitRetention.
-func (t *Table) KnowsRateLimits() bool {
+// Sharers returns the entry hosts among which what a server accepts is divided.
+func (t *Table) Sharers() *sharing.Hosts { return t.sharers }
+
+// SetHosts sets the names of the entry hosts that are present, and this host's shares of
+// all rate limits.
+func (t *Table) SetHosts(present []string) {
+	t.sharers.SetPresent(present)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.rateLimits) > 0
-}
-
-// loadHosts gets the live entry hosts if no rate limit was known so far.
-func (t *Table) loadHosts() {
-	if t.LiveHosts != nil && !t.KnowsRateLimits() {
-		t.SetHosts(t.LiveHosts())
-	}
+	t.updateShares(time.Now())
 }
 
-// SetHosts sets the names of the live entry hosts, which share rate limits with those
-// that were live within absentHostShare. It is needed after each change while rate
-// limits are known.
-func (t *Table) SetHosts(live []string) {
+// JoinHosts is SetHosts for a host that has met its peers; gone are the hosts that these
+// know to be gone.
+func (t *Table) JoinHosts(present, gone []string) {
+	t.sharers.Join(present, gone)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	for host, absentSince := range t.hosts {
-		if absentSince.IsZero() {
-			t.hosts[host] = now
-		}
-	}
-	for _, host := range live {
-		t.hosts[host] = time.Time{}
-	}
-	t.updateShares(now)
+	t.updateShares(time.Now())
 }
 
-// updateShares drops hosts that have been absent for absentHostShare and sets this
-// host's shares of all limits. Requires mu.
+// updateShares sets this host's shares of all limits. Requires mu.
 func (t *Table) updateShares(now time.Time) {
-	maps.DeleteFunc(t.hosts, func(_ string, absentSince time.Time) bool {
-		return !absentSince.IsZero() && now.Sub(absentSince) >= absentHostShare
-	})
 	for id, l := range t.rateLimits {
 		t.updateLimiter(id, l, now)
 	}
 }
 
-// pruneRateLimits drops limits that have ended or whose servers are gone, and absent
-// hosts. Requires mu.
+// pruneRateLimits drops limits that have ended or whose servers are gone, and updates the
+// shares of the others. Requires mu.
 func (t *Table) pruneRateLimits(now time.Time) {
 	if now.Sub(t.rateLimitsPruned) < pruneInterval {
 		return
@@ -131,9 +114,6 @@
 // per second; zero: it names none. The request was sent at the given time: an answer
 // without a limit may be older than one with a limit that arrived before it.
 func (t *Table) SetRateLimit(id string, perSecond float64, sent time.Time) {
-	if perSecond > 0 {
-		t.loadHosts()
-	}
 	now := time.Now()
 	t.mu.Lock()
 	known := t.rateLimits[id]
@@ -154,7 +134,6 @@
 // MergeRateLimits merges records from another host and reports whether a limit has
 // begun or ended for this host.
 func (t *Table) MergeRateLimits(records []RateLimit) (changed bool) {
-	t.loadHosts()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -228,7 +207,7 @@
 // times over, so only about as many hosts share a limit as it allows requests in a
 // second.
 func (t *Table) rateShare(id string, perSecond float64) (share float64, sharing bool) {
-	hosts := max(1, len(t.hosts))
+	hosts := t.sharers.Count()
 	senders := min(hosts, int(min(perSecond, float64(hosts)))+spareSenders)
 	if senders == hosts || t.rankFor(id) < senders {
 		return perSecond / float64(senders), true
@@ -236,16 +215,14 @@
 	return perSecond * otherSendersShare / float64(hosts), false
 }
 
-// rankFor returns how many live hosts precede this one in the order of hosts that is
+// rankFor returns how many hosts precede this one in the order of hosts that is
 // specific to a server. Requires mu.
-func (t *Table) rankFor(id string) (rank int) {
+func (t *Table) rankFor(id string) int {
 	own := hashFraction(t.host, id)
-	for host := range t.hosts {
-		if other := hashFraction(host, id); other < own || other == own && host < t.host {
-			rank++
-		}
-	}
-	return rank
+	return t.sharers.CountIf(func(host string) bool {
+		other := hashFraction(host, id)
+		return other < own || other == own && host < t.host
+	})
 }
 
 // rateLimitWait returns the time until a server's limit allows a request of this
--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -166,7 +166,7 @@
 		is.Equal(share(), 0.5)
 		table.SetHosts([]string{table.host, "h1"})
 		is.Equal(share(), 0.5)
-		time.Sleep(absentHostShare)
+		time.Sleep(time.Minute)                  // until a host that is absent loses its share
 		table.SetRateLimit("a", 2.5, time.Now()) // shares are checked with each answer
 		is.Equal(share(), 1.0)
 	})
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -10,6 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
+
+	"github.com/papayasail/papayasail/sharing"
 )
 
 const (
@@ -28,13 +30,12 @@
 // Table is the set of known backend servers. All methods are safe for
 // concurrent use.
 //
-// Lock order: no other lock is acquired while mu is held, except the logger's.
+// Lock order: no other lock is acquired while mu is held, except the logger's and that
+// of sharers.
 type Table struct {
-	host   string // name of this entry host
-	logger *zap.Logger
-	// LiveHosts returns the names of the live entry hosts; nil: not known. It is called
-	// without mu held, when a first rate limit becomes known.
-	LiveHosts func() []string
+	host    string // name of this entry host
+	logger  *zap.Logger
+	sharers *sharing.Hosts // the entry hosts that divide what servers accept
 	// OnRateLimitChanged is called when an answer has shown that a server's rate limit
 	// has begun or ended; nil: no call. It must not block.
 	OnRateLimitChanged func()
@@ -49,10 +50,7 @@
 	// leavingReports records, by server ID, the servers that reported themselves as leaving.
 	leavingReports map[string]leavingReport
 	// backoffs maps a server ID to the time until which the server accepts nothing from this host.
-	backoffs map[string]time.Time
-	// hosts are the entry hosts that share rate limits, with the time since when each
-	// is absent; zero: it is live.
-	hosts            map[string]time.Time
+	backoffs         map[string]time.Time
 	rateLimits       map[string]*rateLimit // by server ID
 	rateLimitsPruned time.Time
 	gossipTurn       []string      // servers whose rate limits are still to be gossiped in this round
@@ -73,6 +71,7 @@
 	coldRate     float64 // requests per second that a cold server accepts; zero: unlimited
 	members      members
 	brittle      brittleness               // what the newest answer of a server says
+	answered     time.Time                 // last answer of a server to this host
 	leaving      map[*entry]struct{}       // members that are leaving
 	departed     map[Incarnation]time.Time // incarnations dropped from the table, and when
 	leavingList  []Incarnation             // cached result of Leaving; nil: recompute
@@ -120,9 +119,9 @@
 // NewTable returns an empty table for the entry host of that name.
 func NewTable(host string, logger *zap.Logger) *Table {
 	return &Table{
-		host: host, logger: logger,
+		host: host, logger: logger, sharers: sharing.NewHosts(host),
 		servers: map[string]*entry{}, addresses: map[string]*addressUse{}, services: map[string]*service{}, evacuated: map[string]bool{},
-		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, hosts: map[string]time.Time{}, rateLimits: map[string]*rateLimit{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
+		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, rateLimits: map[string]*rateLimit{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
 		working: map[*entry]struct{}{}, evident: map[*entry]struct{}{}, restricted: map[*entry]struct{}{}, othersLoads: map[string]map[*entry]struct{}{},
 	}
 }
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -176,6 +176,7 @@
 	defer w.table.mu.Unlock()
 	if !failed {
 		w.entry.observeCallTime(time.Since(w.began))
+		w.table.service(w.entry.server.Service).answered = time.Now()
 	}
 	w.table.recordOutcome(w.entry, failed)
 	w.table.recordOwnOutcome(w.entry, failed)
--- a/gatewayhost/boot.go
+++ b/gatewayhost/boot.go
@@ -48,6 +48,7 @@
 // until the store or an allocator has confirmed the revision, and peers deliver
 // later changes.
 func (h *Host) boot(ctx context.Context) error {
+	h.fleet.Sharers().StartJoining()
 	waiting := time.NewTimer(joinTimeout)
 	defer waiting.Stop()
 	complete := h.loadStale(ctx, h.options.Objects.Evacuations, 0)
@@ -68,6 +69,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	h.fleet.JoinHosts(sharerNames(h.Members()))
 	h.booting.Store(false)
 	h.node.Load().Loaded() // after booting: see runNode
 	h.logger.Info(msgJoined, zap.Int("members", len(h.Members())))
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -189,7 +189,6 @@
 	h.quarantine.OnGossipRecords = func() { h.node.Load().Announce() }
 	h.quarantine.QuarantineChanged = h.scheduleQuarantineWrite
 	h.quarantine.TrialHost = func(part uint64) bool { return domain.TrialHost(h.Members(), part) == o.Name }
-	h.fleet.LiveHosts = func() []string { return liveNames(h.Members()) }
 	h.fleet.OnRateLimitChanged = func() { h.node.Load().Announce() }
 	h.node.Store(h.newNode(0, o.Registerer))
 	h.table.Subscribe(func() {
@@ -207,7 +206,7 @@
 	h.gateway = gateway.New(gateway.Options{
 		Domain: o.Domain, Fleet: h.fleet, Backend: h.backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger,
 		Limits:  placement.DefaultLimits,
-		Budget:  &gateway.Budget{Ratio: o.RepeatRatio, Allowance: o.RepeatAllowance, Window: o.RepeatWindow, Hosts: h.liveHosts},
+		Budget:  &gateway.Budget{Ratio: o.RepeatRatio, Allowance: o.RepeatAllowance, Window: o.RepeatWindow, Hosts: h.fleet.Sharers().Count},
 		Confirm: h.confirm, PathLost: h.paths.Lost, OtherHostsAvailable: h.hasLivePeers, Metrics: gateway.NewMetrics(o.Registerer),
 	})
 	return h
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -52,31 +52,33 @@
 		// The hosts that watch the store are the first to have a change.
 		Distribution: peer.Distribution{Distributes: h.watch.Watches, Distributors: h.watch.Watchers},
 	})
-	h.shareRateLimits(node)
+	h.watchSharers(node)
 	return node
 }
 
-// shareRateLimits keeps the hosts that share servers' rate limits up to date.
-func (h *Host) shareRateLimits(node *peer.Node) {
+// watchSharers keeps the hosts that divide what servers accept up to date.
+func (h *Host) watchSharers(node *peer.Node) {
 	known := node.Generation()
 	node.Watch(func() {
 		if generation := node.Generation(); generation != known {
 			known = generation
-			if h.fleet.KnowsRateLimits() {
-				h.fleet.SetHosts(liveNames(node.Members()))
-			}
+			present, _ := sharerNames(node.Members())
+			h.fleet.SetHosts(present)
 		}
 	})
 }
 
-// liveNames returns the names of the members that are alive.
-func liveNames(members []peer.Member) (names []string) {
+// sharerNames returns the names of the members that may send requests, and of those that
+// are gone. Suspected and leaving members still run.
+func sharerNames(members []peer.Member) (present, gone []string) {
 	for _, m := range members {
-		if m.State == peer.StateAlive {
-			names = append(names, m.Host)
+		if m.State == peer.StateGone {
+			gone = append(gone, m.Host)
+		} else {
+			present = append(present, m.Host)
 		}
 	}
-	return names
+	return present, gone
 }
 
 // runNode runs the membership.
@@ -128,11 +130,6 @@
 	return h.node.Load().OpenTunnel(ctx, host, address)
 }
 
-// liveHosts returns the number of live entry hosts, at least 1.
-func (h *Host) liveHosts() int {
-	return max(1, h.summary().live)
-}
-
 // hasLivePeers reports whether another entry host is alive.
 func (h *Host) hasLivePeers() bool { return h.summary().peersLive }
 
--- a/gatewayhost/stop_test.go
+++ b/gatewayhost/stop_test.go
@@ -49,7 +49,7 @@
 		fabric := network.New(network.Options{})
 		h := newHost("a", fabric.Host("10.0.0.1"), "10.0.0.1", store.NewMemory(), notLeaving)
 		h.gateway = gateway.New(gateway.Options{
-			Fleet: h.fleet, Backend: streaming{duration: 5 * time.Second}, Allocator: h.allocation, Quarantine: h.quarantine, Logger: zap.NewNop(), Budget: &gateway.Budget{Window: time.Second, Hosts: h.liveHosts},
+			Fleet: h.fleet, Backend: streaming{duration: 5 * time.Second}, Allocator: h.allocation, Quarantine: h.quarantine, Logger: zap.NewNop(), Budget: &gateway.Budget{Window: time.Second, Hosts: h.fleet.Sharers().Count},
 			Confirm: h.confirm, OtherHostsAvailable: h.hasLivePeers, Metrics: gateway.NewMetrics(prometheus.NewRegistry()),
 		})
 		route := &gateway.Route{Host: "h", PathPrefix: "/", Kind: gateway.Generation, Timeout: 39 * time.Second, Goal: time.Second, Attempts: 1, Targets: []gateway.Target{{Service: "s", Weight: 1}}}
--- a/gatewayhost/summary.go
+++ b/gatewayhost/summary.go
@@ -8,12 +8,10 @@
 )
 
 // memberSummary is what requests need of the membership. It is computed once for
-// each change of the membership, since callers ask for addresses once a second and
-// each request asks how many hosts there are.
+// each change of the membership, since callers ask for addresses once a second.
 type memberSummary struct {
 	generation uint64
 	members    []peer.Member
-	live       int
 	peersLive  bool // another host is alive
 
 	mu        sync.Mutex          // guards addresses
@@ -28,10 +26,7 @@
 	}
 	next := &memberSummary{generation: generation, members: h.Members(), addresses: map[string][]string{}}
 	for _, m := range next.members {
-		if m.State == peer.StateAlive {
-			next.live++
-			next.peersLive = next.peersLive || m.Host != h.options.Name
-		}
+		next.peersLive = next.peersLive || m.State == peer.StateAlive && m.Host != h.options.Name
 	}
 	h.summarised.Store(next)
 	return next
