fleet, gatewayhost: a server's cold time does not begin again when a host reads its entry

An entry says how much longer its server is cold, as of its writing; a host counted that from its own read, again with each list. After six calls, a quarter of what a cold server takes in a second, it sent no more.

- An unchanged entry that is listed again does not prolong the cold time.
- A starting host asks servers that are listed as cold (eight at most) for the time that is left.
What a server reports replaces its entry's time, in both directions.
- The request line of a call that was refused as full says what was lacking: lack_slots, lack_share, lack_warmth.
Only generations had that.

TestStartingHostAsksWhetherListedServersAreCold and TestRepeatedEntryDoesNotProlongColdTime failed before.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -29,6 +29,37 @@
 		t.MarkLeaving(incarnation, SourceAnswer)
 	}
 	t.MarkCold(incarnation, status.ColdFor)
+	if status.ColdKnown {
+		t.correctListedCold(incarnation, status.ColdFor)
+	}
+}
+
+// correctListedCold replaces the cold time of a server's host list entry, which may be
+// older than this host's first read of it, with the one that the server reports.
+func (t *Table) correctListedCold(incarnation Incarnation, left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entryOf(incarnation)
+	if e == nil {
+		return
+	}
+	e.listedColdUntil = time.Now().Add(min(left, maxColdTime))
+	t.notifyChanged()
+}
+
+// ListedCold returns up to count servers that are cold according to their host list
+// entries and whose services have a rate limit for cold servers.
+func (t *Table) ListedCold(count int) []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var servers []Server
+	for _, e := range t.servers {
+		if t.service(e.server.Service).coldRate > 0 && now.Before(e.listedColdUntil) && e.acceptsRequests() && len(servers) < count {
+			servers = append(servers, e.server)
+		}
+	}
+	return servers
 }
 
 // MarkCold applies a server's own report that it remains cold for the given time.
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -70,3 +70,25 @@
 	}
 	return list
 }
+
+// Guards against a server that stays cold because its unchanged entry is listed again.
+func TestRepeatedEntryDoesNotProlongColdTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable("h", zap.NewNop())
+		cold := Server{ID: "a", Service: "plain", Slots: 6, SlowFor: 2 * time.Second}
+		isCold := func() bool { return table.Candidates("plain", "d")[0].SlowStart }
+		table.Put(cold)
+		time.Sleep(1500 * time.Millisecond)
+		table.Put(cold)
+		time.Sleep(time.Second)
+		is.True(!isCold())
+		cold.SlowFor = 3 * time.Second // it has become cold again
+		table.Put(cold)
+		is.True(isCold())
+		table.ApplySelfReport(cold.Incarnation(), SelfReport{})
+		is.True(isCold()) // no cold time was reported
+		table.ApplySelfReport(cold.Incarnation(), SelfReport{ColdKnown: true})
+		is.True(!isCold())
+	})
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -24,6 +24,8 @@
 	Leaves bool // it accepts no new work
 	// ColdFor is how much longer it is cold; zero: not cold, or not reported.
 	ColdFor time.Duration
+	// ColdKnown is set if ColdFor was reported.
+	ColdKnown bool
 }
 
 // Incarnation returns the identity of the server's incarnation.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -159,6 +159,8 @@
 		t.replace(e, server)
 		e = nil
 	}
+	// A list that is read again repeats the cold time of the entry, which has passed since.
+	repeated := e != nil && e.server.SlowFor == server.SlowFor
 	if e == nil {
 		e = t.add(server)
 	}
@@ -176,7 +178,9 @@
 		s.members.add(e)
 	}
 	e.server, e.invalid, e.evacuated = server, false, t.evacuated[server.Domain]
-	e.listedColdUntil = time.Now().Add(min(server.SlowFor, maxColdTime))
+	if !repeated {
+		e.listedColdUntil = time.Now().Add(min(server.SlowFor, maxColdTime))
+	}
 	t.service(server.Service).returned(server.Incarnation())
 	switch {
 	case t.reportedLeaving(server.Incarnation()):
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -67,6 +67,10 @@
 		fields = append(fields, zap.String("service", t.service.Name), zap.String("server", t.server.ID),
 			zap.Int("sends", t.sends), zap.Strings("tried", t.tried))
 	}
+	if s := t.shortage; s != nil && !o.Complete {
+		fields = append(fields, zap.Int("candidates", s.candidates), zap.Int("lack_slots", s.Slots), zap.Int("lack_share", s.Share),
+			zap.Int("lack_warmth", s.Warmth))
+	}
 	if t.through != "" {
 		fields = append(fields, zap.String("through", t.through))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,7 @@
 	server        fleet.Server
 	tried         []string        // servers that it was sent to or that refused the connection
 	through       string          // entry host through which the last answer came; "": directly
+	shortage      *callShortage   // why a call was not placed; nil: it was, or the reason is another
 	failure       error           // why the last attempt got no answer or only a part of one
 	framing       backend.Framing // of the last answer; "": there was none
 	events        int             // whole events relayed to the caller
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -58,13 +58,31 @@
 		case <-changed:
 		case <-time.After(placementInterval):
 		case <-giveUp.C:
+			t.recordShortage(need, candidates)
 			return nil, ReasonFull
 		case <-ctx.Done():
+			t.recordShortage(need, candidates)
 			return nil, ReasonFull
 		}
 	}
 }
 
+// recordShortage records why a call was not placed, for its log line. Allocators log why
+// they place no generation.
+func (t *task) recordShortage(need placement.Need, candidates []placement.Candidate) {
+	if t.service.Engine != nil && t.route.Kind == Generation {
+		return
+	}
+	shortage := placement.ShortageOf(need, candidates, t.gateway.options.Limits)
+	t.shortage = &callShortage{len(candidates), shortage}
+}
+
+// callShortage is why no server had a place for a call.
+type callShortage struct {
+	candidates int
+	placement.Shortage
+}
+
 // noCandidateReason returns the reason why there is no candidate server, or "" if
 // one will accept requests again within the given wait.
 func (t *task) noCandidateReason(wait time.Duration) Reason {
--- a/gatewayhost/boot.go
+++ b/gatewayhost/boot.go
@@ -32,6 +32,8 @@
 	// serversReadByAll is the number of servers up to which each starting host reads
 	// all of them from the store.
 	serversReadByAll = 400
+	// maxColdQueried is how many servers that are listed as cold a starting host queries.
+	maxColdQueried = 8
 	// snapshotTimeout bounds the pull of the servers from a peer.
 	snapshotTimeout = 3 * time.Second
 )
@@ -54,6 +56,7 @@
 	complete := h.loadStale(ctx, h.options.Objects.Evacuations, 0)
 	complete = h.loadStale(ctx, h.options.Objects.Configuration, 0) && complete
 	complete = h.loadStale(ctx, h.options.Objects.Servers, serversReadByAll) && complete
+	h.queryListedCold()
 	select {
 	case <-h.node.Load().Joined():
 		if err := h.awaitMembership(ctx); err != nil {
@@ -76,6 +79,14 @@
 	return nil
 }
 
+// queryListedCold queries servers that are listed as cold, as a starting host does not know
+// when their entries were written: it would refuse calls for servers that are warm.
+func (h *Host) queryListedCold() {
+	for _, server := range h.fleet.ListedCold(maxColdQueried) {
+		go h.queryCold(server, becauseListed)
+	}
+}
+
 // loadSnapshot loads what the first reads of the store lack, from a peer or, where
 // that fails, from the store.
 func (h *Host) loadSnapshot(ctx context.Context) {
--- a/gatewayhost/broken.go
+++ b/gatewayhost/broken.go
@@ -11,7 +11,10 @@
 )
 
 const (
-	msgColdQueried = "backend server was asked whether it is cold: a connection to it broke"
+	msgColdQueried = "backend server was asked whether it is cold"
+
+	becauseBroken = "a connection to it broke"
+	becauseListed = "it is listed as cold, and this host starts"
 
 	// coldQueryInterval separates the status queries to one server. It is queried
 	// until it answers, at most coldQueryAttempts times: a crashed server is back
@@ -38,14 +41,14 @@
 	go func() {
 		defer h.coldQueries.Delete(address)
 		for _, server := range servers {
-			h.queryCold(server)
+			h.queryCold(server, becauseBroken)
 		}
 	}()
 }
 
 // queryCold queries a server until it answers, is replaced or removed, or
 // coldQueryAttempts is reached.
-func (h *Host) queryCold(server fleet.Server) {
+func (h *Host) queryCold(server fleet.Server, because string) {
 	var status fleet.SelfReport
 	var err error
 	for range coldQueryAttempts {
@@ -56,7 +59,7 @@
 			break
 		}
 	}
-	h.logger.Info(msgColdQueried, zap.String("server", server.ID), zap.Duration("cold_for", status.ColdFor), zap.Error(err))
+	h.logger.Info(msgColdQueried, zap.String("server", server.ID), zap.String("because", because), zap.Duration("cold_for", status.ColdFor), zap.Error(err))
 }
 
 func (h *Host) queryColdOnce(server fleet.Server) (fleet.SelfReport, error) {
--- a/gatewayhost/broken_test.go
+++ b/gatewayhost/broken_test.go
@@ -1,6 +1,7 @@
 package gatewayhost
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -50,3 +51,24 @@
 		is.True(!usable) // the answer also reported that it is leaving
 	})
 }
+
+// Guards against a starting host that refuses calls for a warm server, because it counts the
+// cold time of the server's entry from its own first read.
+func TestStartingHostAsksWhetherListedServersAreCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := store.NewMemory()
+		_, err := memory.Put(t.Context(), kindOfServers, "i-1", []byte("cold"), 0)
+		is.NoErr(err)
+		h, _ := standaloneHost(notLeaving)
+		h.options.Store = checkedStore{memory}
+		h.fleet.SetColdRate("s", 1)
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = h.boot(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		is.True(!h.fleet.Candidates("s", "d")[0].SlowStart)
+		stop()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -72,7 +72,7 @@
 
 func (s servers) QueryStatus(_ context.Context, server fleet.Server, _ string) (fleet.SelfReport, error) {
 	leaving, err := s.queryLeaving(server.ID)
-	return fleet.SelfReport{Leaves: leaving, ColdFor: s.coldFor}, err
+	return fleet.SelfReport{Leaves: leaving, ColdFor: s.coldFor, ColdKnown: err == nil}, err
 }
 
 var errUnreadable = errors.New("unreadable")
@@ -90,7 +90,11 @@
 			if len(data) == 0 {
 				return fleet.Server{}, errUnreadable
 			}
-			return fleet.Server{ID: id, Service: "s", Address: "10.9.9.9:1", Domain: "d", Slots: 1, Leaving: string(data) == "leaving"}, nil
+			server := fleet.Server{ID: id, Service: "s", Address: "10.9.9.9:1", Domain: "d", Slots: 1, Leaving: string(data) == "leaving"}
+			if string(data) == "cold" {
+				server.SlowFor = time.Minute
+			}
+			return server, nil
 		},
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -205,15 +205,16 @@
 	lacksSlots
 	lacksMemory
 	lacksWarmth // cold server at its maximum
+	lacksShare  // this host uses its share of the server
 )
 
 // Shortage counts servers without a free place by the first resource that is
 // insufficient.
 //
 // Reading counts servers with too many prompt tokens to prefill, Slots those with
-// all slots used, Memory those with too little memory, and Warmth cold servers at
-// their limit of requests.
-type Shortage struct{ Reading, Slots, Memory, Warmth int }
+// all slots used, Memory those with too little memory, Warmth cold servers at their limit
+// of requests, and Share those at which this host has all requests that it may have.
+type Shortage struct{ Reading, Slots, Memory, Warmth, Share int }
 
 // ShortageOf counts why the candidates have no free place for the request.
 func ShortageOf(need Need, candidates []Candidate, limits Limits) (shortage Shortage) {
@@ -227,6 +228,8 @@
 			shortage.Memory++
 		case lacksWarmth:
 			shortage.Warmth++
+		case lacksShare:
+			shortage.Share++
 		}
 	}
 	return shortage
@@ -246,7 +249,7 @@
 		return lacksNothing // an idle server accepts one request regardless of the limits
 	}
 	if c.AtOwnShare {
-		return lacksSlots
+		return lacksShare
 	}
 	if c.MemoryTokens == 0 {
 		if float64(c.Running) < c.places(limits) {
