quarantine: a part is not blamed for crashes that a likelier part explains

A crash now counts against a part only if no likelier part explains it: one that has passed longer ago or never, and was at another crash without it.

TestSoundPartBesideTwoCrashingOnesIsServed failed before. A part that has never passed, like the crashing ones, can still be blamed in their place.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -159,6 +159,28 @@
 	})
 }
 
+// Guards against a quarantine of a sound part whose requests share it with two parts that
+// crash servers at the same time.
+func TestSoundPartBesideTwoCrashingOnesIsServed(t *testing.T) {
+	const secondBadPart = otherPart + 1
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		table.pass(systemPart, sessionPart)
+		time.Sleep(time.Second)
+		for _, parts := range [][]uint64{
+			{badPart, sessionPart}, {systemPart, secondBadPart}, {systemPart, badPart}, {secondBadPart, sessionPart}, {systemPart, badPart},
+			{systemPart, secondBadPart}, {secondBadPart, sessionPart}, {badPart, sessionPart},
+		} {
+			table.crashes(1, crashSpacing, parts...)
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+		is.True(table.refused(secondBadPart))
+		is.True(!table.refused(systemPart))
+		is.True(!table.refused(sessionPart))
+	})
+}
+
 // Guards against a quarantine of the parts of a single request that crashes servers.
 func TestRetriesOfOneRequestAccuseNoPart(t *testing.T) {
 	inBubble(t, func(is *is.I) {
--- a/quarantine/review.go
+++ b/quarantine/review.go
@@ -51,9 +51,12 @@
 	return r
 }
 
-// blamed returns the parts that are to be blamed for crashes and are not quarantined yet.
+// blamed returns the parts that are to be blamed for crashes and are not quarantined yet:
+// those that explain best enough crashes which no likelier part explains.
 func (r *review) blamed() []uint64 {
-	return r.worst(partCrashThreshold, partCrashThreshold)
+	return slices.DeleteFunc(r.worst(partCrashThreshold, partCrashThreshold), func(part uint64) bool {
+		return len(r.unexplained(part)) < partCrashThreshold
+	})
 }
 
 // suspected returns the parts with which requests may be about to crash all servers.
@@ -69,7 +72,7 @@
 		if len(all) < crashes || r.quarantined(part) {
 			continue
 		}
-		open := slices.DeleteFunc(slices.Clone(all), func(a accusation) bool { return r.explains(part, a.crash) })
+		open := r.open(part)
 		if len(open) >= crashes && countSeparate(open) >= separate && r.explainsBest(part, open) {
 			worst = append(worst, part)
 		}
@@ -77,6 +80,45 @@
 	return worst
 }
 
+// open returns the accusations of a part in crashes that nothing quarantined explains.
+func (r *review) open(part uint64) []accusation {
+	return slices.DeleteFunc(slices.Clone(r.accusations[part]), func(a accusation) bool { return r.explains(part, a.crash) })
+}
+
+// unexplained returns the open accusations of a part in crashes that no likelier part
+// explains: one that has passed longer ago or never, and was at another crash without it.
+//
+// While two parts crash servers at once, the sound parts that their requests share are
+// accused by both, and by more crashes than either.
+func (r *review) unexplained(part uint64) []accusation {
+	passed, _ := r.evidence.passes.Peek(part)
+	known := map[uint64]bool{}
+	likelier := func(other uint64) bool {
+		likely, ok := known[other]
+		if !ok {
+			otherPassed, _ := r.evidence.passes.Peek(other)
+			if otherPassed.Before(passed) && !r.quarantined(other) {
+				open := r.open(other)
+				likely = len(open) >= suspectSeparate && !covers(r.accusations[part], open)
+			}
+			known[other] = likely
+		}
+		return likely
+	}
+	return slices.DeleteFunc(r.open(part), func(a accusation) bool {
+		return slices.ContainsFunc(r.evidence.crashes[a.crash].runs, func(run *crashedRun) bool {
+			return slices.ContainsFunc(run.Parts, func(other uint64) bool {
+				return other != part && likelier(other) && accuses(r.accusations[other], a.crash)
+			})
+		})
+	})
+}
+
+// accuses reports whether one of the accusations is of a crash.
+func accuses(accusations []accusation, crash int) bool {
+	return slices.ContainsFunc(accusations, func(a accusation) bool { return a.crash == crash })
+}
+
 // explains reports whether another part, or a request without the part, is quarantined
 // and explains a crash that accuses the part.
 func (r *review) explains(part uint64, crash int) bool {
