tunnel, peer: a stopping host lends its path as long as it takes requests

A leaving host refused tunnels, and was not asked.

A stopping host opens tunnels until it stops taking requests, on both interfaces. It is asked after all hosts that stay and have not failed to help: its tunnels may be cut off at the end of its grace.

TestStoppingHostLendsItsPath (503 instead of 200) and TestLeavingHostsAreAskedAfterTheOthers failed before.

--- a/entryhost/stop.go
+++ b/entryhost/stop.go
@@ -21,6 +21,7 @@
 	h.node.Leave("")
 	_ = sleep.For(ctx, h.options.AnnounceDelay)
 	h.refusing.Store(true)
+	h.node.EndTunnels()
 	h.ledger.Close()
 	h.awaitWork(ctx)
 	h.handOver(ctx)
--- a/gatewayhost/stop.go
+++ b/gatewayhost/stop.go
@@ -38,7 +38,8 @@
 
 // stop drains the host without failing requests: it reports not ready, leaves
 // the address lists, keeps serving until callers have refreshed their addresses,
-// and finishes the requests it has read and those that run through its tunnels.
+// and finishes the requests it has read and those that run through its tunnels. As long
+// as it takes requests it opens tunnels for hosts that know no other way to the servers.
 //
 // Failure: all hosts are stopped in turn, one per second, and each has
 // generations that run for the whole grace period. For seconds no host accepts a
@@ -54,6 +55,7 @@
 	for h.gateway.InFlightGenerations() > 0 && time.Until(deadline) > stopAcceptingBefore {
 		_ = sleep.For(context.Background(), stopCheckInterval) // fails only when the context ends, which this one never does
 	}
+	h.node.Load().EndTunnels()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
--- a/peer/node.go
+++ b/peer/node.go
@@ -82,7 +82,8 @@
 
 	refreshLimit *rate.Limiter
 
-	tunnels atomic.Int64 // open for other hosts
+	tunnels     atomic.Int64 // open for other hosts
+	tunnelsDone atomic.Bool  // no more are opened
 
 	mu              sync.Mutex           // guards all below
 	digest          uint64               // own membership digest for which otherDigests was collected
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -79,7 +79,7 @@
 		return err
 	}
 	n := s.node
-	if n.tunnels.Add(1) > maxTunnels || n.table.localMember().State != StateAlive {
+	if n.tunnels.Add(1) > maxTunnels || n.tunnelsDone.Load() {
 		n.tunnels.Add(-1)
 		return stream.Send(&peerpb.TunnelResponse{Result: peerpb.TunnelResult_REJECTED})
 	}
@@ -99,8 +99,11 @@
 	return readAll(conn, func(data []byte) error { return stream.Send(&peerpb.TunnelResponse{Data: data}) })
 }
 
-// Tunnels returns the number of connections that are open for other hosts. After Leave
-// it does not rise.
+// EndTunnels makes this host open no more connections for others.
+func (n *Node) EndTunnels() { n.tunnelsDone.Store(true) }
+
+// Tunnels returns the number of connections that are open for other hosts. After
+// EndTunnels it does not rise.
 func (n *Node) Tunnels() int { return int(n.tunnels.Load()) }
 
 func (n *Node) dialForPeer(ctx context.Context, address string) (net.Conn, peerpb.TunnelResult) {
--- a/tunnel/helpers.go
+++ b/tunnel/helpers.go
@@ -26,12 +26,15 @@
 
 	mu         sync.Mutex // guards all below
 	generation uint64
-	live       []candidate          // other live hosts at generation
+	live       []candidate          // other hosts that run at generation
 	avoided    map[helper]time.Time // those that could not help, and until when they are asked last
 }
 
 // candidate is a host that may be asked for tunnels.
-type candidate struct{ host, domain string }
+type candidate struct {
+	host, domain string
+	leaving      bool
+}
 
 // helper is a host that is asked for tunnels to servers of a service.
 type helper struct{ host, service string }
@@ -42,7 +45,7 @@
 
 // choose returns up to count hosts in the order in which to ask them for a tunnel to a
 // server of a service: those that have not failed to help lately first, near ones before
-// the others. The second one is of another failure domain than the first: all hosts of a
+// the others, and leaving ones, whose tunnels may be cut off, after these. The second one is of another failure domain than the first: all hosts of a
 // domain may be cut off.
 func (h *helpers) choose(service string, count int) []string {
 	hosts := h.liveOthers()
@@ -52,13 +55,15 @@
 	avoided := func(c candidate) bool { return !now.After(h.avoided[helper{c.host, service}]) }
 	near := 0
 	for _, c := range hosts {
-		if c.domain == h.options.Domain && !avoided(c) {
+		if c.domain == h.options.Domain && !c.leaving && !avoided(c) {
 			near++
 		}
 	}
 	rank := func(c candidate) int {
 		switch {
 		case avoided(c):
+			return 3
+		case c.leaving:
 			return 2
 		case near >= minNearHelpers && c.domain != h.options.Domain:
 			return 1
@@ -67,7 +72,7 @@
 	}
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	slices.SortStableFunc(hosts, func(a, b candidate) int { return rank(a) - rank(b) })
-	preferOtherDomain(hosts, func(c candidate) bool { return !avoided(c) })
+	preferOtherDomain(hosts, func(c candidate) bool { return rank(c) < 2 })
 	var chosen []string
 	for _, c := range hosts[:min(count, len(hosts))] {
 		chosen = append(chosen, c.host)
@@ -88,7 +93,7 @@
 	}
 }
 
-// liveOthers returns a copy of the other live hosts.
+// liveOthers returns a copy of the other hosts that are alive or leaving.
 func (h *helpers) liveOthers() []candidate {
 	generation := h.options.Peers.Generation()
 	h.mu.Lock()
@@ -99,8 +104,9 @@
 	}
 	live = []candidate{}
 	for _, m := range h.options.Peers.Members() {
-		if m.State == peer.StateAlive && m.Host != h.options.Host {
-			live = append(live, candidate{m.Host, m.FailureDomain})
+		leaving := m.State == peer.StateLeaving
+		if (leaving || m.State == peer.StateAlive) && m.Host != h.options.Host {
+			live = append(live, candidate{m.Host, m.FailureDomain, leaving})
 		}
 	}
 	h.mu.Lock()
--- a/tunnel/network_test.go
+++ b/tunnel/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,7 @@
 
 	direct  map[string]error             // result of a direct dial; nil: it works
 	answers map[string]*peer.TunnelError // by host; nil: it opens tunnels
+	leaving []string                     // hosts that stop
 	asked   []string
 }
 
@@ -46,7 +48,11 @@
 
 func (w *world) Members() (members []peer.Member) {
 	for host := range w.answers {
-		members = append(members, peer.Member{Host: host, State: peer.StateAlive, FailureDomain: host[:1]})
+		m := peer.Member{Host: host, State: peer.StateAlive, FailureDomain: host[:1]}
+		if slices.Contains(w.leaving, host) {
+			m.State = peer.StateLeaving
+		}
+		members = append(members, m)
 	}
 	return append(members, peer.Member{Host: "me", State: peer.StateAlive, FailureDomain: "a"})
 }
@@ -160,6 +166,27 @@
 	})
 }
 
+// Guards against cut-off hosts that reach nobody although a host that stops still could
+// help, and against use of such a host while others help.
+func TestLeavingHostsAreAskedAfterTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &world{direct: map[string]error{"server": syscall.ECONNREFUSED}, answers: map[string]*peer.TunnelError{"b0": nil, "c0": nil}, leaving: []string{"b0"}}
+		n := newNetwork(w)
+		for range 10 {
+			_, err := n.Dial(t.Context(), "server")
+			is.NoErr(err)
+		}
+		is.True(!slices.Contains(w.asked, "b0"))
+		w.answers["c0"], w.asked = answer(peerpb.TunnelResult_UNREACHABLE, true), nil
+		for range 2 {
+			_, err := n.Dial(t.Context(), "server")
+			is.NoErr(err)
+		}
+		is.Equal(w.asked, []string{"c0", "b0", "b0"})
+	})
+}
+
 // Guards against a slow dial that makes callers wait although another host connects, and
 // against connections that are left open when both succeed.
 func TestSlowDialIsOvertakenByATunnel(t *testing.T) {
