fleet, peer, gatewayhost: hosts tell each other of servers that started again cold

Its entry could not say that it was cold. The first query also failed where the server was not up yet, and was repeated after 0.5 s, with full load in between.

- A server counts as cold from the moment at which a connection to it broke until it says how cold it is.
- A host that learns from a server that it is cold, though its entry does not say so, tells the others: ColdServer in gossip and in syncs, at once, eight times by each host.
Times only grow by more than the delays of gossip, so that news does not circulate.

A server that starts again while no host at all has a connection to it is still not noticed.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -29,22 +29,36 @@
 		t.MarkLeaving(incarnation, SourceAnswer)
 	}
 	t.MarkCold(incarnation, status.ColdFor)
-	if status.ColdKnown {
-		t.correctListedCold(incarnation, status.ColdFor)
+	if status.ColdKnown && t.correctCold(incarnation, status.ColdFor) {
+		t.announce()
 	}
 }
 
-// correctListedCold replaces the cold time of a server's host list entry, which may be
-// older than this host's first read of it, with the one that the server reports.
-func (t *Table) correctListedCold(incarnation Incarnation, left time.Duration) {
+// correctCold replaces the cold time of a server's host list entry, which may be older
+// than this host's first read of it, and an assumed one with the one that the server
+// reports. It reports whether other hosts may not know that the server is cold.
+func (t *Table) correctCold(incarnation Incarnation, left time.Duration) (news bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entryOf(incarnation)
 	if e == nil {
-		return
+		return false
 	}
-	e.listedColdUntil = time.Now().Add(min(left, maxColdTime))
+	now := time.Now()
+	listed := now.Add(left).Sub(e.listedColdUntil) < coldNewsResolution
+	e.listedColdUntil, e.assumedColdUntil = now.Add(min(left, maxColdTime)), time.Time{}
 	t.notifyChanged()
+	return !listed && t.recordCold(incarnation.ID, left, now)
+}
+
+// AssumeCold makes a server count as cold for some time, until it reports otherwise: a
+// connection to it broke, and it may have started again.
+func (t *Table) AssumeCold(incarnation Incarnation, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entryOf(incarnation); e != nil {
+		e.assumedColdUntil = time.Now().Add(d)
+	}
 }
 
 // ListedCold returns up to count servers that are cold according to their host list
@@ -99,7 +113,7 @@
 }
 
 func (e *entry) cold(now time.Time) bool {
-	return now.Before(e.listedColdUntil) || now.Before(e.coldUntil)
+	return now.Before(e.listedColdUntil) || now.Before(e.coldUntil) || now.Before(e.assumedColdUntil)
 }
 
 // recordStart counts a request that this host sent to the server, or placed there
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -126,8 +126,15 @@
 		changed = t.setRateLimit(RateLimit{Server: id}, sent, now, rateSourceAnswer)
 	}
 	t.mu.Unlock()
-	if changed && t.OnRateLimitChanged != nil {
-		t.OnRateLimitChanged()
+	if changed {
+		t.announce()
+	}
+}
+
+// announce calls OnNews. It must be called without mu held.
+func (t *Table) announce() {
+	if t.OnNews != nil {
+		t.OnNews()
 	}
 }
 
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -36,9 +36,10 @@
 	host    string // name of this entry host
 	logger  *zap.Logger
 	sharers *sharing.Hosts // the entry hosts that divide what servers accept
-	// OnRateLimitChanged is called when an answer has shown that a server's rate limit
-	// has begun or ended; nil: no call. It must not block.
-	OnRateLimitChanged func()
+	// OnNews is called when a server's answer has shown something that other hosts should
+	// know: that its rate limit has begun or ended, or that it is cold; nil: no call. It
+	// must not block.
+	OnNews func()
 
 	mu        sync.Mutex // guards all fields below
 	servers   map[string]*entry
@@ -53,9 +54,10 @@
 	backoffs         map[string]time.Time
 	rateLimits       map[string]*rateLimit // by server ID
 	rateLimitsPruned time.Time
-	gossipTurn       []string      // servers whose rate limits are still to be gossiped in this round
-	ownChanges       chan struct{} // receives a token when this host's work on engines has changed
-	changed          chan struct{} // closed and replaced on each change that may free capacity
+	coldNews         map[string]coldNews // by server ID
+	gossipTurn       []string            // servers whose rate limits are still to be gossiped in this round
+	ownChanges       chan struct{}       // receives a token when this host's work on engines has changed
+	changed          chan struct{}       // closed and replaced on each change that may free capacity
 
 	// The sets below are indexes of servers, so that reports and placements cost
 	// nothing for servers without work, evidence or restrictions.
@@ -96,6 +98,7 @@
 	evacuated          bool        // its failure domain is evacuated
 	listedColdUntil    time.Time   // cold until then, according to its host list entry
 	coldUntil          time.Time   // cold until then, as it reported itself or as assumed after an evacuation
+	assumedColdUntil   time.Time   // counts as cold until then, unless it reports otherwise
 	starts             []time.Time // times of requests that this host sent or placed there within coldWindow
 	reported           reportedLoad
 	shunnedUntil       time.Time // until then it gets calls only if no other server has capacity
@@ -121,7 +124,7 @@
 	return &Table{
 		host: host, logger: logger, sharers: sharing.NewHosts(host),
 		servers: map[string]*entry{}, addresses: map[string]*addressUse{}, services: map[string]*service{}, evacuated: map[string]bool{},
-		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, rateLimits: map[string]*rateLimit{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
+		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, rateLimits: map[string]*rateLimit{}, coldNews: map[string]coldNews{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
 		working: map[*entry]struct{}{}, evident: map[*entry]struct{}{}, restricted: map[*entry]struct{}{}, othersLoads: map[string]map[*entry]struct{}{},
 	}
 }
@@ -201,6 +204,7 @@
 		server: server, hash: xxhash.Sum64String(server.ID), health: newHealth(), work: map[*Work]struct{}{}, others: map[string]Load{}, failedHosts: map[string]time.Time{},
 		leavingCh: make(chan struct{}),
 	}
+	e.coldUntil = t.coldNews[server.ID].until
 	e.incarnationContext, e.endIncarnation = context.WithCancel(context.Background())
 	t.servers[server.ID] = e
 	t.useAddress(server)
--- a/gatewayhost/broken.go
+++ b/gatewayhost/broken.go
@@ -29,7 +29,8 @@
 //
 // Failure: a server restarts under the same id during a store outage. Its entry
 // cannot be updated to report that it is cold, and hosts keep sending it the
-// load that it accepted when warm.
+// load that it accepted when warm. Until the server answers, it counts as cold here; the
+// other hosts, which may have had no connection to it, are told if it is.
 func (h *Host) handleBrokenConnection(address string) {
 	servers := h.fleet.BoundWhenCold(address)
 	if len(servers) == 0 {
@@ -52,6 +53,9 @@
 	var status fleet.SelfReport
 	var err error
 	for range coldQueryAttempts {
+		if because == becauseBroken {
+			h.fleet.AssumeCold(server.Incarnation(), coldQueryTimeout+coldQueryInterval)
+		}
 		status, err = h.queryColdOnce(server)
 		h.fleet.ApplySelfReport(server.Incarnation(), status)
 		_ = sleep.For(context.Background(), coldQueryInterval) // fails only when the context ends, which this one never does
--- a/gatewayhost/broken_test.go
+++ b/gatewayhost/broken_test.go
@@ -72,3 +72,33 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a server that has started again and gets the load of a warm one until it
+// answers the query.
+func TestServerCountsAsColdUntilItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var onBroken func(string)
+		var answers atomic.Bool
+		backend := servers{onBroken: &onBroken, queryLeaving: func(string) (bool, error) {
+			if !answers.Load() {
+				return false, errors.New("starting")
+			}
+			return false, nil
+		}}
+		h := newHostWith(backend, "a", network.New(network.Options{}).Host("10.0.0.1"), "10.0.0.1", store.NewMemory())
+		h.fleet.SetColdRate("s", 1)
+		h.table.Adopt(serverEntry(5, false))
+		isCold := func() bool { return h.fleet.Candidates("s", "d")[0].SlowStart }
+		is.True(!isCold())
+		onBroken("10.9.9.9:1")
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			is.True(isCold())
+		}
+		answers.Store(true)
+		time.Sleep(2 * coldQueryInterval)
+		is.True(!isCold()) // it has reported that it is warm
+		time.Sleep(time.Minute)
+	})
+}
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -189,7 +189,7 @@
 	h.quarantine.OnGossipRecords = func() { h.node.Load().Announce() }
 	h.quarantine.QuarantineChanged = h.scheduleQuarantineWrite
 	h.quarantine.TrialHost = func(part uint64) bool { return domain.TrialHost(h.Members(), part) == o.Name }
-	h.fleet.OnRateLimitChanged = func() { h.node.Load().Announce() }
+	h.fleet.OnNews = func() { h.node.Load().Announce() }
 	h.node.Store(h.newNode(0, o.Registerer))
 	h.table.Subscribe(func() {
 		h.fleet.LogAdded()
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -42,7 +42,7 @@
 			Capacity: o.Capacity,
 		},
 		Network: o.Network, Seeds: o.Seeds, Configuration: gossipedTable{h.table}, Handler: noForwarding{}, Quarantine: h.quarantine,
-		RateLimits: h.fleet, Backends: h.paths,
+		RateLimits: h.fleet, ColdServers: h.fleet, Backends: h.paths,
 		Logger:     o.Logger,
 		Register:   func(registrar grpc.ServiceRegistrar) { allocation.Register(registrar, h.allocator) },
 		Registerer: registerer, ProbeInterval: probeInterval, SuspicionTimeout: suspicionTimeout,
--- a/peer/options.go
+++ b/peer/options.go
@@ -81,6 +81,17 @@
 	MergeRateLimits(records []fleet.RateLimit) bool
 }
 
+// ColdServers are the backend servers that have reported to a host that they are cold, as
+// needed to tell other hosts. *fleet.Table implements it.
+type ColdServers interface {
+	// GossipColdServers returns the news to include in the next gossip message.
+	GossipColdServers() []fleet.ColdServer
+	// ColdServers returns all news, for a host that joins.
+	ColdServers() []fleet.ColdServer
+	// MergeColdServers merges news from another host and reports whether any was new.
+	MergeColdServers(news []fleet.ColdServer) bool
+}
+
 // Handler serves requests and records that other hosts send to this one.
 type Handler interface {
 	// Forward runs a request whose home is this host.
@@ -101,6 +112,7 @@
 	Handler       Handler
 	Quarantine    Quarantine    // nil: quarantine records are not exchanged
 	RateLimits    RateLimits    // nil: rate limits are not exchanged
+	ColdServers   ColdServers   // nil: not exchanged
 	Backends      BackendDialer // nil: no tunnels are opened for other hosts
 	// Register adds services to the gRPC server for peers; nil: none.
 	Register     func(grpc.ServiceRegistrar)
@@ -135,6 +147,9 @@
 	if o.RateLimits == nil {
 		o.RateLimits = noRateLimits{}
 	}
+	if o.ColdServers == nil {
+		o.ColdServers = noColdServers{}
+	}
 	if o.Backends == nil {
 		o.Backends = noBackends{}
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -61,6 +61,7 @@
 		RateLimits:           answer.RateLimits,
 		ServerCrashes:        answer.ServerCrashes,
 		PartPasses:           answer.PartPasses,
+		ColdServers:          answer.ColdServers,
 	}, nil
 }
 
@@ -89,12 +90,13 @@
 	n.mergeLeaving(request.GetLeaving())
 	n.mergeQuarantine(request.GetSuspects())
 	n.mergeRateLimits(request.GetRateLimits())
+	n.mergeColdServers(request.GetColdServers())
 	return &peerpb.SyncResponse{
 		From:       n.table.localMember().toProto(),
 		Members:    membersToProto(n.missingMembers(request.GetHave())),
 		Leaving:    leavingToProto(n.leaving.list(time.Now())),
 		Suspects:   quarantineToProto(n.options.Quarantine.All()),
-		RateLimits: rateLimitsToProto(n.options.RateLimits.RateLimits()),
+		RateLimits: rateLimitsToProto(n.options.RateLimits.RateLimits()), ColdServers: coldServersToProto(n.options.ColdServers.ColdServers()),
 	}, nil
 }
 
@@ -140,6 +142,7 @@
 		RateLimits:           rateLimitsToProto(n.options.RateLimits.GossipRateLimits()),
 		ServerCrashes:        crashes,
 		PartPasses:           passes,
+		ColdServers:          coldServersToProto(n.options.ColdServers.GossipColdServers()),
 	}
 }
 
@@ -165,6 +168,7 @@
 	GetMembershipDigest() uint64
 	GetSuspects() []*peerpb.Suspect
 	GetRateLimits() []*peerpb.RateLimit
+	GetColdServers() []*peerpb.ColdServer
 	GetServerCrashes() []*peerpb.ServerCrash
 	GetPartPasses() []*peerpb.PartPass
 }
@@ -179,6 +183,7 @@
 	n.mergeEvidence(m.GetServerCrashes(), m.GetPartPasses())
 	n.mergeQuarantine(m.GetSuspects())
 	n.mergeRateLimits(m.GetRateLimits())
+	n.mergeColdServers(m.GetColdServers())
 	if n.table.recordExchange(from.Host, from.Incarnation, versionOf(m), time.Now()) {
 		signal(n.notifySignal)
 	}
--- a/peer/sync.go
+++ b/peer/sync.go
@@ -106,6 +106,7 @@
 	request := &peerpb.SyncRequest{
 		From: n.table.localMember().toProto(), Have: hashes, Leaving: leavingToProto(n.leaving.list(time.Now())),
 		Suspects: quarantineToProto(n.options.Quarantine.All()), RateLimits: rateLimitsToProto(n.options.RateLimits.RateLimits()),
+		ColdServers: coldServersToProto(n.options.ColdServers.ColdServers()),
 	}
 	var response *peerpb.SyncResponse
 	err := n.control.call(address, func(client peerpb.PeerClient) (err error) {
@@ -122,6 +123,7 @@
 	n.mergeLeaving(response.GetLeaving())
 	n.mergeQuarantine(response.GetSuspects())
 	n.mergeRateLimits(response.GetRateLimits())
+	n.mergeColdServers(response.GetColdServers())
 	n.counters.syncs.WithLabelValues(resultDone).Inc()
 	return true
 }
