quarantine: a request that is sent again at once after a weak crash is accused weakly

A crash within a second of a weak one of the same request is weak too: those that ran beside it are sent again at the same time. Such a request is still quarantined after its third crash.

TestRequestThatFollowsACrashingOneIsNotQuarantined failed before.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -127,6 +127,7 @@
 	expires         time.Time
 	retransmitsLeft int       // remaining retransmits of the changed record
 	nextTrial       time.Time // of a part, at this host
+	lastCrash       time.Time // of a run of this host
 }
 
 // trialFrom returns when a quarantined part may be tried.
@@ -206,7 +207,7 @@
 func (t *Table) ReportCrash(run Run) {
 	t.mu.Lock()
 	weak := uint32(0)
-	if run.Brittle || t.hasCompany(run) {
+	if run.Brittle || t.hasCompany(run) || t.followsWeakCrash(run) {
 		weak = 1
 	}
 	updated := Record{Fingerprint: run.Subject.Request, Epoch: run.Sent.epoch, Crashes: run.Sent.crashes + 1, Weak: run.Sent.weak + weak}
@@ -224,6 +225,7 @@
 	quarantined := changed && updated.Quarantined()
 	if changed {
 		cancels = t.set(updated, lifetime(updated), run.Early, sourceOwn)
+		t.requests[updated.Fingerprint].lastCrash = run.BrokenAt
 	}
 	if run.Beginning {
 		crash := Crash{Server: xxhash.Sum64String(run.Server), Request: run.Subject.Request, Parts: run.Subject.Parts, Answering: run.Answering}
