gateway, platform: a caller may resume a generation after the last event it has

The caller had resumed with Last-Event-Id, which hosts removed from each request as a header that only the system may set, so that the server began from the start. The setting resumable was not read.

On a resumable route the caller's last event is passed on to the server, and a move of such a run before its first event keeps it. On other routes the header is still removed.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -22,6 +22,9 @@
 	Deadline time.Time
 	// Resume is set for a run that is resumed on another server.
 	Resume *Resume
+	// LastEventID is the event after which a new run begins; "": from the start. It does
+	// not apply if Resume is set.
+	LastEventID string
 	// Stream is set if the answer is relayed while it is generated.
 	Stream bool
 }
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -43,8 +43,11 @@
 	// Attempts is the maximum number of servers to which a request is sent.
 	Attempts int
 	// Public routes need no key.
-	Public  bool
-	Targets []Target
+	Public bool
+	// Resumable is set if callers may resume a generation that broke off, at any server,
+	// after the last event that they received.
+	Resumable bool
+	Targets   []Target
 }
 
 // Engine describes the model engines of a service.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -238,6 +238,14 @@
 func (t *task) callTo(server fleet.Server) Call {
 	return Call{
 		Server: server, Request: t.request, Organisation: t.organisation, Priority: t.priority,
-		Deadline: t.deadline, Stream: t.route.Kind == Generation,
+		Deadline: t.deadline, Stream: t.route.Kind == Generation, LastEventID: t.resumedAfter(),
 	}
 }
+
+// resumedAfter returns the event after which the caller resumes a generation, or "".
+func (t *task) resumedAfter() string {
+	if t.route.Kind != Generation || !t.route.Resumable {
+		return ""
+	}
+	return t.request.LastEventID
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -24,6 +24,9 @@
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	Prompt   Prompt
+	// LastEventID is the last event that the caller has received of an answer that broke
+	// off; "": none. It counts only on resumable routes.
+	LastEventID string
 }
 
 // fingerprint returns a hash that is equal for retries of the same request,
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -35,7 +35,7 @@
 func newRun(t *task, work *fleet.Work) *run {
 	r := &run{
 		task: t, work: work, transfers: make(chan transfer, 1), transferDone: make(chan struct{}, 1),
-		tokensPerEvent: 1, promptTokens: t.request.Prompt.Tokens,
+		tokensPerEvent: 1, promptTokens: t.request.Prompt.Tokens, lastEventID: t.resumedAfter(),
 	}
 	if t.service.Engine != nil {
 		r.tokensPerEvent = max(1, t.service.Engine.TokensPerEvent)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -363,3 +363,26 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against events that reach a caller twice, because the stream that it resumes after
+// a broken connection begins from the start, or again when that run moves.
+func TestCallerResumesAGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newHarness()
+		letter := w.gateway.Configuration().Route("h", "/letter/1")
+		w.send = func(_ context.Context, call Call) (*Reply, error) {
+			return newGeneration(atoi(call.LastEventID)+1, 10, gap).reply(), nil
+		}
+		resumed := func() string {
+			request := w.request("/letter/1")
+			request.LastEventID = "4"
+			caller := &recorder{}
+			is.True(w.gateway.Serve(context.Background(), request, caller).Complete)
+			return caller.body.String()
+		}
+		is.Equal(resumed(), wholeStream(10)) // this route's generations cannot be resumed
+		letter.Resumable = true
+		is.True(strings.HasPrefix(resumed(), "id: 5\n"))
+		is.Equal(newRun(&task{route: letter, service: &Service{}, request: &Request{LastEventID: "4"}}, nil).lastEventID, "4")
+	})
+}
