gateway, peer, allocation: requests stay in the regions to which their route and tenant are confined

Nothing read the setting; most requests stayed in their region only because near servers cost less.

- Hosts tell each other their region with their membership record, so that each host knows the region of a failure domain.
- A request may be served in the failure domains that all its lists allow.
A domain of unknown region serves unrestricted requests only.
Calls leave out other servers; generations name the domains to the allocator, and moves leave out the others.
Where no server is allowed the request is refused at once.

A tunnel of a cut-off host may still lead through a host of another region, and answers to callers' address queries do not prefer hosts of the home regions.

--- a/allocation/allocation_test.go
+++ b/allocation/allocation_test.go
@@ -382,3 +382,23 @@
 		}
 	}
 }
+
+// Guards against generations that an allocator places outside the failure domains in which
+// they may be served.
+func TestPlacementStaysInTheAllowedDomains(t *testing.T) {
+	is := is.New(t)
+	at, from := engines("a", "e1", "e2"), engines("b", "e1", "e2")
+	for _, table := range []*fleet.Table{at, from} {
+		table.Put(fleet.Server{ID: "e2", Service: llm, Address: "e2", Domain: "far", Slots: 24})
+	}
+	_, _, client := pair(t, at, from)
+	place := func(domains []string) string {
+		return client.Place(t.Context(), llm, PlacementRequest{Request: "r", Need: placement.Need{PromptTokens: 10, OutputTokens: 10}, Domains: domains}, nil)
+	}
+	for range 10 {
+		is.Equal(place([]string{"far"}), "e2")
+		is.Equal(place([]string{"d"}), "e1")
+	}
+	is.Equal(place([]string{}), "")
+	is.Equal(place([]string{"nowhere"}), "")
+}
--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -82,6 +82,8 @@
 	// Fingerprint is the same if a request is retried with another ID; zero: unknown.
 	Fingerprint uint64
 	Need        placement.Need
+	// Domains are the failure domains in which it may be served; none: all.
+	Domains []string
 	// Settled is set if another part forwarded the request. It is not forwarded again.
 	Settled bool
 }
@@ -111,7 +113,7 @@
 func (a *Allocator) Place(host, domain string, part Part, req PlacementRequest, except []string) Placement {
 	need, request := req.Need, req.Request
 	need.Returning = a.refusals.returning(req.Fingerprint, request)
-	candidates := a.candidates(part, domain, except...)
+	candidates := a.candidatesIn(req.Domains, part, domain, except...)
 	i := placement.Pick(need, candidates, a.limits, a.draw)
 	if betterPart, found := a.betterPart(part, req, candidates, i >= 0); found {
 		a.logger.Info(msgOnward, zap.String("request", request), zap.String("for", host), zap.String("domain", betterPart.Domain),
@@ -138,7 +140,7 @@
 // betterPart returns the part to send the request to instead, if any. Costs are compared
 // for a typical generation, because other parts make their offers for one.
 func (a *Allocator) betterPart(part Part, req PlacementRequest, candidates []placement.Candidate, placeHere bool) (Part, bool) {
-	if part.Domain == "" || req.Settled {
+	if part.Domain == "" || req.Settled || len(req.Domains) > 0 {
 		return Part{}, false
 	}
 	a.offerTable.observe(req.Need)
@@ -163,12 +165,21 @@
 
 // candidates returns the servers of a part that may get work.
 func (a *Allocator) candidates(part Part, domain string, except ...string) []placement.Candidate {
+	return a.candidatesIn(nil, part, domain, except...)
+}
+
+// candidatesIn returns those of the candidates that are in the given failure domains; none:
+// all of them.
+func (a *Allocator) candidatesIn(domains []string, part Part, domain string, except ...string) []placement.Candidate {
+	if len(domains) == 0 {
+		domains = nil
+	}
 	share := 0.0 // all of the cold rate
 	if a.ColdShare != nil {
 		share = a.ColdShare(part)
 	}
 	return a.fleet.CandidatesFor(fleet.Query{
-		Service: part.Service, Domain: domain, Share: part.share(), Except: except, ForOthers: true, ColdShare: share,
+		Service: part.Service, Domain: domain, Share: part.share(), Domains: domains, Except: except, ForOthers: true, ColdShare: share,
 	})
 }
 
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,7 +134,10 @@
 // If this host's part of the service is full, or another part is much emptier,
 // the request is sent to that other part.
 func (c *Client) Place(ctx context.Context, service string, req PlacementRequest, except []string) string {
-	placed := c.placeIn(ctx, c.partitioning(service).partOf(c.domain, c.host), req, except)
+	if req.Domains != nil && len(req.Domains) == 0 {
+		return "" // no failure domain of the service may serve it
+	}
+	placed := c.placeIn(ctx, c.partitioning(service).partOf(c.domainFor(req), c.host), req, except)
 	if placed.Elsewhere.Service == "" {
 		return placed.Server
 	}
@@ -141,6 +145,15 @@
 	return c.placeIn(ctx, placed.Elsewhere, req, except).Server
 }
 
+// domainFor returns the failure domain whose part is asked for a place: this host's own, or
+// one of those in which the request may be served.
+func (c *Client) domainFor(req PlacementRequest) string {
+	if len(req.Domains) == 0 || slices.Contains(req.Domains, c.domain) {
+		return c.domain
+	}
+	return req.Domains[fleet.ShareIndex(req.Request, len(req.Domains))]
+}
+
 func (c *Client) placeIn(ctx context.Context, part Part, req PlacementRequest, except []string) Placement {
 	allocator := c.allocator(part)
 	// Servers that this host cannot reach, or that requested a backoff from it,
@@ -155,7 +168,7 @@
 	err := c.call(ctx, allocator, func(client allocationpb.AllocationClient) (err error) {
 		response, err = client.Place(ctx, &allocationpb.PlaceRequest{
 			Host: c.host, FailureDomain: c.domain, Part: part.toProto(), Request: req.Request, Fingerprint: req.Fingerprint, Except: except,
-			PromptTokens: uint32(req.Need.PromptTokens), OutputTokens: uint32(req.Need.OutputTokens), Settled: req.Settled,
+			PromptTokens: uint32(req.Need.PromptTokens), OutputTokens: uint32(req.Need.OutputTokens), Settled: req.Settled, Domains: req.Domains,
 		})
 		return err
 	})
@@ -181,7 +194,7 @@
 // avoids, and a function that ends the turn.
 func (c *Client) TakeTurn(ctx context.Context, service string, move migration.Move) (destination string, end func(), err error) {
 	source, _ := c.fleet.Get(move.Source)
-	move.Except = c.fleet.Avoided(service)
+	move.Except = append(c.fleet.Avoided(service), move.Except...)
 	to, end, err := c.takeTurnIn(ctx, c.partitioning(service).partOf(source.Domain, move.Source), move)
 	if err != nil || to.Elsewhere.Service == "" {
 		return to.Server, end, err
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -29,7 +29,7 @@
 	req := PlacementRequest{
 		Request: r.GetRequest(), Fingerprint: r.GetFingerprint(),
 		Need:    placement.Need{PromptTokens: int(r.GetPromptTokens()), OutputTokens: int(r.GetOutputTokens())},
-		Settled: r.GetSettled(),
+		Settled: r.GetSettled(), Domains: r.GetDomains(),
 	}
 	placed := s.allocator.Place(r.GetHost(), r.GetFailureDomain(), partFromProto(r.GetPart()), req, r.GetExcept())
 	return &allocationpb.PlaceResponse{Server: placed.Server, Elsewhere: placed.Elsewhere.toProto()}, nil
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -12,6 +12,7 @@
 	Service string
 	Domain  string   // failure domain that the request is sent from
 	Share   Share    // servers to choose from
+	Domains []string // failure domains of the servers; nil: all
 	Except  []string // IDs of servers to leave out
 	// ForOthers is set if the query is on behalf of other hosts. Backoffs that
 	// servers requested from this host, and this host's shares of rate limits, are
@@ -41,7 +42,7 @@
 	s, now := t.service(q.Service), time.Now()
 	candidates := make([]placement.Candidate, 0, s.members.count(q.Share)/max(1, q.Share.Count))
 	for e := range s.members.in(q.Share) {
-		if !e.acceptsRequests() || now.Before(e.unavailableUntil) || slices.Contains(q.Except, e.server.ID) {
+		if q.Domains != nil && !slices.Contains(q.Domains, e.server.Domain) || !e.acceptsRequests() || now.Before(e.unavailableUntil) || slices.Contains(q.Except, e.server.ID) {
 			continue
 		}
 		if !q.ForOthers && (t.inBackoff(e.server.ID, now) || t.rateLimitWait(e.server.ID, now) > 0 || t.rejectionPause(e, now) > 0) {
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -47,7 +47,9 @@
 	// Resumable is set if callers may resume a generation that broke off, at any server,
 	// after the last event that they received.
 	Resumable bool
-	Targets   []Target
+	// Regions are those in which requests may be served; none: in all.
+	Regions []string
+	Targets []Target
 }
 
 // Engine describes the model engines of a service.
@@ -79,6 +81,8 @@
 	Name string
 	// Priority overrides that of routes; nil: the route's priority applies.
 	Priority *int
+	// Regions are those in which its requests may be served; none: in all.
+	Regions []string
 }
 
 // ClientLimits are the limits on callers' requests.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,11 +34,14 @@
 	retryNoServer = 500 * time.Millisecond
 )
 
-// Options configures a Gateway. All fields but PathLost are required.
+// Options configures a Gateway. All fields but RegionOf and PathLost are required.
 type Options struct {
-	Domain  string // failure domain of this host
-	Fleet   *fleet.Table
-	Backend Backend
+	Domain string // failure domain of this host
+	// RegionOf returns the region of a failure domain, or "" if that is not known; nil: no
+	// region is known.
+	RegionOf func(domain string) string
+	Fleet    *fleet.Table
+	Backend  Backend
 	// Allocator places generations and grants turns to migrate them.
 	Allocator Allocator
 	Budget    *Budget
@@ -126,7 +129,8 @@
 	organisation  string
 	priority      int
 	service       *Service
-	fingerprint   uint64 // equal for retries by the caller
+	regions       [][]string // lists of regions, each of which binds unless it is empty
+	fingerprint   uint64     // equal for retries by the caller
 	admission     *quarantine.Admission
 	deadline      time.Time // the earlier of the route's timeout and the caller's deadline
 	sends         int       // sends to servers that may have received it, including those that reported it as not run
@@ -216,17 +220,18 @@
 	if t.route == nil {
 		return denied(http.StatusNotFound, ReasonNoRoute), false
 	}
-	t.priority = t.route.Priority
+	t.priority, t.regions = t.route.Priority, nil
 	if t.configuration.NeedsKey(t.route) {
 		organisation, ok := t.configuration.Organisation(t.request.Key)
 		if !ok {
 			return denied(http.StatusUnauthorized, ReasonBadKey), false
 		}
-		t.organisation = organisation.Name
+		t.organisation, t.regions = organisation.Name, [][]string{organisation.Regions}
 		if organisation.Priority != nil {
 			t.priority = *organisation.Priority
 		}
 	}
+	t.regions = append(t.regions, t.route.Regions)
 	name := t.route.target(rand.IntN)
 	t.service = t.configuration.Services[name]
 	if t.service == nil {
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -55,7 +55,7 @@
 	source, id := run.server(), run.task.request.ID
 	turnCtx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
-	move := migration.Move{Source: source.ID, Run: id, LostWork: run.lostWork(), Need: placement.Need{PromptTokens: run.memoryTokens(), OutputTokens: run.expectedRemaining()}}
+	move := migration.Move{Source: source.ID, Run: id, LostWork: run.lostWork(), Need: placement.Need{PromptTokens: run.memoryTokens(), OutputTokens: run.expectedRemaining()}, Except: run.task.disallowedServers()}
 	destination, end, err := g.options.Allocator.TakeTurn(turnCtx, run.task.service.Name, move)
 	if err != nil {
 		return
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -104,7 +104,7 @@
 // generations are placed by the allocator.
 func (t *task) candidateQuery() fleet.Query {
 	hosts := max(1, t.gateway.options.Budget.Hosts())
-	q := fleet.Query{Service: t.service.Name, Domain: t.gateway.options.Domain, Except: t.tried, Hosts: hosts}
+	q := fleet.Query{Service: t.service.Name, Domain: t.gateway.options.Domain, Domains: t.allowedDomains(), Except: t.tried, Hosts: hosts}
 	if t.service.ColdRate > 0 {
 		q.ColdShare = 1 / float64(hosts)
 	}
@@ -115,7 +115,7 @@
 // capacity.
 func (t *task) chooseServer(ctx context.Context, need placement.Need, candidates []placement.Candidate) string {
 	if t.service.Engine != nil && t.route.Kind == Generation {
-		req := allocation.PlacementRequest{Request: t.request.ID, Fingerprint: t.fingerprint, Need: need}
+		req := allocation.PlacementRequest{Request: t.request.ID, Fingerprint: t.fingerprint, Need: need, Domains: t.allowedDomains()}
 		return t.gateway.options.Allocator.Place(ctx, t.service.Name, req, t.tried)
 	}
 	if i := placement.Pick(need, candidates, t.gateway.options.Limits, rand.IntN); i >= 0 {
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -103,10 +103,11 @@
 	Handler http.Handler
 }
 
-// Options configure a Host. All fields are required.
+// Options configure a Host. All fields but Region are required.
 type Options struct {
 	Name          string
 	Domain        string // failure domain
+	Region        string // of the failure domain; "": not known
 	Capacity      int    // CPU capacity in thousandths of a core; zero if unknown
 	PeerAddress   string
 	CallerAddress string // address advertised to callers
@@ -204,7 +205,7 @@
 		Logger: o.Logger,
 	}
 	h.gateway = gateway.New(gateway.Options{
-		Domain: o.Domain, Fleet: h.fleet, Backend: h.backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger,
+		Domain: o.Domain, RegionOf: h.regionOf, Fleet: h.fleet, Backend: h.backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger,
 		Limits:  placement.DefaultLimits,
 		Budget:  &gateway.Budget{Ratio: o.RepeatRatio, Allowance: o.RepeatAllowance, Window: o.RepeatWindow, Hosts: h.fleet.Sharers().Count},
 		Confirm: h.confirm, PathLost: h.paths.Lost, OtherHostsAvailable: h.hasLivePeers, Metrics: gateway.NewMetrics(o.Registerer),
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -38,7 +38,7 @@
 	o := h.options
 	node := peer.New(peer.Options{
 		Self: peer.Member{
-			Host: o.Name, Incarnation: incarnation, FailureDomain: o.Domain, PeerAddress: o.PeerAddress, CallerAddress: o.CallerAddress,
+			Host: o.Name, Incarnation: incarnation, FailureDomain: o.Domain, Region: o.Region, PeerAddress: o.PeerAddress, CallerAddress: o.CallerAddress,
 			Capacity: o.Capacity,
 		},
 		Network: o.Network, Seeds: o.Seeds, Configuration: gossipedTable{h.table}, Handler: noForwarding{}, Quarantine: h.quarantine,
--- a/gatewayhost/summary.go
+++ b/gatewayhost/summary.go
@@ -12,7 +12,8 @@
 type memberSummary struct {
 	generation uint64
 	members    []peer.Member
-	peersLive  bool // another host is alive
+	peersLive  bool              // another host is alive
+	regions    map[string]string // by failure domain
 
 	mu        sync.Mutex          // guards addresses
 	addresses map[string][]string // by callers' failure domain
@@ -24,14 +25,20 @@
 	if known := h.summarised.Load(); known != nil && known.generation == generation {
 		return known
 	}
-	next := &memberSummary{generation: generation, members: h.Members(), addresses: map[string][]string{}}
+	next := &memberSummary{generation: generation, members: h.Members(), regions: map[string]string{}, addresses: map[string][]string{}}
 	for _, m := range next.members {
+		if m.Region != "" {
+			next.regions[m.FailureDomain] = m.Region
+		}
 		next.peersLive = next.peersLive || m.State == peer.StateAlive && m.Host != h.options.Name
 	}
 	h.summarised.Store(next)
 	return next
 }
 
+// regionOf returns the region of a failure domain, or "" if no known host is there.
+func (h *Host) regionOf(failureDomain string) string { return h.summary().regions[failureDomain] }
+
 // addressesFor returns the addresses for callers of a failure domain. The caller
 // must not modify the slice.
 func (s *memberSummary) addressesFor(callerDomain, answering string) []string {
--- a/peer/member.go
+++ b/peer/member.go
@@ -41,6 +41,7 @@
 	Sequence      uint64 // increases with every change that the host makes to its own record
 	State         State
 	FailureDomain string
+	Region        string // of the failure domain; "": not known
 	PeerAddress   string
 	CallerAddress string
 	// Successor is the host that takes over the records of a leaving or gone
@@ -93,6 +94,7 @@
 		Sequence:      m.Sequence,
 		State:         stateToProto[m.State],
 		FailureDomain: m.FailureDomain,
+		Region:        m.Region,
 		PeerAddress:   m.PeerAddress,
 		CallerAddress: m.CallerAddress,
 		Successor:     m.Successor,
@@ -108,6 +110,7 @@
 		Sequence:         p.GetSequence(),
 		State:            stateFromProto[p.GetState()],
 		FailureDomain:    p.GetFailureDomain(),
+		Region:           p.GetRegion(),
 		PeerAddress:      p.GetPeerAddress(),
 		CallerAddress:    p.GetCallerAddress(),
 		Successor:        p.GetSuccessor(),
@@ -126,7 +129,7 @@
 	return hashStrings(m.Host, m.Successor, string(b))
 }
 
-// short returns the record without the addresses, failure domain and capacity,
+// short returns the record without the addresses, failure domain, region and capacity,
 // which other hosts have already; see table.fillIn.
 func (m Member) short() Member {
 	return Member{Host: m.Host, Incarnation: m.Incarnation, Sequence: m.Sequence, State: m.State, StoreUnreachable: m.StoreUnreachable}
--- a/peer/table.go
+++ b/peer/table.go
@@ -296,7 +296,7 @@
 	if m.PeerAddress != "" || !ok || e.Incarnation != m.Incarnation {
 		return m
 	}
-	m.PeerAddress, m.CallerAddress, m.FailureDomain, m.Capacity = e.PeerAddress, e.CallerAddress, e.FailureDomain, e.Capacity
+	m.PeerAddress, m.CallerAddress, m.FailureDomain, m.Region, m.Capacity = e.PeerAddress, e.CallerAddress, e.FailureDomain, e.Region, e.Capacity
 	return m
 }
 
