gatewayhost: a starting host tries no quarantined part

Found while looking for beliefs that hosts share while their views differ. One host, chosen from the membership, tries requests with a quarantined or suspected part. Until it has met its peers a host knows only itself, and is that host for every part: after all hosts were killed each of them could send one, up to as many at once as there are hosts, where three in all are allowed.

TestStartingHostTriesNoPart failed before.

--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -189,7 +189,7 @@
 	h.quarantine = quarantine.NewTable(o.Logger, o.Registerer)
 	h.quarantine.OnGossipRecords = func() { h.node.Load().Announce() }
 	h.quarantine.QuarantineChanged = h.scheduleQuarantineWrite
-	h.quarantine.TrialHost = func(part uint64) bool { return domain.TrialHost(h.Members(), part) == o.Name }
+	h.quarantine.TrialHost = h.isTrialHost
 	h.fleet.OnNews = func() { h.node.Load().Announce() }
 	h.node.Store(h.newNode(0, o.Registerer))
 	h.table.Subscribe(func() {
--- a/gatewayhost/quarantine.go
+++ b/gatewayhost/quarantine.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/domain"
 	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/quarantine"
 	"github.com/papayasail/papayasail/store"
@@ -125,6 +126,12 @@
 	}
 }
 
+// isTrialHost reports whether this host tries requests with a quarantined or suspected part.
+// A host that has not met its peers yet would be the one for every part.
+func (h *Host) isTrialHost(part uint64) bool {
+	return !h.fleet.Sharers().Joining() && domain.TrialHost(h.Members(), part) == h.options.Name
+}
+
 // scheduleQuarantineWrite schedules a write of the quarantine to the store.
 func (h *Host) scheduleQuarantineWrite() {
 	select {
--- a/gatewayhost/sharers_test.go
+++ b/gatewayhost/sharers_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/papayasail/papayasail/fake/network"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/store"
 )
@@ -58,3 +59,21 @@
 	is.Equal(present, []string{"a", "b", "c"})
 	is.Equal(gone, []string{"d"})
 }
+
+// Guards against all hosts trying a quarantined part at once, when they start together and
+// each knows only itself.
+func TestStartingHostTriesNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		h := newHost("a", network.New(network.Options{}).Host("10.0.0.1"), "10.0.0.1", store.NewMemory(), notLeaving, "10.0.0.2"+peerPort)
+		go func() { _ = h.boot(ctx) }()
+		time.Sleep(joinTimeout / 2)
+		is.True(!h.quarantine.TrialHost(7))
+		time.Sleep(2 * joinTimeout)
+		is.True(h.quarantine.TrialHost(7)) // it is alone
+		stop()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
