--- a/cli/soak.go
+++ b/cli/soak.go
@@ -32,6 +32,12 @@
 	length     time.Duration
 }
 
+// A play tries to claim its subnet maxClaims times, claimInterval apart.
+const (
+	maxClaims     = 10
+	claimInterval = 100 * time.Millisecond
+)
+
 // soakPlay is one run of a seed.
 type soakPlay struct {
 	seed   uint64
@@ -119,9 +125,15 @@
 		return false, err
 	}
 	defer injected.Close()
-	report, err := soak.Run(ctx, soak.Options{
+	options := soak.Options{
 		Program: c.program, Directory: directory, Seed: play.seed, Faults: c.faultKinds, Hosts: c.hosts, Subnet: subnet, FaultDuration: c.length, Output: injected,
-	})
+	}
+	report, err := soak.Run(ctx, options)
+	// A process that another job is just starting may still hold the last play's claim.
+	for attempt := 0; errors.Is(err, soak.ErrSubnetInUse) && attempt < maxClaims; attempt++ {
+		time.Sleep(claimInterval)
+		report, err = soak.Run(ctx, options)
+	}
 	if err != nil {
 		return false, err
 	}
