quarantine: suspected calls run one at a time, and company at other hosts acquits

- A suspected call waits for others that are suspected on its host, at most 0.25 s, and 0.1 s longer after one that broke, as a crashing server still accepts connections.
The next crash then accuses one request only.
On both interfaces.
- Evidence of other hosts ends a verdict of a moment ago if another request was on the same two servers, instead of the rule for requests that are sent again at once.
A third crash convicts.

TestRequestWithCompanyAtOtherHostsIsAcquitted and TestSuspectedCallsRunOneAtATime are new; the test of the rule that is gone is replaced by the former, which has the same case with the other host in it.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -56,7 +56,9 @@
 		if t.sends == 0 {
 			t.gateway.options.Budget.RecordRequest(t.service.Name)
 		}
+		endTurn := t.admission.AwaitTurn(ctx)
 		result := t.send(ctx, work)
+		endTurn()
 		work.End()
 		// Once an attempt may have run, a later refusal must not report "not run".
 		if result.outcome.NotRun && ran != nil {
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -37,6 +37,7 @@
 	answering bool      // the server has begun to answer the current run
 	wroteAt   time.Time // first event of the current run; zero: none
 	passed    bool      // the current run was reported as past its beginning
+	broke     bool      // the connection of the current run broke
 
 	server string // of the current run; guarded by the table's mu, as is begun
 	begun  bool   // the current run has written an event
@@ -114,7 +115,7 @@
 // Sending must be called before each send: a new run begins. The server is the ID of its
 // incarnation; empty: not known yet.
 func (a *Admission) Sending(server string) {
-	a.answering, a.wroteAt, a.passed = false, time.Time{}, false
+	a.answering, a.wroteAt, a.passed, a.broke = false, time.Time{}, false, false
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
 	a.server, a.begun = server, false
@@ -161,6 +162,7 @@
 // requests.
 func (a *Admission) Broken(request, server string, brittle bool, ended func(context.Context) bool) {
 	now := time.Now()
+	a.broke = true
 	a.table.ReportBroken(Run{
 		Subject: a.subject, Sent: a.sent, Request: request, Server: server, Brittle: brittle, BrokenAt: now, Trials: a.trials,
 		Early: a.startedWithin(earlyRunWindow), Beginning: a.startedWithin(beginWindow), Answering: a.answering && a.wroteAt.IsZero(),
--- a/quarantine/broken.go
+++ b/quarantine/broken.go
@@ -99,14 +99,6 @@
 	return false
 }
 
-// followsWeakCrash reports whether a run was sent again at once after a weak crash: the
-// company that it had there was sent again, too, perhaps by other hosts. Called with mu
-// held.
-func (t *Table) followsWeakCrash(run Run) bool {
-	known := t.get(run.Subject.Request)
-	return known != nil && run.Sent.weak > 0 && run.BrokenAt.Sub(known.lastCrash) < brokenTogether
-}
-
 // watch checks the server after each of the delays until it has ended.
 func (t *Table) watch(run Run, ended func(context.Context) bool, delays []time.Duration) {
 	if len(delays) == 0 {
--- /dev/null
+++ b/quarantine/company.go
@@ -0,0 +1,114 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+)
+
+const (
+	msgAcquitted = "request is acquitted: another one was on the same servers"
+
+	// acquittalPeriod is how long after a verdict the evidence of other hosts can still end
+	// it. Gossip reaches all hosts within half a second.
+	acquittalPeriod = 2 * time.Second
+	// maxConvictions bounds the verdicts that are remembered for that.
+	maxConvictions = 64
+	// turnTimeout bounds the wait of a suspected call for others to end; plain calls take
+	// some 50 ms.
+	turnTimeout = 250 * time.Millisecond
+	// brokenTurn is how much longer a turn lasts whose run broke: a crashing server may
+	// accept connections for a moment.
+	brokenTurn = 100 * time.Millisecond
+)
+
+// conviction is the verdict on a request after its runs on this host crashed two servers.
+type conviction struct {
+	request uint64
+	servers [2]uint64 // hashes of their IDs
+	at      time.Time
+}
+
+// recordServer records the server that crashed under a run of this host, and the verdict if
+// there is one. Called with mu held.
+func (t *Table) recordServer(run Run, updated Record) {
+	e := t.requests[run.Subject.Request]
+	if updated.Quarantined() && e.lastServer != "" {
+		t.convictions = append(t.convictions, conviction{run.Subject.Request, [2]uint64{xxhash.Sum64String(e.lastServer), xxhash.Sum64String(run.Server)}, time.Now()})
+		t.convictions = t.convictions[max(0, len(t.convictions)-maxConvictions):]
+	}
+	e.lastServer = run.Server
+}
+
+// acquitCompany ends the quarantine of requests that were convicted a moment ago if another
+// request was on the same servers, by way of other hosts: it may be the one that crashes
+// them. A third crash convicts. Called with mu held.
+func (t *Table) acquitCompany() {
+	now := time.Now()
+	t.convictions = slices.DeleteFunc(t.convictions, func(c conviction) bool {
+		known := t.get(c.request)
+		if now.Sub(c.at) > acquittalPeriod || known == nil || !known.Quarantined() || known.Crashes > crashThreshold {
+			return true
+		}
+		if !t.parts.hasCompany(c) {
+			return false
+		}
+		t.logger.Info(msgAcquitted, fingerprintField(c.request), zap.Uint32("in_a_row", known.Crashes))
+		t.set(Record{Fingerprint: c.request, Epoch: known.Epoch + 1, Crashes: known.Crashes, Weak: known.Crashes}, suspicionDuration, true, sourceOwn)
+		return true
+	})
+}
+
+// hasCompany reports whether another request was on both servers of a conviction when they
+// crashed.
+func (e *partEvidence) hasCompany(c conviction) bool {
+	others := func(server uint64) (requests []uint64) {
+		for _, crash := range e.crashes {
+			if crash.server != server {
+				continue
+			}
+			for _, run := range crash.runs {
+				if run.Request != c.request {
+					requests = append(requests, run.Request)
+				}
+			}
+		}
+		return requests
+	}
+	second := others(c.servers[1])
+	return slices.ContainsFunc(others(c.servers[0]), func(request uint64) bool { return slices.Contains(second, request) })
+}
+
+// endTurn lets the next suspected call run.
+func (a *Admission) endTurn() {
+	if a.broke {
+		time.AfterFunc(brokenTurn, func() { <-a.table.turn })
+		return
+	}
+	<-a.table.turn
+}
+
+// AwaitTurn waits, for a short time, until no other call that is suspected runs on this
+// host, so that the next crash accuses one request only. It must be called before a call is
+// sent; the returned function must be called when it has ended, after Broken.
+func (a *Admission) AwaitTurn(ctx context.Context) (over func()) {
+	t := a.table
+	t.mu.Lock()
+	suspected := t.markOf(a.subject.Request).crashes > 0
+	t.mu.Unlock()
+	if !suspected {
+		return func() {}
+	}
+	timeout := time.NewTimer(turnTimeout)
+	defer timeout.Stop()
+	select {
+	case t.turn <- struct{}{}:
+		return a.endTurn
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return func() {}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -117,9 +117,12 @@
 	// reviewsLeft is the number of reviews of the evidence that follow; one of them is
 	// scheduled.
 	reviewsLeft int
-	broken      []brokenRun                        // within brokenTogether, in order
-	runs        map[uint64]map[*Admission]struct{} // admitted requests, by fingerprint and by part
-	rotation    []uint64                           // quarantined requests and parts not yet repeated in this round
+	broken      []brokenRun  // within brokenTogether, in order
+	convictions []conviction // within acquittalPeriod, in order
+	// turn has a token while a call that is suspected runs.
+	turn     chan struct{}
+	runs     map[uint64]map[*Admission]struct{} // admitted requests, by fingerprint and by part
+	rotation []uint64                           // quarantined requests and parts not yet repeated in this round
 }
 
 type entry struct {
@@ -127,7 +130,7 @@
 	expires         time.Time
 	retransmitsLeft int       // remaining retransmits of the changed record
 	nextTrial       time.Time // of a part, at this host
-	lastCrash       time.Time // of a run of this host
+	lastServer      string    // that crashed last under a run of this host
 }
 
 // trialFrom returns when a quarantined part may be tried.
@@ -140,7 +143,7 @@
 func NewTable(logger *zap.Logger, registerer prometheus.Registerer) *Table {
 	t := &Table{
 		logger: logger, requests: map[uint64]*entry{}, parts: newPartEvidence(), runs: map[uint64]map[*Admission]struct{}{},
-		watched: make(chan struct{}, maxWatched),
+		watched: make(chan struct{}, maxWatched), turn: make(chan struct{}, 1),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayasail_quarantine_changes_total",
 			Help: "Changes of the records of requests and prompt parts, own and received: suspected of crashing backend servers, quarantined, or cleared.",
@@ -207,7 +210,7 @@
 func (t *Table) ReportCrash(run Run) {
 	t.mu.Lock()
 	weak := uint32(0)
-	if run.Brittle || t.hasCompany(run) || t.followsWeakCrash(run) {
+	if run.Brittle || t.hasCompany(run) {
 		weak = 1
 	}
 	updated := Record{Fingerprint: run.Subject.Request, Epoch: run.Sent.epoch, Crashes: run.Sent.crashes + 1, Weak: run.Sent.weak + weak}
@@ -225,11 +228,12 @@
 	quarantined := changed && updated.Quarantined()
 	if changed {
 		cancels = t.set(updated, lifetime(updated), run.Early, sourceOwn)
-		t.requests[updated.Fingerprint].lastCrash = run.BrokenAt
+		t.recordServer(run, updated)
 	}
 	if run.Beginning {
 		crash := Crash{Server: xxhash.Sum64String(run.Server), Request: run.Subject.Request, Parts: run.Subject.Parts, Answering: run.Answering}
 		changed = t.addCrash(crash, run.BrokenAt, true) || changed
+		t.acquitCompany()
 		for _, part := range run.Trials {
 			cancels, quarantined = append(cancels, t.quarantinePart(part)...), true
 		}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -288,25 +289,78 @@
 	})
 }
 
-// Guards against a quarantine of a sound request that was sent again at once, like the one
-// that had crashed its server, and met it again by way of another host.
-func TestRequestThatFollowsACrashingOneIsNotQuarantined(t *testing.T) {
+// Guards against a lasting quarantine of a sound request that ran twice beside one that
+// crashes servers and was sent by another host.
+func TestRequestWithCompanyAtOtherHostsIsAcquitted(t *testing.T) {
 	inBubble(t, func(is *is.I) {
-		table := newTable()
-		crashOf := func(server string, company ...uint64) {
-			for _, request := range company {
-				table.recordBroken(Run{Subject: Subject{Request: request}, Early: true, Server: server, BrokenAt: time.Now()})
-			}
-			accused := run(suspect, table.Mark(suspect), true)
-			accused.Server, accused.BrokenAt = server, time.Now()
-			table.ReportCrash(accused)
+		table, other := newTable(), newTable()
+		var stored int
+		table.QuarantineChanged = func() { stored++ }
+		crashOf := func(at *Table, request uint64, server string) {
+			r := run(request, at.Mark(request), true)
+			r.Server, r.BrokenAt, r.Beginning = server, time.Now(), true
+			at.ReportCrash(r)
 		}
-		crashOf("i-1", 100)
+		crashOf(table, suspect, "i-1")
+		crashOf(other, 100, "i-1")
 		time.Sleep(20 * time.Millisecond)
-		crashOf("i-2")
+		crashOf(table, suspect, "i-2")
+		is.True(table.Quarantined(suspect) > 0)
+		crashOf(other, 100, "i-2")
+		is.True(table.MergeEvidence(other.GossipEvidence()))
 		is.Equal(table.Quarantined(suspect), time.Duration(0))
-		time.Sleep(2 * brokenTogether)
-		crashOf("i-3")
+		is.True(other.Merge(table.GossipRecords(), "peer"))
+		is.Equal(other.Quarantined(suspect), time.Duration(0))
+		time.Sleep(time.Second)
+		crashOf(table, suspect, "i-3")
+		is.True(table.Quarantined(suspect) > 0) // a third server
+	})
+}
+
+// Guards against a request that crashes servers and is acquitted, because other requests
+// were on one of them.
+func TestCompanyOnOneServerAcquitsNobody(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		for i, other := range []uint64{100, 200} {
+			server := fmt.Sprint("i-", i)
+			table.MergeEvidence(Evidence{Crashes: []Crash{{Server: xxhash.Sum64String(server), Request: other}}})
+			r := run(suspect, table.Mark(suspect), true)
+			r.Server, r.BrokenAt, r.Beginning = server, time.Now(), true
+			table.ReportCrash(r)
+		}
 		is.True(table.Quarantined(suspect) > 0)
 	})
 }
+
+// Guards against suspected calls that run together, so that their next crash accuses all of
+// them.
+func TestSuspectedCallsRunOneAtATime(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		admit := func(request uint64) *Admission {
+			a, _ := table.Admit(Subject{Request: request}, func() {})
+			return a
+		}
+		for _, request := range []uint64{1, 2} {
+			table.ReportCrash(run(request, Mark{}, true))
+		}
+		began := time.Now()
+		over := admit(1).AwaitTurn(context.Background())
+		admit(3).AwaitTurn(context.Background())()
+		is.Equal(time.Since(began), time.Duration(0)) // not suspected
+		time.AfterFunc(50*time.Millisecond, over)
+		over = admit(2).AwaitTurn(context.Background())
+		is.Equal(time.Since(began), 50*time.Millisecond)
+		admit(1).AwaitTurn(context.Background())()
+		is.Equal(time.Since(began), 50*time.Millisecond+turnTimeout) // it waits no longer
+		over()
+		broken := admit(1)
+		over = broken.AwaitTurn(context.Background())
+		broken.Broken("r", "i", false, func(context.Context) bool { return false })
+		over()
+		began = time.Now()
+		admit(2).AwaitTurn(context.Background())()
+		is.Equal(time.Since(began), brokenTurn) // the server may still accept connections
+	})
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -91,5 +91,8 @@
 			changed = t.addCrash(c, now.Add(-c.Age), false) || changed
 		}
 	}
+	if len(evidence.Crashes) > 0 {
+		t.acquitCompany()
+	}
 	return changed
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -118,14 +118,17 @@
 		if err != nil {
 			return record.Answer{Refusal: tries.adjustOutcome(tries.crashes.cancelled(ctx, asRefusal(err)))}
 		}
+		endTurn := tries.crashes.awaitTurn(ctx)
 		answer, err := r.callServer(ctx, grant.Address(), document, request)
 		r.OnBackend(grant.Address(), err)
 		grant.Done(routing.Result{Failed: err != nil, NotRun: err != nil && provenNotRun(err), Complete: err == nil})
 		if err == nil {
 			tries.crashes.completed()
+			endTurn()
 			return record.Answer{Status: answer.Status, Header: answerHeader(answer.Header), Body: answer.Body}
 		}
 		tries.crashes.sendFailed(ctx, grant.Address(), err)
+		endTurn()
 		if !tries.awaitRetry(ctx, grant.Server(), err) {
 			return record.Answer{Refusal: tries.finalRefusal(ctx, err)}
 		}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -68,6 +68,15 @@
 	return contract.NotRun(contract.ReasonQuarantined, c.admission.Left(), quarantinedDetail)
 }
 
+// awaitTurn waits, for a short time, until no other call that is suspected of crashing
+// servers runs on this host. The returned function must be called after the send.
+func (c *crashTracker) awaitTurn(ctx context.Context) (over func()) {
+	if c.admission == nil {
+		return func() {}
+	}
+	return c.admission.AwaitTurn(ctx)
+}
+
 // end must be called when the request has ended.
 func (c *crashTracker) end() {
 	if c.admission != nil {
