tunnel: a dial that tries a lost path again asks other hosts after 20 ms

The engine had ended while it answered without length, so that its connections closed in order; the host, cut off from all servers, relayed the answer through a tunnel and asks before it reports such an answer as complete whether the server still runs. It waits 100 ms for that. The lost path was due to be tried again just then: the host dialled it alone for 100 ms, without an answer, and the check ended with a plain timeout, which counted as 'may be running'. Three other letters of the same engine and host, checked a moment later while the path was not due, were reported as broken.

- A path that was lost is tried alone for 20 ms, then others are asked too.
- A dial whose time runs out shows nothing about the server if the host is cut off from the service (ErrPathLost), as a dial that fails already did.

TestRetryOfALostPathAsksOthersAtOnce failed before.

--- a/tunnel/network.go
+++ b/tunnel/network.go
@@ -30,6 +30,9 @@
 	// fallbackDelay is how long one way to a server is tried alone; round trips between
 	// regions take 40 ms.
 	fallbackDelay = 100 * time.Millisecond
+	// retryHeadStart is how long a path that was lost is tried again alone. Callers that
+	// ask whether a server has ended wait no longer than 100 ms.
+	retryHeadStart = 20 * time.Millisecond
 	// maxHelpers is the number of other hosts that one dial asks for a tunnel.
 	maxHelpers = 5
 )
@@ -201,6 +204,10 @@
 
 // run tries the ways to the server until one succeeds, all have failed or ctx ends.
 func (a *attempt) run(ctx context.Context) (net.Conn, string, error) {
+	headStart := fallbackDelay
+	if a.network.paths.isLost(a.address) {
+		headStart = retryHeadStart
+	}
 	if err := a.network.paths.check(a.address); err != nil {
 		a.recordFailure(dialed{err: err})
 		a.askNext(ctx)
@@ -210,7 +217,7 @@
 			return dialed{conn: conn, err: err}
 		})
 	}
-	fallback := time.NewTicker(fallbackDelay)
+	fallback := time.NewTimer(headStart)
 	defer fallback.Stop()
 	for a.pending > 0 {
 		select {
@@ -226,10 +233,11 @@
 			a.recordFailure(result)
 			a.askNext(ctx)
 		case <-fallback.C:
+			fallback.Reset(fallbackDelay)
 			a.askNext(ctx)
 		case <-ctx.Done():
 			go a.closeLate(a.pending)
-			return nil, "", errors.CombineErrors(a.failure(), ctx.Err())
+			return nil, "", a.timedOut(ctx.Err())
 		}
 	}
 	return nil, "", a.failure()
@@ -271,6 +279,18 @@
 	return err
 }
 
+// timedOut returns the error of the whole attempt if ctx ends before all ways have failed.
+// It shows nothing about the server if this host is cut off from the service.
+func (a *attempt) timedOut(err error) error {
+	if failure := a.failure(); failure != nil {
+		return errors.CombineErrors(failure, err)
+	}
+	if a.network.paths.cutOff(a.service) {
+		return errors.Mark(err, link.ErrPathLost)
+	}
+	return err
+}
+
 // askNext asks the next host for a tunnel, if any is left.
 func (a *attempt) askNext(ctx context.Context) {
 	if !a.asked {
--- a/tunnel/network_test.go
+++ b/tunnel/network_test.go
@@ -187,6 +187,42 @@
 	})
 }
 
+// Guards against a server that has ended and counts as running, because a cut-off host
+// tried its own lost path again and had no time left to ask others.
+func TestRetryOfALostPathAsksOthersAtOnce(t *testing.T) {
+	refusal := answer(peerpb.TunnelResult_REFUSED, false)
+	for name, c := range map[string]struct {
+		answers       map[string]*peer.TunnelError
+		up, out, lost bool
+	}{
+		"ended":  {answers: map[string]*peer.TunnelError{"b0": refusal, "c0": refusal}, out: true},
+		"sound":  {answers: map[string]*peer.TunnelError{"b0": nil}, up: true},
+		"no way": {answers: map[string]*peer.TunnelError{}, lost: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := &world{direct: map[string]error{"server": context.DeadlineExceeded, "other": context.DeadlineExceeded}, answers: map[string]*peer.TunnelError{"x": nil}}
+			n := newNetwork(w)
+			for _, address := range []string{"server", "other"} {
+				if conn, err := n.Dial(t.Context(), address); err == nil {
+					conn.Close()
+				}
+			}
+			time.Sleep(2 * retryInterval) // the paths are due to be tried again
+			w.answers = c.answers
+			n.helpers = newHelpers(n.options)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			_, err := n.Dial(ctx, "server")
+			t.Logf("%s: %v", name, err)
+			is.Equal(err == nil, c.up)
+			is.Equal(err != nil && link.Refused(nil, err), c.out)
+			is.Equal(errors.Is(err, link.ErrPathLost), c.lost)
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // Guards against a slow dial that makes callers wait although another host connects, and
 // against connections that are left open when both succeed.
 func TestSlowDialIsOvertakenByATunnel(t *testing.T) {
--- a/tunnel/paths.go
+++ b/tunnel/paths.go
@@ -71,6 +71,14 @@
 	return nil
 }
 
+// isLost reports whether the last dial of the address failed.
+func (p *paths) isLost(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.byAddress[address]
+	return known != nil && known.lost != nil
+}
+
 // nextRetry returns a time after half to one and a half times retryInterval.
 func nextRetry(now time.Time) time.Time {
 	return now.Add(retryInterval/2 + rand.N(retryInterval))
