--- a/quarantine/company.go
+++ b/quarantine/company.go
@@ -43,9 +43,9 @@
 	e.lastServer = run.Server
 }
 
-// acquitCompany ends the quarantine of requests that were convicted a moment ago if another
-// request was on the same servers, by way of other hosts: it may be the one that crashes
-// them. A third crash convicts. Called with mu held.
+// acquitCompany ends the quarantine of requests that were convicted within acquittalPeriod
+// if another request, sent by other hosts, was on the same two servers: it may be the one
+// that crashes them. A third crash convicts. Called with mu held.
 func (t *Table) acquitCompany() {
 	now := time.Now()
 	t.convictions = slices.DeleteFunc(t.convictions, func(c conviction) bool {
--- a/sharing/hosts.go
+++ b/sharing/hosts.go
@@ -3,9 +3,9 @@
 // retry budgets and the limits of organisations.
 //
 // Hosts divide a bound without agreement, each by its own view of the fleet. The shares
-// add up to no more than the bound if each host counts every host that may use a share,
-// so a host counts at once and stops counting late: one that is paused, cut off or
-// starts again uses its share, whatever the others believe.
+// add up to no more than the bound if each host counts every host that may use one. So a
+// host is counted as soon as it is known, and for some time after it has gone: it may be
+// paused, cut off or starting again.
 package sharing
 
 import (
@@ -44,8 +44,8 @@
 	h.joining = true
 }
 
-// Join records that this host has met its peers, or has none. Hosts that are gone may
-// have been present a moment ago and keep their shares like those that become absent.
+// Join records that this host has met its peers, or has none. When the hosts that are gone
+// left is not known here, so they keep their shares like those that become absent now.
 func (h *Hosts) Join(present, gone []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
