quarantine: parts are compared by all evidence that is known, also before any has passed

Trace of the former: in the first second of the fleet nothing has passed yet, so that the sound part and the crashing one beside it were alike, and the sound one was at two more crashes, of a letter that crashes engines by itself. The review looked at evidence a second old: of the crash of i-8 it had the sound bystander, reported 35 ms before the run that the engine had begun to answer, and it left out the next crashes, at two of which the crashing part was without the sound one.

- A crash is reviewed with all its runs once it is old enough.
- Which of two parts is likelier is decided by all that is known now; where neither has passed, the one at more crashes under runs that the servers had just begun to answer.

TestSoundPartIsServedBeforeAnyPartHasPassed failed before.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -181,6 +181,34 @@
 	})
 }
 
+// Guards against the same while no part has passed yet, as in the first second of a fleet, and
+// crashes of other causes accuse the sound part, too.
+func TestSoundPartIsServedBeforeAnyPartHasPassed(t *testing.T) {
+	const secondBadPart = otherPart + 1
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		bystander := func() {
+			table.runs++
+			r := partRun(table.runs, systemPart, sessionPart)
+			r.Answering, r.Subject.Request = false, 1
+			table.ReportCrash(r)
+			time.Sleep(crashSpacing)
+		}
+		bystander()
+		table.crashes(1, crashSpacing, badPart, sessionPart)
+		bystander()
+		for _, parts := range [][]uint64{
+			{badPart, sessionPart}, {badPart, sessionPart}, {systemPart, badPart}, {secondBadPart, sessionPart}, {systemPart, badPart}, {systemPart, secondBadPart},
+		} {
+			table.crashes(1, crashSpacing, parts...)
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+		is.True(!table.refused(sessionPart))
+		is.True(!table.refused(systemPart))
+	})
+}
+
 // Guards against a quarantine of the parts of a single request that crashes servers.
 func TestRetriesOfOneRequestAccuseNoPart(t *testing.T) {
 	inBubble(t, func(is *is.I) {
--- a/quarantine/review.go
+++ b/quarantine/review.go
@@ -21,19 +21,23 @@
 	accusations map[uint64][]accusation
 	suspicions  map[uint64]suspicion  // of the accused parts, once they were needed
 	quarantined func(id uint64) bool  // of a part or a request
+	latest      *review               // see newest; nil: not needed yet
 	explained   map[int][]*crashedRun // by crash: runs that are quarantined, or have a part that is
 }
 
-// reviewUntil returns the evidence up to the given time.
+// reviewUntil returns the evidence on the crashes up to the given time.
 func (e *partEvidence) reviewUntil(until time.Time, quarantined func(id uint64) bool) *review {
 	r := &review{
 		evidence: e, accusations: map[uint64][]accusation{}, suspicions: map[uint64]suspicion{},
 		quarantined: quarantined, explained: map[int][]*crashedRun{},
 	}
 	for crash, c := range e.crashes {
-		answering := slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering && !run.at.After(until) })
+		if c.at.After(until) {
+			continue
+		}
+		answering := slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering })
 		for _, run := range c.runs {
-			if run.at.After(until) || answering && !run.Answering {
+			if answering && !run.Answering {
 				continue
 			}
 			if quarantined(run.Request) || slices.ContainsFunc(run.Parts, quarantined) {
@@ -86,20 +90,22 @@
 }
 
 // unexplained returns the open accusations of a part in crashes that no likelier part
-// explains: one that has passed longer ago or never, and was at another crash without it.
+// explains: one that was at another crash without it, and has passed longer ago or never,
+// or where neither has passed was at more crashes of servers that had just begun to answer.
 //
 // While two parts crash servers at once, the sound parts that their requests share are
 // accused by both, and by more crashes than either.
 func (r *review) unexplained(part uint64) []accusation {
 	passed, _ := r.evidence.passes.Peek(part)
-	known := map[uint64]bool{}
+	newest, known := r.newest(), map[uint64]bool{}
 	likelier := func(other uint64) bool {
 		likely, ok := known[other]
 		if !ok {
 			otherPassed, _ := r.evidence.passes.Peek(other)
-			if otherPassed.Before(passed) && !r.quarantined(other) {
-				open := r.open(other)
-				likely = len(open) >= suspectSeparate && !covers(r.accusations[part], open)
+			likelierAlone := otherPassed.Before(passed) || otherPassed.Equal(passed) && newest.answering(other) > newest.answering(part)
+			if likelierAlone && !r.quarantined(other) {
+				open := newest.open(other)
+				likely = len(open) >= suspectSeparate && !covers(newest.accusations[part], open)
 			}
 			known[other] = likely
 		}
@@ -185,19 +191,32 @@
 	depth     int
 }
 
+// newest returns all evidence that is known now.
+func (r *review) newest() *review {
+	if r.latest == nil {
+		r.latest = r.evidence.reviewUntil(time.Now(), r.quarantined)
+	}
+	return r.latest
+}
+
+// answering returns the number of crashes under runs with a part that the servers had just
+// begun to answer.
+func (r *review) answering(part uint64) (count int) {
+	for _, a := range r.accusations[part] {
+		if a.run.Answering {
+			count++
+		}
+	}
+	return count
+}
+
 func (r *review) suspicionOf(part uint64) suspicion {
 	if known, ok := r.suspicions[part]; ok {
 		return known
 	}
 	accusations := r.accusations[part]
-	answering := 0
-	for _, a := range accusations {
-		if a.run.Answering {
-			answering++
-		}
-	}
 	passed, _ := r.evidence.passes.Peek(part)
-	s := suspicion{answering, countSeparate(accusations), passed, accusations[len(accusations)-1].depth}
+	s := suspicion{r.answering(part), countSeparate(accusations), passed, accusations[len(accusations)-1].depth}
 	r.suspicions[part] = s
 	return s
 }
