quarantine, peer: a run that had written an event speaks for its parts

A crash report says whether its run had written an event. Between parts that have not passed, the one without such a run is likelier to be at fault.

TestSoundPartOfRunsThatHadBegunIsServed failed before.

--- a/peer/suspects.go
+++ b/peer/suspects.go
@@ -48,7 +48,7 @@
 	var evidence quarantine.Evidence
 	for _, p := range crashes {
 		evidence.Crashes = append(evidence.Crashes, quarantine.Crash{
-			Server: p.GetServer(), Request: p.GetRequest(), Parts: p.GetParts(), Answering: p.GetAnswering(), Age: time.Duration(p.GetAgeMs()) * time.Millisecond,
+			Server: p.GetServer(), Request: p.GetRequest(), Parts: p.GetParts(), Answering: p.GetAnswering(), Begun: p.GetBegun(), Age: time.Duration(p.GetAgeMs()) * time.Millisecond,
 		})
 	}
 	for _, p := range passes {
@@ -59,7 +59,7 @@
 
 func evidenceToProto(evidence quarantine.Evidence) (crashes []*peerpb.ServerCrash, passes []*peerpb.PartPass) {
 	for _, c := range evidence.Crashes {
-		crashes = append(crashes, &peerpb.ServerCrash{Server: c.Server, Request: c.Request, Parts: c.Parts, Answering: c.Answering, AgeMs: uint32(c.Age.Milliseconds())})
+		crashes = append(crashes, &peerpb.ServerCrash{Server: c.Server, Request: c.Request, Parts: c.Parts, Answering: c.Answering, Begun: c.Begun, AgeMs: uint32(c.Age.Milliseconds())})
 	}
 	for _, p := range evidence.Passes {
 		passes = append(passes, &peerpb.PartPass{Part: p.Part, AgeMs: uint32(p.Age.Milliseconds())})
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -165,6 +165,6 @@
 	a.broke = true
 	a.table.ReportBroken(Run{
 		Subject: a.subject, Sent: a.sent, Request: request, Server: server, Brittle: brittle, BrokenAt: now, Trials: a.trials,
-		Early: a.startedWithin(earlyRunWindow), Beginning: a.startedWithin(beginWindow), Answering: a.answering && a.wroteAt.IsZero(),
+		Early: a.startedWithin(earlyRunWindow), Beginning: a.startedWithin(beginWindow), Answering: a.answering && a.wroteAt.IsZero(), Begun: !a.wroteAt.IsZero(),
 	}, ended)
 }
--- a/quarantine/broken.go
+++ b/quarantine/broken.go
@@ -32,6 +32,7 @@
 	// Beginning is set if the run was still in its beginning, Answering if the server had
 	// begun to answer it and there was no event yet.
 	Beginning, Answering bool
+	Begun                bool      // the run had written an event
 	Brittle              bool      // the server may fail because it has to reject requests
 	Request              string    // request ID, for logs; empty: none
 	Server               string    // ID of its incarnation
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -63,6 +63,7 @@
 	Request   uint64
 	Parts     []uint64 // of the request's prompt
 	Answering bool     // the server had begun to answer the run, and there was no event yet
+	Begun     bool     // the run had written an event
 	Age       time.Duration
 }
 
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -209,6 +209,29 @@
 	})
 }
 
+// Guards against the same while the sound part is at more crashes than either crashing one;
+// runs with it had written events when their servers crashed.
+func TestSoundPartOfRunsThatHadBegunIsServed(t *testing.T) {
+	const secondBadPart = otherPart + 1
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for i, parts := range [][]uint64{
+			{badPart, sessionPart}, {badPart, sessionPart}, {systemPart, secondBadPart}, {badPart, sessionPart}, {secondBadPart, sessionPart}, {badPart, sessionPart},
+			{secondBadPart, sessionPart}, {systemPart, badPart},
+		} {
+			if i%2 == 0 {
+				beside := partRun(table.runs+1, sessionPart)
+				beside.Subject.Request, beside.Answering, beside.Begun = 5000+table.runs, false, true
+				table.ReportCrash(beside)
+			}
+			table.crashes(1, crashSpacing, parts...)
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+		is.True(!table.refused(sessionPart))
+	})
+}
+
 // Guards against a quarantine of the parts of a single request that crashes servers.
 func TestRetriesOfOneRequestAccuseNoPart(t *testing.T) {
 	inBubble(t, func(is *is.I) {
--- a/quarantine/review.go
+++ b/quarantine/review.go
@@ -21,6 +21,7 @@
 	accusations map[uint64][]accusation
 	suspicions  map[uint64]suspicion  // of the accused parts, once they were needed
 	quarantined func(id uint64) bool  // of a part or a request
+	begun       map[uint64]int        // by part: runs with it that had written an event when their server crashed
 	latest      *review               // see newest; nil: not needed yet
 	explained   map[int][]*crashedRun // by crash: runs that are quarantined, or have a part that is
 }
@@ -29,7 +30,7 @@
 func (e *partEvidence) reviewUntil(until time.Time, quarantined func(id uint64) bool) *review {
 	r := &review{
 		evidence: e, accusations: map[uint64][]accusation{}, suspicions: map[uint64]suspicion{},
-		quarantined: quarantined, explained: map[int][]*crashedRun{},
+		quarantined: quarantined, explained: map[int][]*crashedRun{}, begun: map[uint64]int{},
 	}
 	for crash, c := range e.crashes {
 		if c.at.After(until) {
@@ -37,6 +38,11 @@
 		}
 		answering := slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering })
 		for _, run := range c.runs {
+			if run.Begun {
+				for _, part := range run.Parts {
+					r.begun[part]++
+				}
+			}
 			if answering && !run.Answering {
 				continue
 			}
@@ -90,8 +96,9 @@
 }
 
 // unexplained returns the open accusations of a part in crashes that no likelier part
-// explains: one that was at another crash without it, and has passed longer ago or never,
-// or where neither has passed was at more crashes of servers that had just begun to answer.
+// explains: one that was at another crash without it, and has passed longer ago or never.
+// Where neither has passed, the one without a run that had written an event is likelier,
+// then the one at more crashes of servers that had just begun to answer.
 //
 // While two parts crash servers at once, the sound parts that their requests share are
 // accused by both, and by more crashes than either.
@@ -102,8 +109,8 @@
 		likely, ok := known[other]
 		if !ok {
 			otherPassed, _ := r.evidence.passes.Peek(other)
-			likelierAlone := otherPassed.Before(passed) || otherPassed.Equal(passed) && newest.answering(other) > newest.answering(part)
-			if likelierAlone && !r.quarantined(other) {
+			order := cmp.Or(passed.Compare(otherPassed), cmp.Compare(newest.begun[part], newest.begun[other]), cmp.Compare(newest.answering(other), newest.answering(part)))
+			if order > 0 && !r.quarantined(other) {
 				open := newest.open(other)
 				likely = len(open) >= suspectSeparate && !covers(newest.accusations[part], open)
 			}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -231,7 +231,7 @@
 		t.recordServer(run, updated)
 	}
 	if run.Beginning {
-		crash := Crash{Server: xxhash.Sum64String(run.Server), Request: run.Subject.Request, Parts: run.Subject.Parts, Answering: run.Answering}
+		crash := Crash{Server: xxhash.Sum64String(run.Server), Request: run.Subject.Request, Parts: run.Subject.Parts, Answering: run.Answering, Begun: run.Begun}
 		changed = t.addCrash(crash, run.BrokenAt, true) || changed
 		t.acquitCompany()
 		for _, part := range run.Trials {
