fleet, gateway: crashes of servers that may be brittle accuse weakly, too

Host 4 knew that the plain servers were brittle; host 2 had had no answer of any of them, as a brittle call takes 1.2 s and they fell over before, so that its crashes counted in full (brittle true at host 4 and false at host 2 for the same end of i-9).

A crash also accuses weakly if the host has had no answer of the service in the last ten seconds: it uses such servers as if they were brittle.

Two tests of calls that crash servers now begin with an answer of the service, as their counts are those of servers that are known not to be brittle; the case without one is TestCrashesBeforeTheFirstAnswerAccuseWeakly (three crashes).

--- a/fleet/brittle.go
+++ b/fleet/brittle.go
@@ -138,11 +138,12 @@
 	return -1
 }
 
-// Brittle reports whether the server is known to fail if it has to reject requests.
-func (w *Work) Brittle() bool {
+// MayBeBrittle reports whether the server may fail because it has to reject requests: it
+// says so, or this host has had no answer of its service lately.
+func (w *Work) MayBeBrittle() bool {
 	w.table.mu.Lock()
 	defer w.table.mu.Unlock()
-	return w.table.brittleOf(w.entry).Brittle
+	return w.table.queueLimit(w.entry, time.Now()) >= 0
 }
 
 // usedCapacity is the fraction of a brittle plain server's throughput that all hosts
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -56,6 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newHarness()
 		w.put("p3", "plain")
+		w.answered("p3")
 		w.send = func(_ context.Context, call Call) (*Reply, error) {
 			w.crash(call)
 			return nil, broken(backend.Broken)
@@ -70,6 +71,26 @@
 	})
 }
 
+// answered records an answer of a server that is not brittle.
+func (w *harness) answered(id string) { w.fleet.SetBrittleness(id, fleet.Brittleness{}, time.Now()) }
+
+// Guards against a quarantine after crashes of servers of which the host does not know
+// whether they are brittle, and of a third server that a request crashes.
+func TestCrashesBeforeTheFirstAnswerAccuseWeakly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, w := is.New(t), newHarness()
+		w.put("p3", "plain")
+		w.put("p4", "plain")
+		w.send = func(_ context.Context, call Call) (*Reply, error) {
+			w.crash(call)
+			return nil, broken(backend.Broken)
+		}
+		is.Equal(w.serve("/read/1").Reason, ReasonBroken)
+		is.Equal(w.serve("/read/1").Reason, ReasonQuarantined) // while it runs
+		is.Equal(len(w.calls), 3)
+	})
+}
+
 // Guards against a partial answer that clears a suspected request.
 func TestPartialAnswerClearsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -98,6 +119,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newHarness()
 		w.put("p3", "plain")
+		w.answered("p3")
 		w.send = func(_ context.Context, call Call) (*Reply, error) {
 			time.AfterFunc(200*time.Millisecond, func() { w.crash(call) })
 			return nil, broken(backend.Broken)
