quarantine: bystanders that had begun to write acquit their parts

Letters with the sound part had written events on engines that crashed under others: such a run began to write at most 0.3 s before, so its parts passed then, and earlier crashes do not accuse them. Before, this only decided between parts that had not passed.

A run whose server crashed without another run to blame, or under one with the same part, acquits nothing.

TestSoundPartOfRunsThatHadBegunIsServed holds with the runs beside each crash, TestEventsOfCrashingRunsAcquitNothing guards the other way.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -210,20 +210,18 @@
 }
 
 // Guards against the same while the sound part is at more crashes than either crashing one;
-// runs with it had written events when their servers crashed.
+// runs with it had written events on servers that crashed under others.
 func TestSoundPartOfRunsThatHadBegunIsServed(t *testing.T) {
 	const secondBadPart = otherPart + 1
 	inBubble(t, func(is *is.I) {
 		table := newPartTable(is)
-		for i, parts := range [][]uint64{
+		for _, parts := range [][]uint64{
 			{badPart, sessionPart}, {badPart, sessionPart}, {systemPart, secondBadPart}, {badPart, sessionPart}, {secondBadPart, sessionPart}, {badPart, sessionPart},
 			{secondBadPart, sessionPart}, {systemPart, badPart},
 		} {
-			if i%2 == 0 {
-				beside := partRun(table.runs+1, sessionPart)
-				beside.Subject.Request, beside.Answering, beside.Begun = 5000+table.runs, false, true
-				table.ReportCrash(beside)
-			}
+			beside := partRun(table.runs+1, sessionPart)
+			beside.Subject.Request, beside.Answering, beside.Begun = 5000+table.runs, false, true
+			table.ReportCrash(beside)
 			table.crashes(1, crashSpacing, parts...)
 		}
 		time.Sleep(afterVerdict)
@@ -232,6 +230,22 @@
 	})
 }
 
+// Guards against events written on servers that crash later under the same run, or without
+// another run to blame, that acquit a part.
+func TestEventsOfCrashingRunsAcquitNothing(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newPartTable(is)
+		for i := range uint64(2 * partCrashThreshold) {
+			run := partRun(i, badPart)
+			run.Answering, run.Begun = false, true
+			table.ReportCrash(run)
+			time.Sleep(2 * beginWindow)
+		}
+		time.Sleep(afterVerdict)
+		is.True(table.refused(badPart))
+	})
+}
+
 // Guards against a quarantine of the parts of a single request that crashes servers.
 func TestRetriesOfOneRequestAccuseNoPart(t *testing.T) {
 	inBubble(t, func(is *is.I) {
--- a/quarantine/review.go
+++ b/quarantine/review.go
@@ -21,7 +21,7 @@
 	accusations map[uint64][]accusation
 	suspicions  map[uint64]suspicion  // of the accused parts, once they were needed
 	quarantined func(id uint64) bool  // of a part or a request
-	begun       map[uint64]int        // by part: runs with it that had written an event when their server crashed
+	passes      map[uint64]time.Time  // by part: the last pass, or when a bystander of a crash began at the earliest
 	latest      *review               // see newest; nil: not needed yet
 	explained   map[int][]*crashedRun // by crash: runs that are quarantined, or have a part that is
 }
@@ -30,7 +30,7 @@
 func (e *partEvidence) reviewUntil(until time.Time, quarantined func(id uint64) bool) *review {
 	r := &review{
 		evidence: e, accusations: map[uint64][]accusation{}, suspicions: map[uint64]suspicion{},
-		quarantined: quarantined, explained: map[int][]*crashedRun{}, begun: map[uint64]int{},
+		quarantined: quarantined, explained: map[int][]*crashedRun{}, passes: e.passesOfBystanders(),
 	}
 	for crash, c := range e.crashes {
 		if c.at.After(until) {
@@ -38,11 +38,6 @@
 		}
 		answering := slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering })
 		for _, run := range c.runs {
-			if run.Begun {
-				for _, part := range run.Parts {
-					r.begun[part]++
-				}
-			}
 			if answering && !run.Answering {
 				continue
 			}
@@ -52,7 +47,7 @@
 			for depth, part := range run.Parts {
 				known := r.accusations[part]
 				counted := len(known) > 0 && known[len(known)-1].crash == crash
-				if passed, _ := e.passes.Peek(part); run.at.After(passed) && !counted {
+				if run.at.After(r.passed(part)) && !counted {
 					r.accusations[part] = append(known, accusation{crash, run, depth})
 				}
 			}
@@ -61,6 +56,37 @@
 	return r
 }
 
+// passed returns when a run with a part last began to write and went on; zero: never.
+func (r *review) passed(part uint64) time.Time {
+	passed, _ := r.evidence.passes.Peek(part)
+	if began := r.passes[part]; began.After(passed) {
+		return began
+	}
+	return passed
+}
+
+// passesOfBystanders returns when the last run with a part that had written an event, on a
+// server that crashed under another run, began to write at the earliest.
+func (e *partEvidence) passesOfBystanders() map[uint64]time.Time {
+	passes := map[uint64]time.Time{}
+	for _, c := range e.crashes {
+		accused := func(part uint64) bool {
+			return slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering && slices.Contains(run.Parts, part) })
+		}
+		if !slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering }) {
+			continue
+		}
+		for _, run := range c.runs {
+			for _, part := range run.Parts {
+				if began := run.at.Add(-beginWindow); run.Begun && began.After(passes[part]) && !accused(part) {
+					passes[part] = began
+				}
+			}
+		}
+	}
+	return passes
+}
+
 // blamed returns the parts that are to be blamed for crashes and are not quarantined yet:
 // those that explain best enough crashes which no likelier part explains.
 func (r *review) blamed() []uint64 {
@@ -97,19 +123,17 @@
 
 // unexplained returns the open accusations of a part in crashes that no likelier part
 // explains: one that was at another crash without it, and has passed longer ago or never.
-// Where neither has passed, the one without a run that had written an event is likelier,
-// then the one at more crashes of servers that had just begun to answer.
+// Where neither has passed, the one at more crashes of servers that had just begun to
+// answer is likelier.
 //
 // While two parts crash servers at once, the sound parts that their requests share are
 // accused by both, and by more crashes than either.
 func (r *review) unexplained(part uint64) []accusation {
-	passed, _ := r.evidence.passes.Peek(part)
 	newest, known := r.newest(), map[uint64]bool{}
 	likelier := func(other uint64) bool {
 		likely, ok := known[other]
 		if !ok {
-			otherPassed, _ := r.evidence.passes.Peek(other)
-			order := cmp.Or(passed.Compare(otherPassed), cmp.Compare(newest.begun[part], newest.begun[other]), cmp.Compare(newest.answering(other), newest.answering(part)))
+			order := cmp.Or(r.passed(part).Compare(r.passed(other)), cmp.Compare(newest.answering(other), newest.answering(part)))
 			if order > 0 && !r.quarantined(other) {
 				open := newest.open(other)
 				likely = len(open) >= suspectSeparate && !covers(newest.accusations[part], open)
@@ -222,7 +246,7 @@
 		return known
 	}
 	accusations := r.accusations[part]
-	passed, _ := r.evidence.passes.Peek(part)
+	passed := r.passed(part)
 	s := suspicion{r.answering(part), countSeparate(accusations), passed, accusations[len(accusations)-1].depth}
 	r.suspicions[part] = s
 	return s
