peer, gatewayhost, entryhost: a stopping host lends its path as long as it is needed

A stopping host opens tunnels until none is open, within its grace. Hosts that have another way do not ask it, so that it ends as soon as before without them. On our own interface tunnels that outlast the stop are logged, too.

--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -38,6 +38,7 @@
 	msgSuperseded    = "superseded by another host with the same name"
 	msgNotHandedOver = "handing over records to a successor failed"
 	msgAnswersCutOff = "responses cut off at shutdown"
+	msgTunnelsCutOff = "tunnels of other hosts cut off at the end of the stop"
 )
 
 // Host is one entry host.
--- a/entryhost/stop.go
+++ b/entryhost/stop.go
@@ -21,7 +21,6 @@
 	h.node.Leave("")
 	_ = sleep.For(ctx, h.options.AnnounceDelay)
 	h.refusing.Store(true)
-	h.node.EndTunnels()
 	h.ledger.Close()
 	h.awaitWork(ctx)
 	h.handOver(ctx)
@@ -30,7 +29,9 @@
 	h.closing.Store(true)
 	h.awaitWork(ctx)
 	h.finishAnswers(ctx)
-	h.awaitTunnels(ctx)
+	if err := h.node.FinishTunnels(ctx); err != nil {
+		h.logger.Warn(msgTunnelsCutOff, zap.Int("tunnels", h.node.Tunnels()))
+	}
 	h.stop()
 	<-h.stopped
 	h.logger.Info(msgStopped)
@@ -60,17 +61,7 @@
 	}
 }
 
-// awaitTunnels waits until no requests of other hosts run through this one or ctx is
-// done.
-func (h *Host) awaitTunnels(ctx context.Context) {
-	for h.node.Tunnels() > 0 && sleep.For(ctx, tunnelCheckInterval) == nil {
-	}
-}
-
 const (
-	// tunnelCheckInterval is the interval between checks for open tunnels.
-	tunnelCheckInterval = 50 * time.Millisecond
-
 	// answersTimeout limits the wait for callers that read slowly.
 	answersTimeout = 5 * time.Second
 
--- a/gatewayhost/stop.go
+++ b/gatewayhost/stop.go
@@ -38,8 +38,8 @@
 
 // stop drains the host without failing requests: it reports not ready, leaves
 // the address lists, keeps serving until callers have refreshed their addresses,
-// and finishes the requests it has read and those that run through its tunnels. As long
-// as it takes requests it opens tunnels for hosts that know no other way to the servers.
+// and finishes the requests it has read and those that run through its tunnels. Until these
+// have ended it opens more for hosts that know no other way to the servers.
 //
 // Failure: all hosts are stopped in turn, one per second, and each has
 // generations that run for the whole grace period. For seconds no host accepts a
@@ -55,16 +55,12 @@
 	for h.gateway.InFlightGenerations() > 0 && time.Until(deadline) > stopAcceptingBefore {
 		_ = sleep.For(context.Background(), stopCheckInterval) // fails only when the context ends, which this one never does
 	}
-	h.node.Load().EndTunnels()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		h.logger.Warn(msgCutOff, zap.Error(err))
 	}
-	for h.node.Load().Tunnels() > 0 {
-		if err := sleep.For(ctx, stopCheckInterval); err != nil {
-			h.logger.Warn(msgTunnelsCutOff, zap.Int("tunnels", h.node.Load().Tunnels()))
-			return
-		}
+	if err := h.node.Load().FinishTunnels(ctx); err != nil {
+		h.logger.Warn(msgTunnelsCutOff, zap.Int("tunnels", h.node.Load().Tunnels()))
 	}
 }
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -7,12 +7,14 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer/peerpb"
 )
@@ -99,11 +101,27 @@
 	return readAll(conn, func(data []byte) error { return stream.Send(&peerpb.TunnelResponse{Data: data}) })
 }
 
-// EndTunnels makes this host open no more connections for others.
-func (n *Node) EndTunnels() { n.tunnelsDone.Store(true) }
+// tunnelCheckInterval is the interval between checks for open tunnels.
+const tunnelCheckInterval = 50 * time.Millisecond
+
+// FinishTunnels waits until no connection is open for other hosts, opens no more from then
+// on, and returns an error if ctx ends before that.
+func (n *Node) FinishTunnels(ctx context.Context) error {
+	defer n.tunnelsDone.Store(true)
+	for {
+		for n.Tunnels() > 0 {
+			if err := sleep.For(ctx, tunnelCheckInterval); err != nil {
+				return err
+			}
+		}
+		if n.tunnelsDone.Swap(true) {
+			return nil // none was opened since the last check
+		}
+	}
+}
 
 // Tunnels returns the number of connections that are open for other hosts. After
-// EndTunnels it does not rise.
+// FinishTunnels it does not rise.
 func (n *Node) Tunnels() int { return int(n.tunnels.Load()) }
 
 func (n *Node) dialForPeer(ctx context.Context, address string) (net.Conn, peerpb.TunnelResult) {
