relay, quarantine: a run names its server when it is sent, on both interfaces

Cause: on the users' platform a run that is still open on a server counts as company of a crash there, so that the crash accuses weakly; on our own interface runs were recorded without their server, because the record was made before a server was chosen. A sound request whose second crash was detected before the end of the other run was quarantined until that end was known. A run kept its server after it had broken, so that a request that waited for another server counted as company of a later crash at the first.

Change: the relay records the run and its server after the grant, as the gateway does, so the record of crashes is also the one at the send. A broken run has no server.

--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -39,7 +39,7 @@
 	passed    bool      // the current run was reported as past its beginning
 	broke     bool      // the connection of the current run broke
 
-	server string // of the current run; guarded by the table's mu, as is begun
+	server string // of the current run, "" once it broke; guarded by the table's mu, as is begun
 	begun  bool   // the current run has written an event
 }
 
@@ -112,8 +112,8 @@
 	return a.table.blockedFor(a.subject)
 }
 
-// Sending must be called before each send: a new run begins. The server is the ID of its
-// incarnation; empty: not known yet.
+// Sending must be called before each send: a new run begins, on the server with the given
+// ID of its incarnation.
 func (a *Admission) Sending(server string) {
 	a.answering, a.wroteAt, a.passed, a.broke = false, time.Time{}, false, false
 	a.table.mu.Lock()
@@ -167,4 +167,7 @@
 		Subject: a.subject, Sent: a.sent, Request: request, Server: server, Brittle: brittle, BrokenAt: now, Trials: a.trials,
 		Early: a.startedWithin(earlyRunWindow), Beginning: a.startedWithin(beginWindow), Answering: a.answering && a.wroteAt.IsZero(), Begun: !a.wroteAt.IsZero(),
 	}, ended)
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	a.server = ""
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -119,6 +119,7 @@
 			return record.Answer{Refusal: tries.adjustOutcome(tries.crashes.cancelled(ctx, asRefusal(err)))}
 		}
 		endTurn := tries.crashes.awaitTurn(ctx)
+		tries.crashes.sending(grant.Address())
 		answer, err := r.callServer(ctx, grant.Address(), document, request)
 		r.OnBackend(grant.Address(), err)
 		grant.Done(routing.Result{Failed: err != nil, NotRun: err != nil && provenNotRun(err), Complete: err == nil})
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -41,7 +41,7 @@
 }
 
 // refusal returns a refusal if the request is quarantined, else nil. It must be
-// called before each send.
+// called before a server is chosen.
 func (c *crashTracker) refusal() *contract.Refusal {
 	if c.table == nil {
 		return nil
@@ -55,10 +55,16 @@
 	if left > 0 {
 		return contract.NotRun(contract.ReasonQuarantined, left, quarantinedDetail)
 	}
-	c.admission.Sending("")
 	return nil
 }
 
+// sending must be called before each send, with the address of the server.
+func (c *crashTracker) sending(address string) {
+	if c.admission != nil {
+		c.admission.Sending(address)
+	}
+}
+
 // cancelled returns the refusal of a request that was quarantined while it waited or
 // ran, and the given one for any other request. It must be called before end.
 func (c *crashTracker) cancelled(ctx context.Context, refusal *contract.Refusal) *contract.Refusal {
--- a/relay/running.go
+++ b/relay/running.go
@@ -77,6 +77,7 @@
 			return nil, tries.adjustOutcome(tries.crashes.cancelled(ctx, asRefusal(err)))
 		}
 		ref := GenerationRef{Organisation: organisation, Service: document.Service, Server: grant.Address(), Generation: uuid.NewString()}
+		tries.crashes.sending(ref.Server)
 		current, err := r.Backend.Start(ctx, ref.Server, backend.CompletionRequest{
 			Model: grant.Model(), Prompt: request.Prompt, MaxTokens: request.MaxTokens,
 			Stream: true, GenerationID: ref.Generation, Priority: limit.Priority, StopAfter: request.StopAfter,
