entryhost: a starting host tries no quarantined part before it knows its peers

On our own interface a host that starts, or several at once, took itself for the only one and sent requests with a quarantined part to a server.

Change: the entry host tries parts once it has synced with a peer, or has found none for a second.

Measured: TestStartingHostTriesNoPart of entryhost fails without the change and passes with it.

--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -41,6 +41,9 @@
 	msgTunnelsCutOff = "tunnels of other hosts cut off at the end of the stop"
 )
 
+// joinTimeout is how long a starting host waits for peers before it believes to be alone.
+const joinTimeout = time.Second
+
 // Host is one entry host.
 type Host struct {
 	options         Options
@@ -66,6 +69,7 @@
 	server          *link.DrainServer
 	inFlight        *inFlightCounter
 
+	created  time.Time
 	sharers  *sharing.Hosts // the entry hosts that divide limits and load polls
 	refusing atomic.Bool    // new work is refused
 	leaving  atomic.Bool    // reported as not ready
@@ -84,7 +88,7 @@
 		options: o, settings: o.Settings, tokens: o.Settings.Tokens(), logger: o.Logger,
 		table: configuration.NewTable(contract.ParseDocument), distances: distancesOf(o.Settings),
 		pool: backend.NewPool(backend.PoolOptions{Logger: o.Logger}), inFlight: newInFlightCounter(), sharers: sharing.NewHosts(o.Settings.Host),
-		stopped: make(chan struct{}),
+		created: time.Now(), stopped: make(chan struct{}),
 	}
 	h.paths = tunnel.NewNetwork(tunnel.Options{
 		Host: o.Settings.Host, Domain: o.Settings.FailureDomain, Direct: o.Network, Peers: h, ServiceAt: h.pool.ServiceAt,
@@ -107,7 +111,7 @@
 	h.quarantine = quarantine.NewTable(o.Logger, o.Registry)
 	h.quarantine.OnGossipRecords = func() { h.node.Announce() }
 	h.quarantine.CrashDetected = h.pool.RecordCrash
-	h.quarantine.TrialHost = func(part uint64) bool { return domain.TrialHost(h.Members(), part) == o.Settings.Host }
+	h.quarantine.TrialHost = h.isTrialHost
 	h.relay = h.newRelay()
 	router := &homeRouter{self: o.Settings.Host, ledger: h.ledger, local: h.relay}
 	h.node = h.newNode(router)
@@ -230,6 +234,23 @@
 	h.sharers.SetPresent(present)
 }
 
+// isTrialHost reports whether this host tries requests with a quarantined or suspected
+// part. A host that has not met its peers yet would be the one for every part.
+func (h *Host) isTrialHost(part uint64) bool {
+	return h.metPeers() && domain.TrialHost(h.Members(), part) == h.settings.Host
+}
+
+// metPeers reports whether this host has met its peers, or none of them within
+// joinTimeout.
+func (h *Host) metPeers() bool {
+	select {
+	case <-h.node.Joined():
+		return true
+	default:
+		return time.Since(h.created) >= joinTimeout
+	}
+}
+
 // limitShare returns this host's share of each limit that a document sets for the
 // whole fleet.
 func (h *Host) limitShare() float64 { return 1 / float64(h.sharers.Count()) }
--- a/entryhost/quarantine_test.go
+++ b/entryhost/quarantine_test.go
@@ -105,3 +105,17 @@
 		s.is.True(strings.Contains(body, `"reason":"quarantined"`))
 	})
 }
+
+// Guards against several hosts trying a quarantined part at once, because each has just
+// started and knows only itself.
+func TestStartingHostTriesNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 0)
+		defer s.close()
+		s.start(0, 2) // its peer does not run
+		time.Sleep(joinTimeout / 2)
+		s.is.True(!s.hosts[0].quarantine.TrialHost(7))
+		time.Sleep(joinTimeout)
+		s.is.True(s.hosts[0].quarantine.TrialHost(7)) // it is alone
+	})
+}
