allocation, gateway, fleet: allowed failure domains decide at each depth

Cause: a request that may be served in some regions only was confined where candidates are read, but not elsewhere. (1) An allocator whose part was full sent it to no other part, also if an allowed one offered a place: it was refused. (2) Why a request was refused, and whether it waits for the end of a backoff, was decided by servers of all regions: with its own region evacuated it got "no backend server" and half a second, with no server of its regions it waited for the backoffs of others.

Change: offers are taken from allowed domains (the special case that forbade them all is gone); AcceptsIn and EvacuatedOnly look at allowed domains, as the query for candidates does.

Measured: TestRestrictedGenerationsOfAFullDomainArePlacedInAnAllowedOne and TestServersElsewhereDoNotDecideWhyARequestIsRefused failed before.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -140,7 +140,7 @@
 // betterPart returns the part to send the request to instead, if any. Costs are compared
 // for a typical generation, because other parts make their offers for one.
 func (a *Allocator) betterPart(part Part, req PlacementRequest, candidates []placement.Candidate, placeHere bool) (Part, bool) {
-	if part.Domain == "" || req.Settled || len(req.Domains) > 0 {
+	if part.Domain == "" || req.Settled {
 		return Part{}, false
 	}
 	a.offerTable.observe(req.Need)
@@ -152,7 +152,7 @@
 			limit = own[0] - placement.OtherDomainCost(typical)
 		}
 	}
-	return a.offerTable.takeCheapest(part, brief, limit)
+	return a.offerTable.takeCheapest(part, req.Domains, brief, limit)
 }
 
 // offers returns the costs at which a part offers places to generations of other
@@ -199,7 +199,7 @@
 			a.fleet.ReserveFor(host, grant.Destination, fleet.LoadOf(move.Need, 0, true))
 			return Placement{Server: grant.Destination}, nil
 		}
-		elsewhere, _ := a.offerTable.takeCheapest(part, false, math.Inf(1))
+		elsewhere, _ := a.offerTable.takeCheapest(part, nil, false, math.Inf(1))
 		return Placement{Elsewhere: elsewhere}, nil
 	case <-ctx.Done():
 	}
--- a/allocation/exchange_test.go
+++ b/allocation/exchange_test.go
@@ -35,7 +35,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		go func() { _ = client.Exchange(ctx) }()
 		time.Sleep(offerInterval + 50*time.Millisecond)
-		part, found := allocator.offerTable.takeCheapest(Part{Service: llm, Domain: "d0", Count: 1}, false, 1)
+		part, found := allocator.offerTable.takeCheapest(Part{Service: llm, Domain: "d0", Count: 1}, nil, false, 1)
 		is.True(found)
 		is.Equal(part, mine)
 		is.Equal(time.Duration(age.Load()), 300*time.Millisecond)
--- a/allocation/offers.go
+++ b/allocation/offers.go
@@ -1,6 +1,7 @@
 package allocation
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -96,15 +97,15 @@
 }
 
 // takeCheapest removes the cheapest offered place with a cost below limit in
-// another part of the service, and returns that part. The next call gets another
-// place.
-func (m *offerTable) takeCheapest(own Part, brief bool, limit float64) (part Part, found bool) {
+// another part of the service, in one of the failure domains (none: in any), and
+// returns that part. The next call gets another place.
+func (m *offerTable) takeCheapest(own Part, domains []string, brief bool, limit float64) (part Part, found bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var best *[]float64
 	for other, o := range m.offers {
 		costs := o.costsFor(brief)
-		if other == own || other.Service != own.Service || time.Since(o.at) > offerLifetime || len(*costs) == 0 {
+		if other == own || other.Service != own.Service || len(domains) > 0 && !slices.Contains(domains, other.Domain) || time.Since(o.at) > offerLifetime || len(*costs) == 0 {
 			continue
 		}
 		if cost := (*costs)[0]; cost < limit && (best == nil || cost < (*best)[0]) {
--- a/allocation/part_test.go
+++ b/allocation/part_test.go
@@ -150,6 +150,21 @@
 	is.Equal(allocator.Place("none", "d1", home, PlacementRequest{Request: "r5", Need: need}, nil), Placement{})
 }
 
+// Guards against refusals of generations that may be served in some failure domains only,
+// while one of these is full and another has capacity.
+func TestRestrictedGenerationsOfAFullDomainArePlacedInAnAllowedOne(t *testing.T) {
+	is := is.New(t)
+	allocator, client, table := largeFleet(t)
+	home, other, forbidden := Part{Service: llm, Domain: "d1", Count: 1}, Part{Service: llm, Domain: "d2", Count: 1}, Part{Service: llm, Domain: "d0", Count: 1}
+	full := fleet.Load{Requests: 9, HeldTokens: 33900}
+	table.SetOthers("h001", llm, map[string]fleet.Load{"e1": full, "e4": full}, home.share())
+	req := PlacementRequest{Request: "r1", Need: placement.Need{PromptTokens: 3000, OutputTokens: 400}, Domains: []string{"d1", "d2"}}
+	allocator.offerTable.update(forbidden, nil, []float64{0.1})
+	is.Equal(client.Place(context.Background(), llm, req, nil), "")
+	allocator.offerTable.update(other, nil, []float64{0.9})
+	other.mustContain(t, table, client.Place(context.Background(), llm, req, nil))
+}
+
 func TestFarEmptierDomainIsPreferred(t *testing.T) {
 	// Guards against late callers: their own domain has capacity, but behind
 	// two long unread prompts, while engines in another domain are idle.
@@ -170,13 +185,13 @@
 		m := newOfferTable()
 		own, other := Part{Service: llm, Domain: "d0"}, Part{Service: llm, Domain: "d1"}
 		m.update(other, nil, []float64{0.1, 0.2})
-		_, found := m.takeCheapest(own, true, 1)
+		_, found := m.takeCheapest(own, nil, true, 1)
 		is.True(!found) // no offers for brief generations
 		time.Sleep(offerLifetime + time.Millisecond)
-		_, found = m.takeCheapest(own, false, 1)
+		_, found = m.takeCheapest(own, nil, false, 1)
 		is.True(!found)
 		m.update(own, nil, []float64{0.1})
-		_, found = m.takeCheapest(own, false, 1)
+		_, found = m.takeCheapest(own, nil, false, 1)
 		is.True(!found)
 	})
 }
--- a/fleet/backoff.go
+++ b/fleet/backoff.go
@@ -37,14 +37,15 @@
 func (t *Table) inBackoff(id string, now time.Time) bool { return now.Before(t.backoffs[id]) }
 
 // AcceptsIn returns the time until a server of a service takes a request of this
-// host, as far as backoffs, rate limits and rejections by brittle servers decide. It returns zero if one of the
-// servers takes requests now, or if there are none.
-func (t *Table) AcceptsIn(name string) time.Duration {
+// host, as far as backoffs, rate limits and rejections by brittle servers decide.
+// domains are the failure domains of the servers; nil: all. It returns zero if one of
+// the servers takes requests now, or if there are none.
+func (t *Table) AcceptsIn(name string, domains []string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, least := time.Now(), time.Duration(0)
 	for _, e := range t.service(name).members.all {
-		if !e.acceptsRequests() {
+		if !e.inDomains(domains) || !e.acceptsRequests() {
 			continue
 		}
 		left := max(t.backoffs[e.server.ID].Sub(now), t.rateLimitWait(e.server.ID, now), t.rejectionPause(e, now))
--- a/fleet/backoff_test.go
+++ b/fleet/backoff_test.go
@@ -19,9 +19,10 @@
 		is.Equal(len(table.CandidatesFor(Query{Service: "llm", ForOthers: true})), 2)
 		is.Equal(table.Avoided("llm"), []string{"a"})
 		is.True(table.Begin("a", Work{ID: "1"}, false) == nil)
-		is.Equal(table.AcceptsIn("llm"), time.Duration(0)) // b has no backoff
+		is.Equal(table.AcceptsIn("llm", nil), time.Duration(0)) // b has no backoff
 		table.SetBackoff("b", time.Second)
-		is.Equal(table.AcceptsIn("llm"), time.Second)
+		is.Equal(table.AcceptsIn("llm", nil), time.Second)
+		is.Equal(table.AcceptsIn("llm", []string{}), time.Duration(0)) // no server
 		time.Sleep(2 * time.Second)
 		is.Equal(len(table.Candidates("llm", "d1")), 2)
 		is.True(table.Begin("a", Work{ID: "1"}, false) != nil)
--- a/fleet/brittle_test.go
+++ b/fleet/brittle_test.go
@@ -45,18 +45,18 @@
 		table := NewTable("h", zap.NewNop())
 		table.Put(Server{ID: "a", Service: "plain", Slots: 6})
 		table.RecordRejection("a", 10) // not brittle
-		is.Equal(table.AcceptsIn("plain"), time.Duration(0))
+		is.Equal(table.AcceptsIn("plain", nil), time.Duration(0))
 		table.SetBrittleness("a", Brittleness{Brittle: true, RejectsPerSecond: 4}, time.Now())
 		table.RecordRejection("a", 10)
-		is.Equal(table.AcceptsIn("plain"), 5*time.Second) // ten hosts cause two rejections a second
+		is.Equal(table.AcceptsIn("plain", nil), 5*time.Second) // ten hosts cause two rejections a second
 		is.True(table.Begin("a", Work{ID: "1"}, false) == nil)
 		is.Equal(len(table.Candidates("plain", "d")), 0)
 		time.Sleep(time.Second)
 		table.SetBrittleness("a", Brittleness{}, time.Now())
-		is.Equal(table.AcceptsIn("plain"), time.Duration(0))
+		is.Equal(table.AcceptsIn("plain", nil), time.Duration(0))
 		table.SetBrittleness("a", Brittleness{Brittle: true}, time.Now())
 		table.RecordRejection("a", 10) // bears none
-		is.Equal(table.AcceptsIn("plain"), maxRejectionPause)
+		is.Equal(table.AcceptsIn("plain", nil), maxRejectionPause)
 	})
 }
 
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -31,6 +31,11 @@
 	return t.CandidatesFor(Query{Service: name, Domain: domain, Except: except})
 }
 
+// inDomains reports whether the server is in one of the failure domains; nil: all.
+func (e *entry) inDomains(domains []string) bool {
+	return domains == nil || slices.Contains(domains, e.server.Domain)
+}
+
 // CandidatesFor returns the servers that match the query. Its cost grows with the
 // servers of the service in the share's failure domain.
 func (t *Table) CandidatesFor(q Query) []placement.Candidate {
@@ -42,7 +47,7 @@
 	s, now := t.service(q.Service), time.Now()
 	candidates := make([]placement.Candidate, 0, s.members.count(q.Share)/max(1, q.Share.Count))
 	for e := range s.members.in(q.Share) {
-		if q.Domains != nil && !slices.Contains(q.Domains, e.server.Domain) || !e.acceptsRequests() || now.Before(e.unavailableUntil) || slices.Contains(q.Except, e.server.ID) {
+		if !e.inDomains(q.Domains) || !e.acceptsRequests() || now.Before(e.unavailableUntil) || slices.Contains(q.Except, e.server.ID) {
 			continue
 		}
 		if !q.ForOthers && (t.inBackoff(e.server.ID, now) || t.rateLimitWait(e.server.ID, now) > 0 || t.rejectionPause(e, now) > 0) {
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,11 +58,19 @@
 // to its host list entry, its own reports and the evacuations.
 func (e *entry) acceptsRequests() bool { return e.acceptsWork() && !e.evacuated }
 
-// EvacuatedOnly reports whether a service has servers that accept work, and all
-// of them are in evacuated failure domains.
-func (t *Table) EvacuatedOnly(name string) bool {
+// EvacuatedOnly reports whether a service has servers that accept work in the given
+// failure domains (nil: all), and all of them are in evacuated ones.
+func (t *Table) EvacuatedOnly(name string, domains []string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	members := t.service(name).members.all
-	return slices.ContainsFunc(members, (*entry).acceptsWork) && !slices.ContainsFunc(members, (*entry).acceptsRequests)
+	found := false
+	for _, e := range t.service(name).members.all {
+		if e.inDomains(domains) && e.acceptsWork() {
+			if !e.evacuated {
+				return false
+			}
+			found = true
+		}
+	}
+	return found
 }
--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -38,13 +38,13 @@
 	table := newTable()
 	table.SetEvacuated("d1", true)
 	table.SetEvacuated("nowhere", true)
-	is.True(!table.EvacuatedOnly("llm"))
+	is.True(!table.EvacuatedOnly("llm", nil))
 	table.SetEvacuated("d2", true)
-	is.True(table.EvacuatedOnly("llm"))
-	is.True(!table.EvacuatedOnly("plain")) // has no servers
+	is.True(table.EvacuatedOnly("llm", nil))
+	is.True(!table.EvacuatedOnly("plain", nil)) // has no servers
 	is.Equal(len(table.Candidates("llm", "d1")), 0)
 	table.SetEvacuated("d2", false)
-	is.True(!table.EvacuatedOnly("llm"))
+	is.True(!table.EvacuatedOnly("llm", nil))
 }
 
 func TestReturnedDomainCountsAsCold(t *testing.T) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -87,10 +87,10 @@
 // one will accept requests again within the given wait.
 func (t *task) noCandidateReason(wait time.Duration) Reason {
 	table := t.gateway.options.Fleet
-	if table.EvacuatedOnly(t.service.Name) {
+	if table.EvacuatedOnly(t.service.Name, t.allowedDomains()) {
 		return ReasonEvacuated
 	}
-	switch rest := table.AcceptsIn(t.service.Name); {
+	switch rest := table.AcceptsIn(t.service.Name, t.allowedDomains()); {
 	case rest == 0:
 		return ReasonNoServer
 	case rest > wait:
@@ -132,7 +132,7 @@
 	}
 	switch reason {
 	case ReasonFull:
-		wait := min(t.gateway.options.Fleet.AcceptsIn(t.service.Name), retryFullMax)
+		wait := min(t.gateway.options.Fleet.AcceptsIn(t.service.Name, t.allowedDomains()), retryFullMax)
 		return refused(reason, max(retryFull, wait)+rand.N(retryFull))
 	case ReasonEvacuated:
 		return refused(reason, retryEvacuated)
--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -57,3 +58,40 @@
 		})
 	}
 }
+
+// Guards against restricted requests that wait, or are refused for the wrong reason, because
+// of servers in regions in which they may not be served.
+func TestServersElsewhereDoNotDecideWhyARequestIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		region string
+		p1, p2 string // in the north and in the south: "evacuated", "backoff" or "short backoff"
+		reason Reason
+	}{
+		{"south", "", "evacuated", ReasonEvacuated},
+		{"south", "", "backoff", ReasonFull},
+		{"west", "short backoff", "short backoff", ReasonNoServer},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is, w := is.New(t), newHarness()
+			w.gateway.options.RegionOf = func(domain string) string { return map[string]string{"d1": "north", "d2": "south"}[domain] }
+			w.fleet.Put(fleet.Server{ID: "p2", Service: "plain", Address: "p2:1", Domain: "d2", Slots: 6})
+			for id, state := range map[string]string{"p1": c.p1, "p2": c.p2} {
+				server, _ := w.fleet.Get(id)
+				switch state {
+				case "evacuated":
+					w.fleet.SetEvacuated(server.Domain, true)
+				case "backoff":
+					w.fleet.SetBackoff(id, 10*time.Second)
+				case "short backoff":
+					w.fleet.SetBackoff(id, 50*time.Millisecond)
+				}
+			}
+			w.gateway.Configuration().Route("h", "/read/1").Regions = []string{c.region}
+			began := time.Now()
+			o := w.serve("/read/1")
+			is.True(o.NotRun)
+			is.Equal(o.Reason, c.reason)
+			is.True(time.Since(began) < time.Millisecond)
+		})
+	}
+}
