--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -271,6 +271,23 @@
 	})
 }
 
+// Guards against crashes that accuse weakly because of a run that broke earlier, and whose
+// request waits for another server.
+func TestBrokenRunIsNoCompanyOfALaterCrash(t *testing.T) {
+	inBubble(t, func(is *is.I) {
+		table := newTable()
+		other, _ := table.Admit(Subject{Request: 100}, func() {})
+		other.Sending("i-1")
+		other.Broken("", "i-1", false, func(context.Context) bool { return true })
+		time.Sleep(2 * brokenTogether)
+		r := run(suspect, table.Mark(suspect), true)
+		r.Server, r.BrokenAt = "i-1", time.Now()
+		table.ReportCrash(r)
+		is.Equal(table.requests[suspect].Weak, uint32(0))
+		other.End()
+	})
+}
+
 // Guards against a request that crashes each server beside others, which run there for the
 // first time, and is sent to a third one.
 func TestRequestThatCrashesTwoServersBesideNewOnesIsQuarantined(t *testing.T) {
