fleet, quarantine: one count of hosts; names and layout of the change

No behaviour changes. The table of servers has the hosts that divide what servers accept, and callers gave it the number again: RecordRejection and queries for candidates now use its own. Two functions with the name hasCompany and different meaning, and a field whose comment said more than it held, are renamed; the beginnings of bystanders skip runs that wrote nothing.

--- a/fleet/brittle.go
+++ b/fleet/brittle.go
@@ -86,10 +86,9 @@
 }
 
 // RecordRejection records that a server rejected a request of this host for want of
-// room; hosts is the number of hosts that may send to it. A brittle server then gets no
-// request of this host for a time in which all hosts together cause no more rejections
-// than it bears.
-func (t *Table) RecordRejection(id string, hosts int) {
+// room. A brittle server then gets no request of this host for a time in which all hosts
+// together cause no more rejections than it bears.
+func (t *Table) RecordRejection(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.servers[id]
@@ -102,7 +101,7 @@
 	}
 	pause := maxRejectionPause
 	if said.RejectsPerSecond > 0 {
-		seconds := float64(max(1, hosts)) / (brittleShare * float64(said.RejectsPerSecond))
+		seconds := float64(t.sharers.Count()) / (brittleShare * float64(said.RejectsPerSecond))
 		pause = time.Duration(min(maxRejectionPause.Seconds(), seconds) * float64(time.Second))
 	}
 	if until := time.Now().Add(max(minRejectionPause, pause)); until.After(e.pausedUntil) {
--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -15,11 +15,9 @@
 	Domains []string // failure domains of the servers; nil: all
 	Except  []string // IDs of servers to leave out
 	// ForOthers is set if the query is on behalf of other hosts. Backoffs that
-	// servers requested from this host, and this host's shares of rate limits, are
+	// servers requested from this host, and this host's shares of what servers accept, are
 	// then ignored.
 	ForOthers bool
-	// Hosts is the number of hosts that may send requests to the servers.
-	Hosts int
 	// ColdShare is the share of a cold server's request rate that this host may
 	// use; zero: all of it.
 	ColdShare float64
@@ -45,6 +43,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, now := t.service(q.Service), time.Now()
+	hosts := 1
+	if !q.ForOthers {
+		hosts = t.sharers.Count()
+	}
 	candidates := make([]placement.Candidate, 0, s.members.count(q.Share)/max(1, q.Share.Count))
 	for e := range s.members.in(q.Share) {
 		if !e.inDomains(q.Domains) || !e.acceptsRequests() || now.Before(e.unavailableUntil) || slices.Contains(q.Except, e.server.ID) {
@@ -56,7 +58,7 @@
 		c := t.candidate(e, s, q.Domain, now)
 		if limit := t.queueLimit(e, now); limit >= 0 {
 			c.QueueLimited, c.QueueLimit = true, limit
-			c.AtOwnShare = c.MemoryTokens == 0 && q.Hosts > 1 && e.atOwnShare(c.Slots+limit, q.Hosts, now)
+			c.AtOwnShare = c.MemoryTokens == 0 && hosts > 1 && e.atOwnShare(c.Slots+limit, hosts, now)
 		}
 		c.AtColdLimit = s.coldRate > 0 && c.SlowStart && e.coldFull(t.host, s.coldRate*q.ColdShare, now)
 		candidates = append(candidates, c)
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -19,8 +19,7 @@
 	Allowance float64
 	// Window is the period over which the operator counts requests and retries.
 	Window time.Duration
-	// Hosts returns the number of entry hosts that share the allowance, and what servers
-	// accept.
+	// Hosts returns the number of entry hosts that share the allowance.
 	Hosts func() int
 
 	mu       sync.Mutex // guards all below
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -180,7 +180,7 @@
 		t.gateway.options.Fleet.SetBrittleness(server.ID, *reply.Brittleness, sent)
 	}
 	if reply.NotRun && !reply.WrongServer && reply.Status == http.StatusServiceUnavailable {
-		t.gateway.options.Fleet.RecordRejection(server.ID, t.gateway.options.Budget.Hosts())
+		t.gateway.options.Fleet.RecordRejection(server.ID)
 	}
 	switch {
 	case reply.WrongServer:
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -41,9 +41,10 @@
 	w.gateway = New(Options{
 		Domain: "d1", Fleet: w.fleet, Backend: w, Allocator: w, Logger: zap.NewNop(), Limits: placement.DefaultLimits,
 		Quarantine: quarantine.NewTable(zap.NewNop(), prometheus.NewRegistry()),
-		Budget:     &Budget{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second, Hosts: func() int { return 7 }},
+		Budget:     &Budget{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second, Hosts: w.fleet.Sharers().Count},
 		Confirm:    func(context.Context) bool { return w.configurationConfirmed }, OtherHostsAvailable: func() bool { return !w.noOtherHosts }, Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
+	w.fleet.SetHosts([]string{"me", "h2", "h3", "h4", "h5", "h6", "h7"})
 	w.put("e1", "llm")
 	w.put("e2", "llm")
 	w.put("p1", "plain")
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -103,10 +103,9 @@
 // share of the request rate that cold servers of plain services accept;
 // generations are placed by the allocator.
 func (t *task) candidateQuery() fleet.Query {
-	hosts := max(1, t.gateway.options.Budget.Hosts())
-	q := fleet.Query{Service: t.service.Name, Domain: t.gateway.options.Domain, Domains: t.allowedDomains(), Except: t.tried, Hosts: hosts}
+	q := fleet.Query{Service: t.service.Name, Domain: t.gateway.options.Domain, Domains: t.allowedDomains(), Except: t.tried}
 	if t.service.ColdRate > 0 {
-		q.ColdShare = 1 / float64(hosts)
+		q.ColdShare = 1 / float64(t.gateway.options.Fleet.Sharers().Count())
 	}
 	return q
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -92,11 +92,12 @@
 	n.mergeRateLimits(request.GetRateLimits())
 	n.mergeColdServers(request.GetColdServers())
 	return &peerpb.SyncResponse{
-		From:       n.table.localMember().toProto(),
-		Members:    membersToProto(n.missingMembers(request.GetHave())),
-		Leaving:    leavingToProto(n.leaving.list(time.Now())),
-		Suspects:   quarantineToProto(n.options.Quarantine.All()),
-		RateLimits: rateLimitsToProto(n.options.RateLimits.RateLimits()), ColdServers: coldServersToProto(n.options.ColdServers.ColdServers()),
+		From:        n.table.localMember().toProto(),
+		Members:     membersToProto(n.missingMembers(request.GetHave())),
+		Leaving:     leavingToProto(n.leaving.list(time.Now())),
+		Suspects:    quarantineToProto(n.options.Quarantine.All()),
+		RateLimits:  rateLimitsToProto(n.options.RateLimits.RateLimits()),
+		ColdServers: coldServersToProto(n.options.ColdServers.ColdServers()),
 	}, nil
 }
 
--- a/quarantine/company.go
+++ b/quarantine/company.go
@@ -53,7 +53,7 @@
 		if now.Sub(c.at) > acquittalPeriod || known == nil || !known.Quarantined() || known.Crashes > crashThreshold {
 			return true
 		}
-		if !t.parts.hasCompany(c) {
+		if !t.parts.sharedBoth(c) {
 			return false
 		}
 		t.logger.Info(msgAcquitted, fingerprintField(c.request), zap.Uint32("in_a_row", known.Crashes))
@@ -62,9 +62,9 @@
 	})
 }
 
-// hasCompany reports whether another request was on both servers of a conviction when they
+// sharedBoth reports whether another request was on both servers of a conviction when they
 // crashed.
-func (e *partEvidence) hasCompany(c conviction) bool {
+func (e *partEvidence) sharedBoth(c conviction) bool {
 	others := func(server uint64) (requests []uint64) {
 		for _, crash := range e.crashes {
 			if crash.server != server {
--- a/quarantine/review.go
+++ b/quarantine/review.go
@@ -21,7 +21,7 @@
 	accusations map[uint64][]accusation
 	suspicions  map[uint64]suspicion  // of the accused parts, once they were needed
 	quarantined func(id uint64) bool  // of a part or a request
-	passes      map[uint64]time.Time  // by part: the last pass, or when a bystander of a crash began at the earliest
+	bystanders  map[uint64]time.Time  // see beginningsOfBystanders
 	latest      *review               // see newest; nil: not needed yet
 	explained   map[int][]*crashedRun // by crash: runs that are quarantined, or have a part that is
 }
@@ -30,7 +30,7 @@
 func (e *partEvidence) reviewUntil(until time.Time, quarantined func(id uint64) bool) *review {
 	r := &review{
 		evidence: e, accusations: map[uint64][]accusation{}, suspicions: map[uint64]suspicion{},
-		quarantined: quarantined, explained: map[int][]*crashedRun{}, passes: e.passesOfBystanders(),
+		quarantined: quarantined, explained: map[int][]*crashedRun{}, bystanders: e.beginningsOfBystanders(),
 	}
 	for crash, c := range e.crashes {
 		if c.at.After(until) {
@@ -59,16 +59,17 @@
 // passed returns when a run with a part last began to write and went on; zero: never.
 func (r *review) passed(part uint64) time.Time {
 	passed, _ := r.evidence.passes.Peek(part)
-	if began := r.passes[part]; began.After(passed) {
+	if began := r.bystanders[part]; began.After(passed) {
 		return began
 	}
 	return passed
 }
 
-// passesOfBystanders returns when the last run with a part that had written an event, on a
-// server that crashed under another run, began to write at the earliest.
-func (e *partEvidence) passesOfBystanders() map[uint64]time.Time {
-	passes := map[uint64]time.Time{}
+// beginningsOfBystanders returns, by part, when the last bystander with the part began to
+// write at the earliest: a run that had written an event on a server which crashed under
+// another run.
+func (e *partEvidence) beginningsOfBystanders() map[uint64]time.Time {
+	beginnings := map[uint64]time.Time{}
 	for _, c := range e.crashes {
 		accused := func(part uint64) bool {
 			return slices.ContainsFunc(c.runs, func(run *crashedRun) bool { return run.Answering && slices.Contains(run.Parts, part) })
@@ -77,14 +78,17 @@
 			continue
 		}
 		for _, run := range c.runs {
+			if !run.Begun {
+				continue
+			}
 			for _, part := range run.Parts {
-				if began := run.at.Add(-beginWindow); run.Begun && began.After(passes[part]) && !accused(part) {
-					passes[part] = began
+				if began := run.at.Add(-beginWindow); began.After(beginnings[part]) && !accused(part) {
+					beginnings[part] = began
 				}
 			}
 		}
 	}
-	return passes
+	return beginnings
 }
 
 // blamed returns the parts that are to be blamed for crashes and are not quarantined yet:
--- a/tunnel/helpers.go
+++ b/tunnel/helpers.go
@@ -45,8 +45,8 @@
 
 // choose returns up to count hosts in the order in which to ask them for a tunnel to a
 // server of a service: those that have not failed to help lately first, near ones before
-// the others, and leaving ones, whose tunnels may be cut off, after these. The second one is of another failure domain than the first: all hosts of a
-// domain may be cut off.
+// the others, and leaving ones, whose tunnels may be cut off, after these. The second one is
+// of another failure domain than the first: all hosts of a domain may be cut off.
 func (h *helpers) choose(service string, count int) []string {
 	hosts := h.liveOthers()
 	h.mu.Lock()
