review/2: hosts miss a leaving worker when the watching hosts lose power

Only one host of each failure domain watches the store. With these three dark, the other hosts learn of a change to a plain worker's entry 2.4 to 5.4 s after the store acknowledged it; drainMs is 2 s.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,7 +16,8 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) int{
-	"endless-line": endlessLine,
+	"endless-line":  endlessLine,
+	"watchers-dark": watchersDark,
 }
 
 func main() {
