--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/papayasaild ] && [ -x review/bin/harness ] || exit 2
-exec review/bin/harness watches-cut review/3/record.txt
+exec review/bin/harness watchers-dark review/3/record.txt
