--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(w *world, trouble bool) int{
 	"endless-line":  endlessLine,
 	"watchers-dark": watchersDark,
+	"turned-away":   watchersTurnedAway,
 }
 
 func main() {
