--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -53,8 +53,8 @@
 	}
 	seen := outcome{kept: c.used > 0}
 	_ = c.conn.SetDeadline(until)
-	head := fmt.Sprintf("POST /write/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
-		id, deadline.Milliseconds(), c.key, len(body))
+	head := fmt.Sprintf("POST /write/x HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
+		wire.Attempt, id, wire.Deadline, deadline.Milliseconds(), c.key, len(body))
 	response, err := c.exchange(head, body)
 	if err != nil {
 		seen.closed, seen.detail = !errors.Is(err, os.ErrDeadlineExceeded), err.Error()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -49,14 +49,14 @@
 // the limits of the small deployment.
 func configuration(version int, keys ...string) map[string]any {
 	route := func(name, kind, service string, timeout, goal, attempts int) map[string]any {
-		return map[string]any{"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "type": kind, "timeoutMs": timeout, "goalMs": goal,
+		return map[string]any{"name": name, "host": "h.example", wire.Prefix: "/" + name + "/", "type": kind, "timeoutMs": timeout, "goalMs": goal,
 			"service": service, "attempts": attempts, "priority": 1}
 	}
 	return map[string]any{
 		"version": version,
 		"routes":  []any{route("read", "safe", "plain", 1500, 300, 2), route("write", "unsafe", "plain", 1500, 300, 1), route("letter", "stream", "llm", 39000, 1800, 1)},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "org-1", "apiKeys": keys}},
+		"tenants": []any{map[string]any{"name": "org-1", wire.Keys: keys}},
 		"services": []any{
 			map[string]any{"name": "plain", "maxConns": 100, "healthPath": "/healthz"},
 			map[string]any{"name": "llm", "maxConns": 272, "healthPath": "/healthz", "engine": map[string]any{"kvCapacity": kvCapacity, "kvTokenBytes": 18432, "linkMbps": 2700, "moves": true, "stride": 4}},
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -57,12 +58,12 @@
 	if k.leaving {
 		state = "draining"
 	}
-	return map[string]any{"service": k.service, "addr": k.addr, "zone": k.zone, "version": "v1", "slots": slots, "state": state, "seq": 1, "coldLeftMs": 0}
+	return map[string]any{"service": k.service, "addr": k.addr, "zone": k.zone, "version": "v1", "slots": slots, "state": state, "seq": 1, wire.Cold: 0}
 }
 
 // ServeHTTP implements http.Handler.
 func (k *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	rw.Header().Set("X-Server-Load", "1,0,"+strconv.Itoa(slots))
+	rw.Header().Set(wire.Load, "1,0,"+strconv.Itoa(slots))
 	if k.isLeaving() {
 		rw.Header().Set("Server-Leaving", "1")
 	}
@@ -77,17 +78,17 @@
 		k.report(rw)
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(wire.Attempt)
 	if id == "" {
 		rw.WriteHeader(http.StatusNotFound) // a control call: this is no model worker
 		return
 	}
-	rw.Header().Set("X-Attempt-Id", id)
+	rw.Header().Set(wire.Attempt, id)
 	rw.Header().Set("Keep-Alive", "timeout=5")
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	if r.Header.Get("X-Expect-Instance") != k.id {
+	if r.Header.Get(wire.Expect) != k.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -101,7 +102,7 @@
 		k.sendGarbage(rw, id)
 		return
 	}
-	rw.Header().Set("X-Server-Stamp", "stamp."+id)
+	rw.Header().Set(wire.Stamp, "stamp."+id)
 	fmt.Fprintf(rw, "done %s", id)
 }
 
@@ -112,7 +113,10 @@
 		state = "draining"
 	}
 	rw.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(rw, `{"phase":"mixed","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":1,"queued":0,"active":0,"kvUsed":0,"kvTotal":%d,"kvHandles":0,"state":%q,"runs":[]}`, kvCapacity, state)
+	_ = json.NewEncoder(rw).Encode(map[string]any{ // the caller may be gone
+		"phase": "mixed", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "seq": 1, "queued": 0, "active": 0,
+		"kvUsed": 0, "kvTotal": kvCapacity, wire.Copies: 0, "state": state, "runs": []any{},
+	})
 }
 
 // recordRun records that a request begins to run, and decides whether its answer is garbled.
