platform, gateway, backend: what is read of answers is bounded

Callers saw: requests that sound servers were running ended with a closed connection, since the host had been killed for its memory.

Cause: http.ReadResponse collects a line, and a head, of any length, and the clients of backend servers called it on the bare connection. The record of the case shows each kill about 0.7 s after a garbled answer began; the process grew by the bytes sent, so they were in use and the soft memory limit could not help. On related paths: the loop over interim answers (1xx) of package backend had no bound, and bodies were bounded one by one but not together. net/http itself bounds trailers and chunk extensions; a test holds that.

Change: heads end after 32 KiB and interim answers after eight, for both clients. An answer that was given up for its size is no evidence of a crash. Heads of the store's answers and headers between hosts are bounded as well.

--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -138,6 +138,9 @@
 		"truncated body":          {strings.Replace(completeResponse, "Length: 2", "Length: 9", 1), Broken},
 		"no length or chunking":   {strings.Replace(completeResponse, "Content-Length: 2\r\n", "", 1), Broken},
 		"over the size limit":     {strings.Replace(completeResponse, "Length: 2", "Length: 99999999", 1) + strings.Repeat("x", 9<<20), Broken},
+		"line without end":        {"HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", 9<<20), Mismatch},
+		"header without end":      {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: b\r\n", 1<<20), Mismatch},
+		"interim without end":     {strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1<<10) + completeResponse, Mismatch},
 		"refused and did not run": {"HTTP/1.1 503 X\r\nX-Request-Id: ID\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n", RefusedNotRun},
 		"refusal for another id":  {"HTTP/1.1 503 X\r\nX-Request-Id: other\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n", Mismatch},
 	}
--- a/backend/clientconn.go
+++ b/backend/clientconn.go
@@ -1,12 +1,12 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/papayasail/papayasail/internal/answerhead"
 	"github.com/papayasail/papayasail/link"
 )
 
@@ -15,7 +15,7 @@
 type serverConn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	reader  *answerhead.Reader
 	written int64 // bytes of the current exchange that were written to the link
 	// writeErr is the error of the last write. If a write fails in the middle
 	// of a body, net/http returns an error that does not unwrap to it.
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, &CallError{Evidence: NothingSent, Err: err}
 	}
-	return &serverConn{Conn: conn, address: address, reader: bufio.NewReader(conn)}, nil
+	return &serverConn{Conn: conn, address: address, reader: answerhead.NewReader(conn)}, nil
 }
 
 // idleConns is a pool of idle connections whose last exchange completed.
--- a/backend/clientexchange.go
+++ b/backend/clientexchange.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/papayasail/papayasail/internal/answerhead"
 )
 
 var (
@@ -144,16 +146,12 @@
 	if err := request.Write(x.conn); err != nil {
 		return errors.Wrap(err, "write")
 	}
-	for {
-		response, err := http.ReadResponse(x.conn.reader, request)
-		if err != nil {
-			return errors.Wrap(err, "read")
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			x.response = response
-			return nil
-		}
+	response, err := x.conn.reader.ReadResponse(request)
+	if err != nil {
+		return errors.Wrap(err, "read")
 	}
+	x.response = response
+	return nil
 }
 
 // checkFraming rejects a close-delimited response unless its body shows that it is whole:
@@ -197,6 +195,8 @@
 	switch {
 	case x.conn.written == 0:
 		failed.Evidence = NothingSent
+	case errors.IsAny(err, answerhead.ErrTooLarge, answerhead.ErrTooManyInterim):
+		failed.Evidence = Mismatch
 	case isTimeout(err) || isTimeout(x.conn.writeErr) || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failed.Evidence = Silent
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -10,6 +10,7 @@
 
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/internal/bytebudget"
 	"github.com/papayasail/papayasail/link"
 )
 
@@ -26,8 +27,6 @@
 	firstAttemptDivisor = 2
 )
 
-var errAnswerTooLarge = errors.New("gateway: answer too large")
-
 // attempt is the result of sending a request to one server.
 type attempt struct {
 	outcome Outcome
@@ -148,13 +147,10 @@
 
 // readAnswer reads the whole body of an answer. The error says why it is not whole.
 func (t *task) readAnswer(ctx context.Context, work *fleet.Work, reply *Reply) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
+	body, err := t.memory.ReadAll(reply.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, errAnswerTooLarge
-	}
 	return body, t.confirmEnd(ctx, work, reply)
 }
 
@@ -162,11 +158,17 @@
 func (t *task) recordBrokenAnswer(ctx context.Context, work *fleet.Work, err error) {
 	t.failure = err
 	t.gateway.blame(work.Server(), func() { work.Outcome(true) })
-	if ctx.Err() == nil && !errors.Is(err, errAnswerTooLarge) {
+	if ctx.Err() == nil && !isOversized(err) {
 		t.reportSuspectedCrash(work)
 	}
 }
 
+// isOversized reports whether an answer or an event was given up because of its size: that its
+// connection ended is no evidence of a crash.
+func isOversized(err error) bool {
+	return errors.IsAny(err, bytebudget.ErrTooLarge, bytebudget.ErrExhausted, errEventTooLarge, bufio.ErrBufferFull)
+}
+
 // attemptContext bounds one attempt. Only an idempotent request with another
 // attempt left gets a shorter timeout: ending any other request early gains
 // nothing, because it may not be sent again.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/papayasail/papayasail/internal/bytebudget"
 )
 
 // maxEventBytes is the maximum size of one event.
@@ -21,7 +23,8 @@
 // server that resumes the stream, or an end that looks regular.
 type eventReader struct {
 	reader *bufio.Reader
-	block  bytes.Buffer
+	memory *bytebudget.Account // of block
+	block  []byte
 }
 
 // event is one event as received from the server, including its blank line.
@@ -33,35 +36,49 @@
 // next returns the next whole event. If the stream ends between events, it returns
 // the remaining bytes, if any, and io.EOF; if it ends inside one, errPartialEvent.
 // For an event over maxEventBytes it returns errEventTooLarge, or bufio.ErrBufferFull
-// if one line reaches the limit.
+// if one line reaches the limit, and bytebudget.ErrExhausted if there is no memory for
+// it.
 func (r *eventReader) next() (event, error) {
-	r.block.Reset()
+	r.reset()
 	id := ""
 	for {
 		line, err := r.reader.ReadSlice('\n')
-		r.block.Write(line)
-		if errors.Is(err, bufio.ErrBufferFull) && r.block.Len() < maxEventBytes {
+		block, full := r.memory.Append(r.block, line)
+		if full != nil {
+			return event{}, full
+		}
+		r.block = block
+		if errors.Is(err, bufio.ErrBufferFull) && len(r.block) < maxEventBytes {
 			continue
 		}
-		if errors.Is(err, io.EOF) && !betweenEvents(r.block.Bytes()) {
+		if errors.Is(err, io.EOF) && !betweenEvents(r.block) {
 			err = errPartialEvent
 		}
 		if err != nil {
-			return event{block: r.block.Bytes(), id: id}, err
+			return event{block: r.block, id: id}, err
 		}
-		if r.block.Len() > maxEventBytes {
+		if len(r.block) > maxEventBytes {
 			return event{}, errEventTooLarge
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
-		if len(line) == 0 && r.block.Len() > 2 {
-			return event{block: r.block.Bytes(), id: id}, nil
+		if len(line) == 0 && len(r.block) > 2 {
+			return event{block: r.block, id: id}, nil
 		}
 	}
 }
 
+// reset empties the block. The memory of a large one is not kept for later events.
+func (r *eventReader) reset() {
+	if cap(r.block) > bytebudget.FreeBytes {
+		r.memory.Discard(r.block)
+		r.block = nil
+	}
+	r.block = r.block[:0]
+}
+
 // betweenEvents reports whether a stream that ends with these bytes, which follow an
 // event or its beginning, ends between two events: only empty lines and comments follow
 // the last event.
@@ -80,6 +97,6 @@
 	return true
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10)}
+func newEventReader(body io.Reader, memory *bytebudget.Account) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10), memory: memory}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,8 @@
 
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/internal/bytebudget"
+	"github.com/papayasail/papayasail/internal/defaults"
 	"github.com/papayasail/papayasail/placement"
 	"github.com/papayasail/papayasail/quarantine"
 )
@@ -33,6 +35,8 @@
 	// another server has the address, or the configuration may be stale.
 	// Replacing a server takes about one second.
 	retryNoServer = 500 * time.Millisecond
+	// defaultAnswerMemory is the default of Options.AnswerMemory.
+	defaultAnswerMemory = 32 << 20
 )
 
 // Options configures a Gateway. All fields but RegionOf and PathLost are required.
@@ -60,7 +64,10 @@
 	PathLost func(ctx context.Context, address string) bool
 	// OtherHostsAvailable reports whether another entry host accepts requests.
 	OtherHostsAvailable func() bool
-	Metrics             *Metrics
+	// AnswerMemory bounds the memory of all answers and events that are buffered at a time,
+	// in bytes; zero: defaultAnswerMemory.
+	AnswerMemory int64
+	Metrics      *Metrics
 }
 
 // Gateway serves requests. All methods may be called from any goroutine.
@@ -75,11 +82,13 @@
 	stopOnce      sync.Once
 	checks        pathChecks
 	retries       *retries
+	answers       *bytebudget.Budget // memory of answers and events
 }
 
 // New returns a gateway without a configuration.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, stopping: make(chan struct{}), retries: newRetries()}
+	defaults.Set(&options.AnswerMemory, defaultAnswerMemory)
+	return &Gateway{options: options, stopping: make(chan struct{}), retries: newRetries(), answers: bytebudget.New(options.AnswerMemory)}
 }
 
 // SetConfiguration puts a configuration in force for new requests.
@@ -181,19 +190,25 @@
 	moves         int
 	firstEvent    time.Duration // from arrival
 	lastEvent     time.Time
-	longestPause  time.Duration // between events
-	pausedAt      time.Duration // end of the longest pause, from arrival
-	written       time.Time     // when the last event was written to the caller
-	serverPause   time.Duration // longest time that the server let this host wait for an event
-	gapRecorded   bool          // the gap goal was recorded as kept or missed
+	longestPause  time.Duration       // between events
+	pausedAt      time.Duration       // end of the longest pause, from arrival
+	written       time.Time           // when the last event was written to the caller
+	serverPause   time.Duration       // longest time that the server let this host wait for an event
+	gapRecorded   bool                // the gap goal was recorded as kept or missed
+	memory        *bytebudget.Account // of the answers read
 }
 
 // Serve serves one request. The context must be cancelled when the caller
-// disconnects.
+// disconnects. The caller must call Release of the outcome.
 func (g *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
-	t := &task{gateway: g, request: request, configuration: g.configuration.Load()}
+	t := &task{gateway: g, request: request, configuration: g.configuration.Load(), memory: g.answers.NewAccount()}
 	outcome := t.serve(ctx, sink)
 	t.log(outcome)
+	if outcome.Body == nil {
+		t.memory.Release()
+	} else {
+		outcome.memory = t.memory
+	}
 	return outcome
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/papayasail/papayasail/internal/bytebudget"
 	"github.com/papayasail/papayasail/placement"
 )
 
@@ -119,6 +121,15 @@
 	// NotRun guarantees that no server has run or will run the request.
 	NotRun     bool
 	RetryAfter time.Duration
+
+	memory *bytebudget.Account // of Body; nil: none
+}
+
+// Release ends the use of Body, whose memory then counts as free.
+func (o *Outcome) Release() {
+	if o.memory != nil {
+		o.memory.Release()
+	}
 }
 
 // refused returns the outcome of a request that has not run and will not run;
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,7 +140,8 @@
 // ended between events, errCallerGone, or the reason why it broke off, such as an event
 // that is too large.
 func (t *task) relayEvents(ctx context.Context, sink Sink, run *run, reply *Reply) error {
-	events := newEventReader(reply.Body)
+	events := newEventReader(reply.Body, t.memory)
+	defer events.reset()
 	for {
 		next, err := events.next()
 		ended := errors.Is(err, io.EOF)
@@ -268,7 +269,9 @@
 		o.Reason = ReasonMoveFailed
 	default:
 		t.gateway.blame(run.server(), func() { run.recordOutcome(true) })
-		t.reportSuspectedCrash(run.currentWork())
+		if !isOversized(t.failure) {
+			t.reportSuspectedCrash(run.currentWork())
+		}
 	}
 	return o
 }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/internal/bytebudget"
 )
 
 const gap = 40 * time.Millisecond
@@ -314,7 +315,7 @@
 func TestEventReaderReturnsWholeEvents(t *testing.T) {
 	is := is.New(t)
 	long := "id: 2\ndata: " + strings.Repeat("x", 9000) + "\n\n"
-	r := newEventReader(strings.NewReader("x-versions: 3\nid: 1\ndata: a\n\n" + long + "data: no id\r\n\r\nrest"))
+	r := newEventReader(strings.NewReader("x-versions: 3\nid: 1\ndata: a\n\n"+long+"data: no id\r\n\r\nrest"), bytebudget.New(1<<20).NewAccount())
 	first, err := r.next()
 	is.NoErr(err)
 	is.Equal(first.id, "1")
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -109,7 +109,7 @@
 	Handler http.Handler
 }
 
-// Options configure a Host. All fields but Region are required.
+// Options configure a Host. All fields but Region and AnswerMemory are required.
 type Options struct {
 	Name          string
 	Domain        string // failure domain
@@ -131,6 +131,8 @@
 	// ListChangedSlack is how long after a store failure entries of live servers
 	// may be missing from the store.
 	ListChangedSlack time.Duration
+	// AnswerMemory bounds the memory of buffered answers; see [gateway.Options].
+	AnswerMemory int64
 	// StopGrace is the time from the stop signal until the process is killed.
 	StopGrace  time.Duration
 	Logger     *zap.Logger
@@ -218,7 +220,8 @@
 		Domain: o.Domain, RegionOf: h.regionOf, Fleet: h.fleet, Backend: h.backend, Allocator: h.allocation, Quarantine: h.quarantine, Logger: o.Logger,
 		Limits: placement.DefaultLimits, FailedCalls: h.failedCalls,
 		Budget:  &gateway.Budget{Ratio: o.RepeatRatio, Allowance: o.RepeatAllowance, Window: o.RepeatWindow, Hosts: h.fleet.Sharers().Count},
-		Confirm: h.confirm, PathLost: h.paths.Lost, OtherHostsAvailable: h.hasLivePeers, Metrics: gateway.NewMetrics(o.Registerer),
+		Confirm: h.confirm, PathLost: h.paths.Lost, OtherHostsAvailable: h.hasLivePeers, AnswerMemory: o.AnswerMemory,
+		Metrics: gateway.NewMetrics(o.Registerer),
 	})
 	return h
 }
--- /dev/null
+++ b/internal/answerhead/answerhead.go
@@ -0,0 +1,87 @@
+// Package answerhead reads the heads of HTTP answers with a bound on their size:
+// net/http collects a line, and a head, of any length.
+package answerhead
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxBytes is the maximum size of a head. A reader may accept up to its buffer more.
+	MaxBytes = 32 << 10
+	// MaxInterim is the maximum number of interim answers (1xx) before an answer.
+	MaxInterim = 8
+)
+
+var (
+	// ErrTooLarge means that a head did not end within MaxBytes.
+	ErrTooLarge = errors.New("answerhead: head of answer is too large")
+	// ErrTooManyInterim means that more than MaxInterim interim answers arrived.
+	ErrTooManyInterim = errors.New("answerhead: too many interim answers")
+)
+
+// Reader reads answers from a connection. Heads are read with ReadResponse, bodies
+// through the response.
+type Reader struct {
+	*bufio.Reader
+	source *source
+}
+
+// NewReader returns a Reader of the answers that arrive on a connection.
+func NewReader(connection io.Reader) *Reader {
+	s := &source{reader: connection}
+	return &Reader{Reader: bufio.NewReader(s), source: s}
+}
+
+// ReadResponse reads the head of the final answer to request and skips interim
+// answers. Errors: those of http.ReadResponse, ErrTooLarge, ErrTooManyInterim. After
+// an error the connection must be closed.
+func (r *Reader) ReadResponse(request *http.Request) (*http.Response, error) {
+	for range MaxInterim + 1 {
+		response, err := r.readHead(request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+	return nil, ErrTooManyInterim
+}
+
+func (r *Reader) readHead(request *http.Request) (*http.Response, error) {
+	r.source.bounded, r.source.left = true, MaxBytes-r.Buffered()
+	defer func() { r.source.bounded = false }()
+	response, err := http.ReadResponse(r.Reader, request)
+	if r.source.exceeded {
+		return nil, errors.CombineErrors(ErrTooLarge, err) // net/http may hide the error of the source
+	}
+	return response, err
+}
+
+// source is the connection below the buffer of a Reader. While a head is read, it
+// fails after the bytes left.
+type source struct {
+	reader   io.Reader
+	bounded  bool
+	left     int
+	exceeded bool
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	if !s.bounded {
+		return s.reader.Read(p)
+	}
+	if s.left <= 0 {
+		s.exceeded = true
+		return 0, ErrTooLarge
+	}
+	n, err := s.reader.Read(p[:min(len(p), s.left)])
+	s.left -= n
+	return n, err
+}
--- /dev/null
+++ b/internal/answerhead/answerhead_test.go
@@ -0,0 +1,106 @@
+package answerhead
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// endless repeats a text without an end and counts the bytes read.
+type endless struct {
+	text string
+	read int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = e.text[(e.read+i)%len(e.text)]
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+// distinctLines returns lines of a head with different names.
+func distinctLines(count int) string {
+	var text strings.Builder
+	for i := range count {
+		fmt.Fprintf(&text, "a%x:\r\n", i)
+	}
+	return text.String()
+}
+
+func request() *http.Request { return &http.Request{Method: http.MethodPost} }
+
+// Guards against a server whose answer has no end of a line, of a head or of interim
+// answers: the host would read until it is over its memory limit.
+func TestEndlessHeadEndsAtTheLimit(t *testing.T) {
+	const maxAllocated = 2 << 20 // for one head
+	for name, c := range map[string]struct{ start, repeated string }{
+		"status line":       {"", "\x00"},
+		"line":              {"HTTP/1.1 200 OK\r\nX-A: ", "a"},
+		"same short lines":  {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+		"other short lines": {"HTTP/1.1 200 OK\r\n", distinctLines(2 * MaxBytes / 8)},
+		"interim answers":   {"", "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rest := &endless{text: c.repeated}
+			reader := NewReader(io.MultiReader(strings.NewReader(c.start), rest))
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := reader.ReadResponse(request())
+			runtime.ReadMemStats(&after)
+			is.True(errors.Is(err, ErrTooLarge) || errors.Is(err, ErrTooManyInterim))
+			is.True(rest.read <= MaxBytes+4096)
+			is.True(after.TotalAlloc-before.TotalAlloc <= maxAllocated)
+			t.Logf("allocated %d KB", (after.TotalAlloc-before.TotalAlloc)>>10)
+		})
+	}
+}
+
+// Guards against the bound of a head applying to the body, or to the next answer.
+func TestBodiesAndLaterHeadsAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("b", 4*MaxBytes)
+	one := fmt.Sprintf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	reader := NewReader(strings.NewReader(one + one))
+	for range 2 {
+		response, err := reader.ReadResponse(request())
+		is.NoErr(err)
+		read, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(read), body)
+	}
+}
+
+// Guards against trailers and chunk extensions without an end, after a good head.
+func TestEndlessTrailersAndChunkExtensionsEnd(t *testing.T) {
+	for name, start := range map[string]string{"trailer": "0\r\nX-A: ", "chunk extension": "1;", "chunk length": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rest := &endless{text: "a"}
+			reader := NewReader(io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+start), rest))
+			response, err := reader.ReadResponse(request())
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, response.Body)
+			is.True(err != nil)
+			is.True(rest.read <= MaxBytes)
+		})
+	}
+	t.Run("short trailers", func(t *testing.T) {
+		is := is.New(t)
+		rest := &endless{text: "X-A: b\r\n"}
+		reader := NewReader(io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"), rest))
+		response, err := reader.ReadResponse(request())
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.True(err != nil)
+		is.True(rest.read <= MaxBytes)
+	})
+}
--- /dev/null
+++ b/internal/bytebudget/bytebudget.go
@@ -0,0 +1,138 @@
+// Package bytebudget bounds the memory of all bodies that a process buffers at a time.
+package bytebudget
+
+import (
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// FreeBytes is what each holder may use without a reservation.
+	FreeBytes = 32 << 10
+	// firstBytes is the size of the first buffer of ReadAll.
+	firstBytes = 512
+)
+
+var (
+	// ErrTooLarge means that a body is over its own limit.
+	ErrTooLarge = errors.New("bytebudget: body is too large")
+	// ErrExhausted means that a body is over its share of what the others leave.
+	ErrExhausted = errors.New("bytebudget: body is over its share of the memory for bodies")
+)
+
+// Budget is memory shared by the holders of accounts. All methods may be called from
+// any goroutine.
+//
+// An account may hold at most as much as remains unreserved. So a few bodies without an
+// end use up their shares and fail, while smaller ones are still read.
+type Budget struct {
+	mu   sync.Mutex // guards free
+	free int64
+}
+
+// New returns a budget of the given number of bytes.
+func New(bytes int64) *Budget { return &Budget{free: bytes} }
+
+// Free returns the bytes that are not reserved.
+func (b *Budget) Free() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.free
+}
+
+// Account is what one holder has reserved of a budget. It must not be used by several
+// goroutines at a time. The zero value is not valid.
+type Account struct {
+	budget *Budget
+	held   int64 // bytes
+}
+
+// NewAccount returns an account without a reservation. Its holder must call Release.
+func (b *Budget) NewAccount() *Account { return &Account{budget: b} }
+
+// Reserve reserves more bytes. It returns ErrExhausted if the account would then hold
+// more than remains.
+func (a *Account) Reserve(bytes int64) error {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.held+bytes > a.budget.free-bytes {
+		return ErrExhausted
+	}
+	a.budget.free -= bytes
+	a.held += bytes
+	return nil
+}
+
+// Release returns what the account holds to the budget.
+func (a *Account) Release() { a.giveBack(a.held) }
+
+func (a *Account) giveBack(bytes int64) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.budget.free += bytes
+	a.held -= bytes
+}
+
+// ReadAll reads a body of at most limit bytes to its end. Errors: that of the reader,
+// ErrTooLarge, ErrExhausted. The account holds the memory of the body, also after an
+// error, until Release.
+func (a *Account) ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	buffer := make([]byte, 0, min(firstBytes, limit+1))
+	for {
+		if len(buffer) == cap(buffer) {
+			capacity := 2 * int64(cap(buffer))
+			if capacity >= limit {
+				capacity = limit + 1 // one byte more shows that the body is too large
+			}
+			larger, err := a.grow(buffer, capacity)
+			if err != nil {
+				return nil, err
+			}
+			buffer = larger
+		}
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		switch {
+		case int64(len(buffer)) > limit:
+			return nil, ErrTooLarge
+		case errors.Is(err, io.EOF):
+			return buffer, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// Append appends data to a buffer, which it replaces if it is full. Only a buffer that
+// Append returned, or nil, may be passed. Errors: ErrExhausted.
+func (a *Account) Append(buffer, data []byte) ([]byte, error) {
+	if needed := len(buffer) + len(data); needed > cap(buffer) {
+		larger, err := a.grow(buffer, int64(max(needed, 2*cap(buffer), firstBytes)))
+		if err != nil {
+			return nil, err
+		}
+		buffer = larger
+	}
+	return append(buffer, data...), nil
+}
+
+// Discard returns the memory of a buffer that Append returned and that is no longer used.
+func (a *Account) Discard(buffer []byte) {
+	if held := int64(cap(buffer)); held > FreeBytes {
+		a.giveBack(held)
+	}
+}
+
+// grow returns a copy of a buffer with the given capacity, in place of which it is used.
+func (a *Account) grow(buffer []byte, capacity int64) ([]byte, error) {
+	if capacity > FreeBytes {
+		if err := a.Reserve(capacity); err != nil {
+			return nil, err
+		}
+	}
+	larger := append(make([]byte, 0, capacity), buffer...)
+	a.Discard(buffer)
+	return larger, nil
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"os"
@@ -9,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/papayasail/papayasail/internal/answerhead"
 )
 
 // Endpoint identifies the remote process of a connection.
@@ -21,7 +22,7 @@
 // Conn is a connection for sequential exchanges of request and response.
 type Conn struct {
 	net.Conn
-	Reader        *bufio.Reader
+	Reader        *answerhead.Reader
 	to            Endpoint
 	written       int64
 	reuseDeadline time.Time     // not reused after this time
@@ -135,7 +136,7 @@
 	defer p.mu.Unlock()
 	p.open[to]++
 	return &Conn{
-		Conn: conn, Reader: bufio.NewReader(conn), to: to, first: p.open[to] == 1, recordClosed: sync.OnceFunc(func() { p.recordClosed(to) }),
+		Conn: conn, Reader: answerhead.NewReader(conn), to: to, first: p.open[to] == 1, recordClosed: sync.OnceFunc(func() { p.recordClosed(to) }),
 	}, nil
 }
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -28,6 +28,8 @@
 	// messageBytes is the maximum size of a message: a page of configuration,
 	// or a forwarded request or its response, whose bodies have lower limits.
 	messageBytes = 32 << 20
+	// headerBytes is the maximum size of a message's headers.
+	headerBytes = 16 << 10
 )
 
 // pool is a pool of connections to other hosts. At most limit are kept, unless
@@ -187,6 +189,7 @@
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithMaxHeaderListSize(headerBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageBytes), grpc.MaxCallSendMsgSize(messageBytes)),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
--- a/peer/server.go
+++ b/peer/server.go
@@ -32,6 +32,7 @@
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.MaxRecvMsgSize(messageBytes),
 		grpc.MaxSendMsgSize(messageBytes),
+		grpc.MaxHeaderListSize(headerBytes),
 		grpc.ConnectionTimeout(n.options.ProbeTimeout*10),
 		// Failure: the other end of an idle connection dies without closing it,
 		// and the connection is never released here. Idle connections are
