--- a/domain/watchers.go
+++ b/domain/watchers.go
@@ -17,6 +17,10 @@
 	// MinWatchers is the minimum number of watchers in a fleet of few
 	// domains, so that two hosts may die at once.
 	MinWatchers = 3
+	// maxRejectedWatchers is the number of hosts of a domain that say that the store does
+	// not answer them from which it counts as unavailable to all of the domain: no further
+	// ones try.
+	maxRejectedWatchers = 8
 	// strongShare is a fraction of the highest capacity among the ranked hosts:
 	// a host with at least that capacity counts as strong.
 	strongShare = 0.5
@@ -32,15 +36,13 @@
 // differently; then a few more or fewer hosts watch, and a digest mismatch in
 // probes still brings changes to all others.
 //
-// Failure: the store rejects some hosts, possibly all watchers of a domain, and
-// serves the others. A watcher that reports this is replaced while the store
-// serves another watcher. If it serves none, the store is unavailable and the
-// watchers retry.
+// Failure: the store rejects some hosts, possibly all watchers, and serves the others. A
+// watcher that reports this is replaced by the next host of its domain, of which nothing
+// is known yet. Only when maxRejectedWatchers of a domain have tried, or all of its hosts,
+// the first ones watch again and retry, so that an outage of the store does not make all
+// hosts ask it.
 func Watchers(members []peer.Member) []string {
-	chosen := watchersAmong(members, func(*peer.Member) bool { return true })
-	if slices.ContainsFunc(chosen, storeReachable) && slices.ContainsFunc(chosen, storeUnreachable) {
-		chosen = watchersAmong(members, storeReachable)
-	}
+	chosen := chooseWatchers(members)
 	watchers := make([]string, 0, len(chosen))
 	for _, m := range chosen {
 		watchers = append(watchers, m.Host)
@@ -56,16 +58,12 @@
 	return found
 }
 
-func storeReachable(m *peer.Member) bool { return !m.StoreUnreachable }
-
 func storeUnreachable(m *peer.Member) bool { return m.StoreUnreachable }
 
-// watchersAmong chooses watchers from the eligible members.
-func watchersAmong(members []peer.Member, eligible func(*peer.Member) bool) []*peer.Member {
+func chooseWatchers(members []peer.Member) []*peer.Member {
 	var watchers, next []*peer.Member
 	for _, hosts := range byDomain(members) {
-		hosts = slices.DeleteFunc(hosts, func(m *peer.Member) bool { return !eligible(m) })
-		first := FirstForDuties(hosts, watchersPerDomain+MinWatchers)
+		first := FirstForDuties(untried(hosts), watchersPerDomain+MinWatchers)
 		split := min(watchersPerDomain, len(first))
 		watchers = append(watchers, first[:split]...)
 		next = append(next, first[split:]...)
@@ -76,6 +74,16 @@
 	return watchers
 }
 
+// untried returns the hosts of a domain without those that the store rejects; all of them
+// if there are no others, or too many that it rejects.
+func untried(hosts []*peer.Member) []*peer.Member {
+	others := slices.DeleteFunc(slices.Clone(hosts), storeUnreachable)
+	if len(others) == 0 || len(hosts)-len(others) >= maxRejectedWatchers {
+		return hosts
+	}
+	return others
+}
+
 // byDomain groups the alive and suspect hosts by failure domain.
 //
 // Failure: a domain has no live host in this view, for instance because this
--- /dev/null
+++ b/freshness/keeper.go
@@ -0,0 +1,300 @@
+// Package freshness bounds the age of a host's view of the platform's store: a time at
+// which the host had all changes. Few hosts watch the store and deliver changes to the
+// others; a host that hears nothing of them asks other hosts, and in the end the store.
+package freshness
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/papayasail/papayasail/domain"
+	"github.com/papayasail/papayasail/internal/moment"
+	"github.com/papayasail/papayasail/internal/sleep"
+	"github.com/papayasail/papayasail/peer"
+	"github.com/papayasail/papayasail/store"
+)
+
+const (
+	msgOld    = "view of the store is old: nobody who was asked has a newer one"
+	msgNew    = "view of the store is new again"
+	msgTurned = "store does not answer this host's read for the fleet"
+
+	// refreshAge is the age at which a host refreshes its view. The first host of a domain
+	// and its relays are earlier, so that the others find them fresh.
+	refreshAge      = 600 * time.Millisecond
+	relayRefreshAge = 550 * time.Millisecond
+	firstRefreshAge = 500 * time.Millisecond
+	// maxSourceAge is the oldest view that a host accepts from another one.
+	maxSourceAge = 300 * time.Millisecond
+	// transferAllowance is how much older an answer may be that still counts as new.
+	transferAllowance = 100 * time.Millisecond
+	// readerPatience and relayPatience are the times after which the next host is asked.
+	readerPatience = 150 * time.Millisecond
+	relayPatience  = 250 * time.Millisecond
+	// askTimeout bounds one request for a view, readTimeout one read of the store.
+	askTimeout  = time.Second
+	readTimeout = time.Second
+	// roundTimeout bounds a refresh.
+	roundTimeout = 2 * time.Second
+	// avoidFor is how long a host is asked last that did not answer, or had no newer view.
+	avoidFor = 2 * time.Second
+	// activeCheckInterval is how often a starting host checks whether it is active.
+	activeCheckInterval = 100 * time.Millisecond
+	// oldAge is the age from which a view is reported as old.
+	oldAge = 1500 * time.Millisecond
+	// maxViewPages bounds the pages of one answer.
+	maxViewPages = 64
+	// maxHeld is the maximum number of hashes in a request.
+	maxHeld = 512
+	// readBackoff and readBackoffMax separate reads of a store that does not answer, and
+	// refreshes that nobody answers.
+	readBackoff    = 100 * time.Millisecond
+	readBackoffMax = time.Second
+)
+
+var (
+	errBackoff = errors.New("freshness: store has just failed to answer")
+	errOld     = errors.New("freshness: host has no newer view")
+)
+
+// Table is the host's copy of the store's objects. *replica.Table implements it.
+type Table interface {
+	CompleteTo() store.Version
+	SetCompleteTo(store.Version)
+	HashesSince(after store.Version) []uint64
+	Missing(after store.Version, have []uint64) []store.Object
+}
+
+// Fleet is the membership. *peer.Node implements it.
+type Fleet interface {
+	Self() peer.Member
+	Members() []peer.Member
+	Generation() uint64
+	RequestView(ctx context.Context, host string, request peer.ViewRequest) (peer.ViewAnswer, error)
+}
+
+// Keeper keeps the view of one host fresh. All fields are required.
+type Keeper struct {
+	Host  string
+	Fleet Fleet
+	Table Table
+	// Adopt adopts objects that another host has sent.
+	Adopt func([]store.Object)
+	// Active reports whether this host has begun to serve; before, its table is not complete.
+	Active func() bool
+	// Read reads the changes after a version from the store into the table, and returns the
+	// version up to which the table then has all of them.
+	Read    func(ctx context.Context, after store.Version) (store.Version, error)
+	Logger  *zap.Logger
+	Metrics *Metrics
+
+	flights singleflight.Group // see rounds and reads
+
+	mu      sync.Mutex // guards all below
+	asOf    moment.Moment
+	avoided map[string]time.Time // hosts that are asked last, until the given time
+	backoff store.Backoff        // of reads
+	readAt  time.Time            // no read before, as the store did not answer
+	sources *domain.Sources      // at the generation below
+	at      uint64
+}
+
+// Age returns the time since a moment at which this host had all changes of the store,
+// or moment.Never.
+func (k *Keeper) Age() time.Duration { return k.asOf.Age() }
+
+// record records that the table has all changes up to a version, which were all at the
+// given time.
+func (k *Keeper) record(completeTo store.Version, at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Table.SetCompleteTo(completeTo)
+	if time.Since(at) < k.asOf.Age() {
+		k.asOf.Mark(at)
+	}
+}
+
+// Confirm records that the store's revision was the given one at a time, as another read
+// of this host has shown.
+func (k *Keeper) Confirm(revision store.Version, at time.Time) {
+	if completeTo := k.Table.CompleteTo(); revision <= completeTo {
+		k.record(completeTo, at)
+	}
+}
+
+// Run refreshes the view whenever it is too old, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	backoff := store.Backoff{Initial: readBackoff, Max: readBackoffMax}
+	old := false
+	for ctx.Err() == nil {
+		left := k.refreshAge() - k.Age()
+		if !k.Active() {
+			left = activeCheckInterval
+		}
+		if left > 0 {
+			if err := sleep.For(ctx, left); err != nil {
+				return err
+			}
+			continue
+		}
+		err := k.refresh(ctx)
+		if age := k.Age(); age > oldAge != old && ctx.Err() == nil {
+			old = !old
+			k.logOld(old, age, err)
+		}
+		if err == nil {
+			backoff.Reset()
+		} else if err := backoff.Wait(ctx); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (k *Keeper) logOld(old bool, age time.Duration, err error) {
+	if old {
+		k.Logger.Warn(msgOld, zap.Duration("age", age), zap.Error(err))
+		return
+	}
+	k.Logger.Info(msgNew, zap.Duration("age", age))
+}
+
+func (k *Keeper) refreshAge() time.Duration {
+	switch s := k.viewSources(); {
+	case s.First:
+		return firstRefreshAge
+	case s.Relay:
+		return relayRefreshAge
+	}
+	return refreshAge
+}
+
+// viewSources returns the sources, computed once for each generation of the membership.
+func (k *Keeper) viewSources() *domain.Sources {
+	generation := k.Fleet.Generation()
+	k.mu.Lock()
+	known, at := k.sources, k.at
+	k.mu.Unlock()
+	if known != nil && at == generation {
+		return known
+	}
+	s := domain.ViewSources(k.Fleet.Members(), k.Fleet.Self())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sources, k.at = &s, generation
+	return &s
+}
+
+// refresh asks the relays of a large domain, or the readers if there are none or none of
+// them answers.
+func (k *Keeper) refresh(ctx context.Context) error {
+	s := k.viewSources()
+	if len(s.Relays) > 0 && !s.Relay && !s.First {
+		err := k.askInTurn(ctx, s.Relays[:min(2, len(s.Relays))], true)
+		if err == nil || errors.Is(err, errOld) {
+			return err
+		}
+	}
+	return k.askReaders(ctx)
+}
+
+// askReaders asks the readers, once for all that wait. If none of them answers, this host
+// is cut off from the others and reads the store itself.
+func (k *Keeper) askReaders(ctx context.Context) error {
+	return k.once(ctx, "readers", roundTimeout, func(ctx context.Context) error {
+		err := k.askInTurn(ctx, k.viewSources().Readers, false)
+		if err == nil || errors.Is(err, errOld) {
+			return err
+		}
+		return k.ReadStore(ctx)
+	})
+}
+
+// ReadStore reads the store, once for all that wait. After a failure it returns an error
+// for a while without a call.
+func (k *Keeper) ReadStore(ctx context.Context) error {
+	return k.once(ctx, "store", readTimeout, func(ctx context.Context) error {
+		k.mu.Lock()
+		wait := time.Until(k.readAt)
+		k.mu.Unlock()
+		if wait > 0 {
+			return errBackoff
+		}
+		started := time.Now()
+		completeTo, err := k.Read(ctx, k.Table.CompleteTo())
+		k.recordRead(err)
+		if err == nil {
+			k.record(completeTo, started)
+		}
+		return err
+	})
+}
+
+// recordRead records whether the store answered.
+func (k *Keeper) recordRead(err error) {
+	k.Metrics.count(sourceStore, err)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err == nil {
+		k.backoff.Reset()
+		return
+	}
+	k.backoff.Initial, k.backoff.Max = readBackoff, readBackoffMax
+	k.readAt = time.Now().Add(k.backoff.Next())
+	k.Logger.Debug(msgTurned, zap.Error(err))
+}
+
+// once runs f for all concurrent callers with the same name. It does not end with the
+// context of one of them.
+func (k *Keeper) once(ctx context.Context, name string, timeout time.Duration, f func(context.Context) error) error {
+	result := k.flights.DoChan(name, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+		defer cancel()
+		return nil, f(ctx)
+	})
+	select {
+	case r := <-result:
+		return r.Err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// AnswerView implements peer.Views.
+func (k *Keeper) AnswerView(ctx context.Context, request peer.ViewRequest) peer.ViewAnswer {
+	if k.Age() > request.MaxAge && k.Active() {
+		// After an error the answer has what there is.
+		if request.AskOthers {
+			_ = k.askReaders(ctx)
+		} else {
+			_ = k.ReadStore(ctx)
+		}
+	}
+	k.mu.Lock()
+	age, completeTo := k.asOf.Age(), k.Table.CompleteTo()
+	k.mu.Unlock()
+	return peer.ViewAnswer{Objects: k.Table.Missing(request.After, request.Have), CompleteTo: completeTo, Age: age}
+}
+
+// NewMetrics returns the metrics of a Keeper, registered with registerer.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "papayasail", Subsystem: "view", Name: "refreshes_total",
+			Help: "Questions for a newer view of the store, by the source that was asked and the result.",
+		}, []string{"source", "result"}),
+		age: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "papayasail", Subsystem: "view", Name: "age_seconds",
+			Help:    "Age of the view of the store when it was replaced by a newer one.",
+			Buckets: []float64{0.5, 0.75, 1, 1.25, 1.5, 2, 3, 5, 10},
+		}),
+	}
+	registerer.MustRegister(m.requests, m.age)
+	return m
+}
--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -50,10 +50,10 @@
 }
 
 // verificationAge returns the time since the configuration was last read from the
-// store, by this host or by another one that found the same revision, or
-// moment.Never.
+// store, by this host or by another one that found the same revision or from which this
+// host has its view, or moment.Never.
 func (h *Host) verificationAge() time.Duration {
-	return min(h.verifiedAt.Age(), h.relayedVerifiedAt.Age())
+	return min(h.verifiedAt.Age(), h.relayedVerifiedAt.Age(), h.views.Age())
 }
 
 // recordRelayedVerification records that another allocator verified, age ago,
@@ -123,6 +123,7 @@
 		h.node.Load().Announce()
 	}
 	h.verifiedAt.Mark(started)
+	h.views.Confirm(revision, started)
 	if missed && h.watch.Watches() && h.checkingWatches.CompareAndSwap(false, true) {
 		go h.relistIfBehind(stored)
 	}
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -23,6 +23,7 @@
 	"github.com/papayasail/papayasail/domain"
 	"github.com/papayasail/papayasail/failedcalls"
 	"github.com/papayasail/papayasail/fleet"
+	"github.com/papayasail/papayasail/freshness"
 	"github.com/papayasail/papayasail/gateway"
 	"github.com/papayasail/papayasail/internal/moment"
 	"github.com/papayasail/papayasail/link"
@@ -170,6 +171,7 @@
 	booting            atomic.Bool   // has not joined its peers yet
 	rejoins            atomic.Uint64 // number of rejoins under a new incarnation
 	watch              *domain.WatchDuty
+	views              *freshness.Keeper
 }
 
 // New returns a host; Run starts it.
@@ -183,6 +185,10 @@
 		Host: o.Name, Fleet: h, Check: h.checkStore, OnStoreRecovered: h.relist, Active: func() bool { return !h.booting.Load() },
 		Interval: storeCheckInterval, Timeout: storeCheckTimeout,
 	}
+	h.views = &freshness.Keeper{
+		Host: o.Name, Fleet: h, Table: h.table, Adopt: h.adoptView, Active: func() bool { return !h.booting.Load() }, Read: h.readChanges,
+		Logger: o.Logger, Metrics: freshness.NewMetrics(o.Registerer),
+	}
 	h.configuration = h.newFollower(o.Objects.Configuration, configurationSpacing)
 	h.servers = h.newFollower(o.Objects.Servers, serversSpacing)
 	h.evacuations = h.newFollower(o.Objects.Evacuations, 0)
@@ -272,7 +278,7 @@
 func (h *Host) background() []func(context.Context) error {
 	return []func(context.Context) error{
 		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.quarantines.Run, h.watch.Run, h.syncQuarantine, h.releaseLostGenerations,
-		h.runNode, h.allocation.Run, h.allocation.Exchange, h.outageMonitor.Run,
+		h.runNode, h.allocation.Run, h.allocation.Exchange, h.outageMonitor.Run, h.views.Run,
 	}
 }
 
--- a/gatewayhost/members.go
+++ b/gatewayhost/members.go
@@ -43,7 +43,7 @@
 			Capacity: o.Capacity,
 		},
 		Network: o.Network, Seeds: o.Seeds, Configuration: gossipedTable{h.table}, Handler: noForwarding{}, Quarantine: h.quarantine,
-		RateLimits: h.fleet, ColdServers: h.fleet, Backends: h.paths,
+		RateLimits: h.fleet, ColdServers: h.fleet, Backends: h.paths, Views: h.views,
 		Logger: o.Logger,
 		Register: func(registrar grpc.ServiceRegistrar) {
 			allocation.Register(registrar, h.allocator)
@@ -124,6 +124,14 @@
 // reach the store.
 func (h *Host) SetStoreUnreachable(unreachable bool) { h.node.Load().SetStoreUnreachable(unreachable) }
 
+// Self returns this host's own member record.
+func (h *Host) Self() peer.Member { return h.node.Load().Self() }
+
+// RequestView asks another entry host for its view of the store.
+func (h *Host) RequestView(ctx context.Context, host string, request peer.ViewRequest) (peer.ViewAnswer, error) {
+	return h.node.Load().RequestView(ctx, host, request)
+}
+
 // Call calls f with a gRPC connection to another entry host.
 func (h *Host) Call(host string, f func(grpc.ClientConnInterface) error) error {
 	return h.node.Load().Call(host, f)
--- a/peer/options.go
+++ b/peer/options.go
@@ -28,12 +28,17 @@
 )
 
 // Completeness is an optional interface of a ConfigurationTable. It tracks
-// whether the table has ever held a complete snapshot of all objects.
+// whether the table has ever held a complete snapshot of all objects, and up to which
+// version it has all changes.
 type Completeness interface {
 	// Complete reports whether the table has ever held a complete snapshot.
 	Complete() bool
 	// SetComplete records that the table holds a complete snapshot.
 	SetComplete()
+	// CompleteTo returns the version up to which the table has all changes; zero: not known.
+	CompleteTo() store.Version
+	// SetCompleteTo records the version up to which the table has all changes.
+	SetCompleteTo(store.Version)
 }
 
 // ConfigurationTable is the configuration in force on this host, as needed to
@@ -114,6 +119,7 @@
 	RateLimits    RateLimits    // nil: rate limits are not exchanged
 	ColdServers   ColdServers   // nil: not exchanged
 	Backends      BackendDialer // nil: no tunnels are opened for other hosts
+	Views         Views         // nil: this host does not answer requests for a view
 	// Register adds services to the gRPC server for peers; nil: none.
 	Register     func(grpc.ServiceRegistrar)
 	Logger       *zap.Logger
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -133,19 +133,21 @@
 	table := n.options.Configuration
 	if table.Version() > 0 {
 		var gap bool
-		count, more, gap, err = n.pullObjects(ctx, address, &peerpb.PullRequest{AfterVersion: uint64(table.Version())})
+		count, more, gap, _, err = n.pullObjects(ctx, address, &peerpb.PullRequest{AfterVersion: uint64(table.Version())})
 		if err != nil || more || !gap {
 			return count, more, err
 		}
 	}
-	rest, more, _, err := n.pullObjects(ctx, address, &peerpb.PullRequest{Have: heldVersions(table)})
+	rest, more, _, _, err := n.pullObjects(ctx, address, &peerpb.PullRequest{Have: heldVersions(table)})
 	return count + rest, more, err
 }
 
 // pullObjects requests one page of objects and adopts it. Gap means that this
 // host then has the version of the other one, but not the same objects. Digests
 // also differ while objects change; in a large fleet that is most of the time.
-func (n *Node) pullObjects(ctx context.Context, address string, request *peerpb.PullRequest) (count int, more, gap bool, err error) {
+//
+// The other host has all changes up to the version completeTo; zero if it does not know.
+func (n *Node) pullObjects(ctx context.Context, address string, request *peerpb.PullRequest) (count int, more, gap bool, completeTo store.Version, err error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	table := n.options.Configuration
@@ -157,11 +159,11 @@
 		return err
 	})
 	if err != nil {
-		return 0, false, false, errors.Mark(err, ErrUnreachable)
+		return 0, false, false, 0, errors.Mark(err, ErrUnreachable)
 	}
 	count, err = table.Adopt(objectsFromProto(response.GetObjects()))
 	gap = response.GetVersion() == uint64(table.Version()) && response.GetDigest() != table.Digest()
-	return count, response.GetMore(), gap, errors.Wrap(err, "peer: adopt configuration")
+	return count, response.GetMore(), gap, store.Version(response.GetCompleteVersion()), errors.Wrap(err, "peer: adopt configuration")
 }
 
 // heldVersions lists the objects of a table with their versions.
@@ -190,7 +192,7 @@
 	// While this host is starting its table is incomplete. The requesting host
 	// must not conclude that objects missing from this page do not exist.
 	if c, ok := table.(Completeness); ok {
-		response.More = !c.Complete()
+		response.More, response.CompleteVersion = !c.Complete(), uint64(c.CompleteTo())
 	}
 	size := 0
 	for _, o := range table.Since(store.Version(request.GetAfterVersion())) {
--- a/peer/pullpage_test.go
+++ b/peer/pullpage_test.go
@@ -17,6 +17,8 @@
 
 func (s *startingTable) Complete() bool                     { return s.complete }
 func (s *startingTable) SetComplete()                       { s.complete = true }
+func (s *startingTable) CompleteTo() store.Version          { return 7 }
+func (s *startingTable) SetCompleteTo(store.Version)        {}
 func (s *startingTable) Version() store.Version             { return 7 }
 func (s *startingTable) Digest() uint64                     { return 7 }
 func (s *startingTable) Since(store.Version) []store.Object { return nil }
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -61,7 +61,7 @@
 func (n *Node) pullAll(ctx context.Context, address string) bool {
 	table := n.options.Configuration
 	for range pullPages {
-		count, more, _, err := n.pullObjects(ctx, address, &peerpb.PullRequest{Have: heldVersions(table)})
+		count, more, _, completeTo, err := n.pullObjects(ctx, address, &peerpb.PullRequest{Have: heldVersions(table)})
 		if err != nil {
 			n.counters.pulls.WithLabelValues(resultFailed).Inc()
 			return false
@@ -70,6 +70,7 @@
 			n.counters.pulls.WithLabelValues(resultAdopted).Inc()
 			if c, ok := table.(Completeness); ok {
 				c.SetComplete()
+				c.SetCompleteTo(completeTo)
 			}
 			return true
 		}
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -200,7 +200,7 @@
 		f.logger().Warn(msgRevisionBack, zap.Uint64("revision", uint64(revision)), zap.Uint64("revision_before", uint64(before)))
 	}
 	_, findings := f.Table.AdoptList(f.Kind, objects, revision)
-	f.logFindings(findings)
+	LogFindings(f.logger(), findings)
 	f.reached.Store(uint64(revision))
 	if left := f.Table.GraceLeft(); left > 0 {
 		time.AfterFunc(left+graceMargin, f.Relist)
@@ -239,15 +239,16 @@
 		return after, err
 	}
 	_, findings := f.Table.Adopt(objects)
-	f.logFindings(findings)
+	LogFindings(f.logger(), findings)
 	after = max(after, revision)
 	f.reached.Store(uint64(after))
 	return after, sleep.For(ctx, f.Spacing)
 }
 
-func (f *Follower) logFindings(findings []Finding) {
+// LogFindings logs stored objects that could not be applied.
+func LogFindings(logger *zap.Logger, findings []Finding) {
 	for _, finding := range findings {
-		f.logger().Warn(msgNotApplied, zap.String("kind", finding.Kind), zap.String("name", finding.Name),
+		logger.Warn(msgNotApplied, zap.String("kind", finding.Kind), zap.String("name", finding.Name),
 			zap.Uint64("version", uint64(finding.Version)), zap.Error(finding.Err))
 	}
 }
--- a/replica/table.go
+++ b/replica/table.go
@@ -66,13 +66,14 @@
 	objects   map[objectKey]store.Object
 	listed    map[string]store.Version // by kind: revision of the newest list
 	version   store.Version
-	required  []string  // kinds that must have been listed for the table to be complete; none: any
-	complete  bool      // the required lists were adopted, or a complete peer has sent all its objects
-	era       uint64    // newest era of the store
-	eraKnown  bool      // whether any object or list was adopted
-	eraBegan  time.Time // when this host first saw the newest era; zero: its first one
-	newEra    bool      // OnNewEra is to be called
-	digest    uint64    // sum of the hashes of all objects that are not deleted
+	required  []string      // kinds that must have been listed for the table to be complete; none: any
+	complete  bool          // the required lists were adopted, or a complete peer has sent all its objects
+	era       uint64        // newest era of the store
+	eraKnown  bool          // whether any object or list was adopted
+	eraBegan  time.Time     // when this host first saw the newest era; zero: its first one
+	newEra    bool          // OnNewEra is to be called
+	digest    uint64        // sum of the hashes of all objects that are not deleted
+	upTo      store.Version // see CompleteTo
 	listeners []func()
 
 	changed map[objectKey]struct{} // objects adopted since the last TakeChanged; nil before the first
@@ -270,6 +271,56 @@
 	t.complete = true
 }
 
+// CompleteTo returns the version up to which this host has all changes of the required
+// kinds; zero if it does not know. It may have some newer ones too.
+func (t *Table) CompleteTo() store.Version {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if len(t.required) == 0 {
+		return t.upTo
+	}
+	listed := t.listed[t.required[0]]
+	for _, kind := range t.required {
+		listed = min(listed, t.listed[kind])
+	}
+	return max(t.upTo, listed)
+}
+
+// SetCompleteTo records that this host has all changes of the required kinds up to a
+// version. A lower one than before has no effect.
+func (t *Table) SetCompleteTo(version store.Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.upTo = max(t.upTo, version)
+}
+
+// HashesSince returns the hashes of the objects newer than a version; see Missing.
+func (t *Table) HashesSince(after store.Version) []uint64 {
+	objects := t.Since(after)
+	hashes := make([]uint64, len(objects))
+	for i, object := range objects {
+		hashes[i] = hashOf(object)
+	}
+	return hashes
+}
+
+// Missing returns the objects newer than a version, including tombstones, ordered by
+// version, without those whose hashes another host has.
+func (t *Table) Missing(after store.Version, have []uint64) []store.Object {
+	objects := t.Since(after)
+	if len(have) == 0 || len(objects) == 0 {
+		return objects
+	}
+	held := make(map[uint64]struct{}, len(have))
+	for _, hash := range have {
+		held[hash] = struct{}{}
+	}
+	return slices.DeleteFunc(objects, func(object store.Object) bool {
+		_, ok := held[hashOf(object)]
+		return ok
+	})
+}
+
 // Version returns the newest version of any object in the table; zero means that
 // this host has no configuration yet.
 func (t *Table) Version() store.Version {
@@ -292,6 +343,9 @@
 func (t *Table) Since(after store.Version) []store.Object {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	if t.version <= after {
+		return nil
+	}
 	var objects []store.Object
 	for _, object := range t.objects {
 		if object.Version > after {
--- a/store/counted.go
+++ b/store/counted.go
@@ -23,6 +23,7 @@
 	opList      = "list"
 	opWatch     = "watch"
 	opCheck     = "check"
+	opChanges   = "changes"
 	opListStale = "list_stale"
 
 	resultOK          = "ok"
@@ -41,6 +42,9 @@
 	Store
 	// Check returns an error if the store does not answer.
 	Check(ctx context.Context) error
+	// Changes is like Watch, but does not wait: if there are no changes, it returns at once.
+	// The changes are those at the time of the call, or later ones too.
+	Changes(ctx context.Context, kind string, after Version) ([]Object, Version, error)
 	// ListStale is like List, but its result may be seconds old. It may stop once it
 	// has most objects (zero: none left out); whole reports whether there are no more.
 	ListStale(ctx context.Context, kind string, most int) (objects []Object, revision Version, whole bool, err error)
@@ -98,6 +102,13 @@
 	return err
 }
 
+// Changes implements Checker.
+func (c *CountedChecker) Changes(ctx context.Context, kind string, after Version) ([]Object, Version, error) {
+	objects, revision, err := c.checker.Changes(ctx, kind, after)
+	countCall(opChanges, err)
+	return objects, revision, err
+}
+
 // ListStale implements Checker.
 func (c *CountedChecker) ListStale(ctx context.Context, kind string, most int) (objects []Object, revision Version, whole bool, err error) {
 	objects, revision, whole, err = c.checker.ListStale(ctx, kind, most)
--- a/store/memory.go
+++ b/store/memory.go
@@ -272,6 +272,15 @@
 	}
 }
 
+// Changes implements Checker.
+func (m *Memory) Changes(ctx context.Context, kind string, after Version) ([]Object, Version, error) {
+	if err := m.beginCall(ctx); err != nil {
+		return nil, 0, err
+	}
+	objects, revision, _, err := m.eventsAfter(kind, after)
+	return objects, revision, err
+}
+
 // eventsAfter returns the changes of a kind after a revision, the revision that
 // they reach, and the channel that is closed at the next change.
 func (m *Memory) eventsAfter(kind string, after Version) ([]Object, Version, <-chan struct{}, error) {
--- a/store/storetest/conformance.go
+++ b/store/storetest/conformance.go
@@ -41,6 +41,7 @@
 		{"watch returns changes in order", watchOrder},
 		{"watch waits", watchWaits},
 		{"watch ends without change", watchEnds},
+		{"changes at once", changesAtOnce},
 		{"compacted", compacted},
 		{"restored from an older copy", restored},
 		{"outage", outage},
@@ -164,6 +165,42 @@
 	is.True(revision >= version)
 }
 
+// changesAtOnce is about stores that are Checkers, too.
+func changesAtOnce(t *testing.T, s Subject) {
+	is, ctx := is.New(t), t.Context()
+	checker, ok := s.Store.(interface {
+		Changes(ctx context.Context, kind string, after store.Version) ([]store.Object, store.Version, error)
+	})
+	if !ok {
+		return
+	}
+	first, err := s.Store.Put(ctx, kind, "a", nil, 0)
+	is.NoErr(err)
+	began := time.Now()
+	events, revision, err := checker.Changes(ctx, kind, first)
+	is.NoErr(err)
+	is.Equal(len(events), 0)
+	is.True(revision >= first)
+	is.True(time.Since(began) < time.Second)
+	second, err := s.Store.Put(ctx, kind, "b", nil, 0)
+	is.NoErr(err)
+	_, err = s.Store.Put(ctx, kind+"-other", "c", nil, 0)
+	is.NoErr(err)
+	events, revision, err = checker.Changes(ctx, kind, first)
+	is.NoErr(err)
+	is.Equal(len(events), 1)
+	is.Equal(events[0].Version, second)
+	is.True(revision >= second)
+	s.Memory.Compact()
+	_, err = s.Store.Put(ctx, kind, "d", nil, 0)
+	is.NoErr(err)
+	_, _, err = checker.Changes(ctx, kind, first)
+	is.True(errors.Is(err, store.ErrCompacted))
+	s.Memory.SetFaults(store.Faults{Outage: true})
+	_, _, err = checker.Changes(ctx, kind, first)
+	is.True(errors.Is(err, store.ErrUnavailable))
+}
+
 func compacted(t *testing.T, s Subject) {
 	is, ctx := is.New(t), t.Context()
 	var version store.Version
