--- a/domain/watchduty_test.go
+++ b/domain/watchduty_test.go
@@ -34,9 +34,9 @@
 		is := is.New(t)
 		fleet := &oneHost{}
 		var fails atomic.Bool
-		returned := 0
+		var returned atomic.Int64
 		duty := &WatchDuty{
-			Host: "a", Fleet: fleet, Interval: time.Second, Timeout: 100 * time.Millisecond, OnStoreRecovered: func() { returned++ },
+			Host: "a", Fleet: fleet, Interval: time.Second, Timeout: 100 * time.Millisecond, OnStoreRecovered: func() { returned.Add(1) },
 			Check: func(ctx context.Context) error {
 				if fails.Load() {
 					<-ctx.Done() // no answer
@@ -55,7 +55,7 @@
 		fails.Store(false)
 		time.Sleep(1500 * time.Millisecond)
 		is.True(!fleet.storeUnreachable.Load())
-		is.Equal(returned, 1)
+		is.Equal(returned.Load(), int64(1))
 		stop()
 		synctest.Wait()
 	})
--- a/freshness/ask.go
+++ b/freshness/ask.go
@@ -49,37 +49,39 @@
 		patience = relayPatience
 	}
 	results := make(chan error, len(hosts))
-	next := time.NewTimer(0)
-	defer next.Stop()
-	asked, pending := 0, 0
-	last := error(errors.New("freshness: there is no other host"))
-	for asked < len(hosts) || pending > 0 {
+	impatient := time.NewTimer(patience)
+	defer impatient.Stop()
+	failure := error(errors.New("freshness: there is no other host"))
+	next := hosts
+	askNext := func() {
+		if len(next) == 0 {
+			return
+		}
+		host := next[0]
+		next = next[1:]
+		go func() { results <- k.ask(ctx, host, relays) }()
+		impatient.Reset(patience)
+	}
+	askNext()
+	for failed := 0; failed < len(hosts); {
 		select {
-		case <-next.C:
-			if asked == len(hosts) {
-				continue
-			}
-			if pending > 0 {
-				k.avoid(hosts[asked-1]) // until it answers
-			}
-			host := hosts[asked]
-			asked, pending = asked+1, pending+1
-			go func() { results <- k.ask(ctx, host, relays) }()
-			next.Reset(patience)
 		case err := <-results:
-			pending--
 			if err == nil {
 				return nil
 			}
-			if last == nil || !errors.Is(last, errOld) {
-				last = err
+			if failed == 0 || !errors.Is(failure, errOld) {
+				failure = err
 			}
-			next.Reset(0)
+			failed++
+			askNext()
+		case <-impatient.C:
+			k.avoid(hosts[len(hosts)-len(next)-1]) // until it answers
+			askNext()
 		case <-ctx.Done():
-			return errors.CombineErrors(last, ctx.Err())
+			return errors.CombineErrors(failure, ctx.Err())
 		}
 	}
-	return last
+	return failure
 }
 
 // leastAvoidedFirst returns the hosts with those that are avoided at the end.
