freshness, gatewayhost: an outage is when no host reads the store

The operator allows 2 s.

Cause: a failed call of a watching host counted as an outage of the store, at that host and, through allocators' reports, at all others; after an outage a missing entry is believed only 2.5 s later, since it may have expired in it.

Change: it is an outage when the view of a host, which any host's read refreshes, is over 1.5 s old.

--- a/allocation/allocator.go
+++ b/allocation/allocator.go
@@ -48,10 +48,6 @@
 	limits placement.Limits
 	draw   func(n int) int
 	logger *zap.Logger
-	// SinceStoreFailure returns the time since the store last failed to answer
-	// this host. It is sent in responses to reports, for hosts that do not watch
-	// the store. If it is nil, nothing is sent.
-	SinceStoreFailure func() time.Duration
 	// Revision returns the revision of this host's configuration if this host is
 	// certain that it is the newest, else zero. It is sent in responses to
 	// reports and, if Verified is set, with offers. If it is nil, nothing is sent.
--- a/allocation/client.go
+++ b/allocation/client.go
@@ -67,7 +67,6 @@
 	mu                  sync.Mutex             // guards all fields below
 	avoided             map[string]backoff     // hosts that did not answer
 	leaving             map[string]leavingList // by allocator
-	disturbed           time.Time              // when the store last failed to answer an allocator, as reported
 	revision            uint64                 // newest configuration, as reported
 	revisionRequestedAt time.Time              // when revision was requested
 }
@@ -89,23 +88,6 @@
 	}
 }
 
-// SinceStoreFailure returns the time since the store last failed to answer an
-// allocator, as reported to this host. If no failure was reported, it is the
-// maximum duration.
-func (c *Client) SinceStoreFailure() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return time.Since(c.disturbed)
-}
-
-func (c *Client) recordDisturbance(ago time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if at := time.Now().Add(-ago); at.After(c.disturbed) {
-		c.disturbed = at
-	}
-}
-
 // NewClient returns the client of a host; local is the host's own allocator.
 func NewClient(host, domain string, peers Peers, local *Allocator, table *fleet.Table, logger *zap.Logger) *Client {
 	c := &Client{host: host, domain: domain, peers: peers, local: local, fleet: table, logger: logger, avoided: map[string]backoff{}, leaving: map[string]leavingList{}}
--- a/allocation/report.go
+++ b/allocation/report.go
@@ -239,9 +239,6 @@
 	for _, rest := range response.GetShunned() {
 		c.fleet.Shun(fleet.Incarnation{ID: rest.GetServer(), Born: rest.GetBorn()}, time.Duration(rest.GetLeftMs())*time.Millisecond)
 	}
-	if ms := response.GetUndisturbedMs(); ms > 0 {
-		c.recordDisturbance(time.Duration(ms) * time.Millisecond)
-	}
 	if err == nil {
 		c.recordLeavingList(allocator, response.GetLeavingDigest(), request.GetLeavingDigest())
 	}
--- a/allocation/server.go
+++ b/allocation/server.go
@@ -87,9 +87,6 @@
 	for incarnation, left := range s.allocator.fleet.Shunned() {
 		response.Shunned = append(response.Shunned, &allocationpb.ServerRest{Server: incarnation.ID, Born: incarnation.Born, LeftMs: uint32(left.Milliseconds())})
 	}
-	if s.allocator.SinceStoreFailure != nil {
-		response.UndisturbedMs = uint32(min(s.allocator.SinceStoreFailure(), time.Hour).Milliseconds())
-	}
 	if s.allocator.Revision != nil {
 		response.ConfigurationRevision = s.allocator.Revision()
 	}
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -96,8 +96,11 @@
 
 	flights singleflight.Group // see rounds and reads
 
-	mu      sync.Mutex // guards all below
-	asOf    moment.Moment
+	asOf   moment.Moment // when this host had all changes
+	active moment.Moment // when Run found this host active
+	outage moment.Moment // latest end of a time without a view under oldAge
+
+	mu      sync.Mutex           // guards all below, and writing asOf; locked before the table's
 	avoided map[string]time.Time // hosts that are asked last, until the given time
 	backoff store.Backoff        // of reads
 	readAt  time.Time            // no read before, as the store did not answer
@@ -109,15 +112,34 @@
 // or moment.Never.
 func (k *Keeper) Age() time.Duration { return k.asOf.Age() }
 
+// SinceOutage returns the time since this host last had a view that was old: nobody read the
+// store. It is zero during an outage, and moment.Never if there was none.
+func (k *Keeper) SinceOutage() time.Duration {
+	if k.inOutage() {
+		return 0
+	}
+	return k.outage.Age()
+}
+
+// inOutage reports whether the view is old although this host has refreshed it for that long.
+func (k *Keeper) inOutage() bool {
+	active := k.active.Age()
+	return active != moment.Never && min(active, k.asOf.Age()) > oldAge
+}
+
 // record records that the table has all changes up to a version, which were all at the
 // given time.
 func (k *Keeper) record(completeTo store.Version, at time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.Table.SetCompleteTo(completeTo)
-	if time.Since(at) < k.asOf.Age() {
-		k.asOf.Mark(at)
+	if time.Since(at) >= k.asOf.Age() {
+		return
 	}
+	if k.inOutage() {
+		k.outage.Mark(time.Now())
+	}
+	k.asOf.Mark(at)
 }
 
 // Confirm records that the store's revision was the given one at a time, as another read
@@ -143,6 +165,9 @@
 			}
 			continue
 		}
+		if k.active.Age() == moment.Never {
+			k.active.Mark(time.Now())
+		}
 		err := k.refresh(ctx)
 		if age := k.Age(); age > oldAge != old && ctx.Err() == nil {
 			old = !old
--- a/freshness/keeper_test.go
+++ b/freshness/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -249,3 +250,35 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an outage of the store that is not noticed, and against one that is believed because
+// the store rejects this host, or because this host has just started.
+func TestOutageIsWhenNobodyReadsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &scriptedFleet{self: "ha", hosts: hostsOf(3)}
+		var othersAge atomic.Int64 // in ns
+		var active atomic.Bool
+		f.answer = func(string, peer.ViewRequest) (peer.ViewAnswer, time.Duration, error) {
+			return peer.ViewAnswer{CompleteTo: 7, Age: time.Duration(othersAge.Load())}, time.Millisecond, nil
+		}
+		k, _ := newKeeper(f) // the store rejects it
+		k.Active = func() bool { return active.Load() }
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = k.Run(ctx) }()
+		k.Confirm(0, time.Now())
+		time.Sleep(5 * time.Second) // it is starting
+		active.Store(true)
+		time.Sleep(10 * time.Second)
+		is.Equal(k.SinceOutage(), moment.Never)
+		othersAge.Store(int64(time.Hour))
+		time.Sleep(3 * time.Second)
+		is.Equal(k.SinceOutage(), time.Duration(0))
+		othersAge.Store(0)
+		time.Sleep(readBackoffMax + time.Second)
+		is.True(k.SinceOutage() >= time.Second)
+		is.True(k.SinceOutage() <= readBackoffMax+time.Second)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -54,12 +54,6 @@
 	return nil
 }
 
-// sinceStoreFailure returns the time since a store call by this host or by an
-// allocator last failed.
-func (h *Host) sinceStoreFailure() time.Duration {
-	return min(h.servers.SinceStoreFailure(), h.allocation.SinceStoreFailure())
-}
-
 const (
 	// entryRecoveryTime is the time after a store outage within which live servers
 	// have recreated the entries that expired during the outage.
@@ -76,25 +70,26 @@
 //
 // Failure: servers cannot renew their entries during a store outage, so the
 // entries expire, and after the outage all servers appear removed although they
-// are alive. Within ListChangedSlack after a store failure, a server is therefore
+// are alive. Within ListChangedSlack after an outage, a server is therefore
 // removed only if its entry is not recreated within entryRecoveryTime. Hosts that
 // watch the store query the server, and remove it earlier if it reports that it
-// is leaving or if a query fails.
+// is leaving or if a query fails. While the store answers any host, a missing entry is a
+// removal, even if it rejects this host.
 //
 // It is called with the replica table's lock held. The membership acquires that
 // lock as well, so calling WatchDuty.Watches here would deadlock the host.
 func (h *Host) removeServer(id string) {
-	if h.sinceStoreFailure() > h.options.ListChangedSlack {
+	if h.views.SinceOutage() > h.options.ListChangedSlack {
 		h.fleet.Remove(id)
 		return
 	}
-	go h.removeAfterStoreFailure(id)
+	go h.removeAfterOutage(id)
 }
 
-// removeAfterStoreFailure decides whether a server is gone whose entry was deleted
-// shortly after a store failure. Only the few hosts that watch the store query
+// removeAfterOutage decides whether a server is gone whose entry was deleted shortly
+// after an outage of the store. Only the few hosts that watch the store query
 // the server; the others are notified by the allocator if it is leaving.
-func (h *Host) removeAfterStoreFailure(id string) {
+func (h *Host) removeAfterOutage(id string) {
 	if server, _ := h.fleet.Get(id); server.ID != "" && h.watch.Watches() {
 		h.removeAfterPolling(server)
 		return
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -129,7 +129,7 @@
 	// [gateway.Budget].
 	RepeatRatio, RepeatAllowance float64
 	RepeatWindow                 time.Duration
-	// ListChangedSlack is how long after a store failure entries of live servers
+	// ListChangedSlack is how long after an outage of the store entries of live servers
 	// may be missing from the store.
 	ListChangedSlack time.Duration
 	// AnswerMemory bounds the memory of buffered answers; see [gateway.Options].
@@ -200,7 +200,6 @@
 	h.backend = o.NewBackend(h.paths)
 	h.allocator = allocation.NewAllocator(h.fleet, placement.DefaultLimits, rand.IntN, o.Logger)
 	h.allocator.Metrics = admission.NewMetrics(o.Registerer)
-	h.allocator.SinceStoreFailure = h.servers.SinceStoreFailure
 	h.allocator.Revision, h.allocator.Verified, h.allocator.OnRelayedRevision = h.verifiedRevision, h.verificationAge, h.recordRelayedVerification
 	h.quarantine = quarantine.NewTable(o.Logger, o.Registerer)
 	h.quarantine.OnGossipRecords = func() { h.node.Load().Announce() }
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/papayasail/papayasail/internal/moment"
 	"github.com/papayasail/papayasail/internal/sleep"
 	"github.com/papayasail/papayasail/store"
 )
@@ -56,7 +55,6 @@
 	ended     int           // watches in a row that ended with ErrCompacted; used by Run only
 	reached   atomic.Uint64 // revision reached by the newest list or watch of the store
 	reachable atomic.Bool
-	failedAt  moment.Moment // time of the last failed list or watch of Run
 
 	mu     sync.Mutex         // guards all below
 	cancel context.CancelFunc // cancels the pending watch; nil if there is none
@@ -100,10 +98,6 @@
 	}
 }
 
-// SinceStoreFailure returns the time since a list or watch of Run last failed
-// (ErrCompacted is not a failure), or moment.Never. Calls of Refresh do not count.
-func (f *Follower) SinceStoreFailure() time.Duration { return f.failedAt.Age() }
-
 // Reached returns the revision up to which this follower's own lists and watches
 // have delivered changes of the kind; updates from peers do not count.
 func (f *Follower) Reached() store.Version { return store.Version(f.reached.Load()) }
@@ -177,7 +171,6 @@
 		}
 		return nil
 	}
-	f.failedAt.Mark(time.Now())
 	if f.reachable.CompareAndSwap(true, false) {
 		f.logger().Warn(msgStoreLost, zap.Error(err))
 	}
