domain, freshness: one host reads the store for the fleet while it works

Now the first hosts of the other domains ask that of the fleet, roles refresh a little earlier than who asks them, and allocators verify the configuration only when the view is older than 0.65 s.

--- a/allocation/outage_monitor.go
+++ b/allocation/outage_monitor.go
@@ -26,7 +26,7 @@
 	// configuration before the store is queried for it. The allocators of a
 	// large fleet share that information, so that only one of them queries the
 	// store.
-	verifyAfter = 450 * time.Millisecond
+	verifyAfter = 650 * time.Millisecond
 )
 
 // OutageMonitor detects leaving servers while the store is down.
--- a/domain/sources.go
+++ b/domain/sources.go
@@ -24,14 +24,24 @@
 	// domain. They begin with that of this host.
 	Relays []string
 	// Readers read the store themselves, in the order in which they are asked: the first
-	// hosts of the own domain by FirstForDuties, and of the other domains in turn.
+	// hosts of the own domain by FirstForDuties, and of the other domains in turn. The first
+	// host of a domain asks that of the fleet before it reads the store.
 	Readers []string
-	// First is set if this host is the first of its domain.
-	First bool
-	// Relay is set if this host is one of the relays.
-	Relay bool
+	// Role is what this host does for others.
+	Role SourceRole
 }
 
+// SourceRole is what a host does for the views of others.
+type SourceRole int
+
+// The roles of sources. Each refreshes its view a little before those that ask it.
+const (
+	NoSource      SourceRole = iota
+	Relay                    // of its domain
+	FirstOfDomain            // asked by the relays, or by all hosts of a small domain
+	FirstOfFleet             // asked by the first hosts of the other domains
+)
+
 // ViewSources returns the sources of the host self. Its cost is one hash for each member.
 func ViewSources(members []peer.Member, self peer.Member) Sources {
 	domains := byDomain(members)
@@ -41,9 +51,16 @@
 		relays = int(math.Ceil(math.Sqrt(float64(len(own)))))
 	}
 	first := namesOf(FirstForDuties(own, max(relays, maxSources)))
-	s := Sources{
-		First: len(first) > 0 && first[0] == self.Host, Relay: slices.Contains(first[:relays], self.Host),
-		Readers: readers(first, othersFirst(domains, self)),
+	ofFleet := firstOfFleet(domains)
+	s := Sources{Readers: readers(first, othersFirst(domains, self))}
+	switch {
+	case self.Host == ofFleet:
+		s.Role = FirstOfFleet
+	case len(first) > 0 && first[0] == self.Host:
+		s.Role = FirstOfDomain
+		s.Readers = append([]string{ofFleet}, slices.DeleteFunc(s.Readers, func(host string) bool { return host == ofFleet })...)
+	case slices.Contains(first[:relays], self.Host):
+		s.Role = Relay
 	}
 	if relays > 0 {
 		start := int(xxhash.Sum64String(self.Host) % uint64(relays))
@@ -52,6 +69,18 @@
 	return s
 }
 
+// firstOfFleet returns the first host by FirstForDuties among those of the domains, or "".
+func firstOfFleet(domains map[string][]*peer.Member) string {
+	var firsts []*peer.Member
+	for _, hosts := range domains {
+		firsts = append(firsts, FirstForDuties(hosts, 1)...)
+	}
+	if first := FirstForDuties(firsts, 1); len(first) > 0 {
+		return first[0].Host
+	}
+	return ""
+}
+
 // readers takes two hosts of the own domain, then one of each other domain, in turn.
 func readers(own []string, others [][]string) []string {
 	var chosen []string
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -25,11 +25,10 @@
 	msgNew    = "view of the store is new again"
 	msgTurned = "store does not answer this host's read for the fleet"
 
-	// refreshAge is the age at which a host refreshes its view. The first host of a domain
-	// and its relays are earlier, so that the others find them fresh.
-	refreshAge      = 600 * time.Millisecond
-	relayRefreshAge = 550 * time.Millisecond
-	firstRefreshAge = 500 * time.Millisecond
+	// refreshAge is the age at which a host refreshes its view. Hosts that others ask are
+	// earlier by roleLead for each role.
+	refreshAge = 600 * time.Millisecond
+	roleLead   = 35 * time.Millisecond
 	// maxSourceAge is the oldest view that a host accepts from another one.
 	maxSourceAge = 300 * time.Millisecond
 	// transferAllowance is how much older an answer may be that still counts as new.
@@ -191,13 +190,7 @@
 }
 
 func (k *Keeper) refreshAge() time.Duration {
-	switch s := k.viewSources(); {
-	case s.First:
-		return firstRefreshAge
-	case s.Relay:
-		return relayRefreshAge
-	}
-	return refreshAge
+	return refreshAge - time.Duration(k.viewSources().Role)*roleLead
 }
 
 // viewSources returns the sources, computed once for each generation of the membership.
@@ -220,7 +213,7 @@
 // them answers.
 func (k *Keeper) refresh(ctx context.Context) error {
 	s := k.viewSources()
-	if len(s.Relays) > 0 && !s.Relay && !s.First {
+	if len(s.Relays) > 0 && s.Role == domain.NoSource {
 		err := k.askInTurn(ctx, s.Relays[:min(2, len(s.Relays))], true)
 		if err == nil || errors.Is(err, errOld) {
 			return err
