freshness: hosts go on to the readers when both of their relays are silent

A host of a large domain waited for the time-outs of its two relays (1.25 s) before it asked the hosts that read the store: 2.3 s for a change, where the operator allows 2 s. Two relays without a newer view still end a refresh, so that an outage of the store costs what it did.

--- a/freshness/ask.go
+++ b/freshness/ask.go
@@ -39,43 +39,63 @@
 	m.requests.WithLabelValues(source, result).Inc()
 }
 
-// askInTurn asks hosts until one has a new view: the next one after a failure, or when
-// the one before has not answered for its patience. It returns nil, errOld if any host
-// answered, or another error.
-func (k *Keeper) askInTurn(ctx context.Context, hosts []string, relays bool) error {
-	hosts = k.leastAvoidedFirst(hosts)
-	patience := readerPatience
-	if relays {
-		patience = relayPatience
+// source is a host that is asked for its view.
+type source struct {
+	host  string
+	relay bool // asks the readers on behalf of others; else it reads the store
+}
+
+func (s source) patience() time.Duration {
+	if s.relay {
+		return relayPatience
+	}
+	return readerPatience
+}
+
+// askInTurn asks sources until one has a new view: the next one after a failure, or when
+// the one before has not answered for its patience. It returns nil, errOld if any source
+// answered, or another error. When relaysAsked relays have no new view, the readers have
+// none, and are not asked again.
+func (k *Keeper) askInTurn(ctx context.Context, sources []source) error {
+	sources = k.leastAvoidedFirst(sources)
+	type result struct {
+		source
+		err error
 	}
-	results := make(chan error, len(hosts))
-	impatient := time.NewTimer(patience)
+	results := make(chan result, len(sources))
+	impatient := time.NewTimer(time.Hour)
 	defer impatient.Stop()
 	failure := error(errors.New("freshness: there is no other host"))
-	next := hosts
+	asked := 0
 	askNext := func() {
-		if len(next) == 0 {
+		if asked == len(sources) {
 			return
 		}
-		host := next[0]
-		next = next[1:]
-		go func() { results <- k.ask(ctx, host, relays) }()
-		impatient.Reset(patience)
+		next := sources[asked]
+		asked++
+		go func() { results <- result{next, k.ask(ctx, next)} }()
+		impatient.Reset(next.patience())
 	}
 	askNext()
-	for failed := 0; failed < len(hosts); {
+	for failed, oldRelays := 0, 0; failed < len(sources); {
 		select {
-		case err := <-results:
-			if err == nil {
+		case r := <-results:
+			if r.err == nil {
 				return nil
 			}
 			if failed == 0 || !errors.Is(failure, errOld) {
-				failure = err
+				failure = r.err
 			}
 			failed++
+			if r.relay && errors.Is(r.err, errOld) {
+				oldRelays++
+			}
+			if oldRelays == relaysAsked {
+				return failure
+			}
 			askNext()
 		case <-impatient.C:
-			k.avoid(hosts[len(hosts)-len(next)-1]) // until it answers
+			k.avoid(sources[asked-1].host) // until it answers
 			askNext()
 		case <-ctx.Done():
 			return errors.CombineErrors(failure, ctx.Err())
@@ -84,8 +104,8 @@
 	return failure
 }
 
-// leastAvoidedFirst returns the hosts with those that are avoided at the end.
-func (k *Keeper) leastAvoidedFirst(hosts []string) []string {
+// leastAvoidedFirst returns the sources with those that are avoided at the end.
+func (k *Keeper) leastAvoidedFirst(sources []source) []source {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
@@ -94,8 +114,8 @@
 			delete(k.avoided, host)
 		}
 	}
-	ordered := slices.Clone(hosts)
-	slices.SortStableFunc(ordered, func(a, b string) int { return k.avoided[a].Compare(k.avoided[b]) })
+	ordered := slices.Clone(sources)
+	slices.SortStableFunc(ordered, func(a, b source) int { return k.avoided[a.host].Compare(k.avoided[b.host]) })
 	return ordered
 }
 
@@ -116,8 +136,8 @@
 
 // ask refreshes the view from one host. It goes on when the context of the round has
 // ended, since a silent connection shows only by a timeout.
-func (k *Keeper) ask(ctx context.Context, host string, relay bool) error {
-	if host == k.Host {
+func (k *Keeper) ask(ctx context.Context, s source) error {
+	if s.host == k.Host {
 		err := k.ReadStore(ctx)
 		if errors.Is(err, errBackoff) {
 			return errors.Mark(err, errOld)
@@ -126,25 +146,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
-	err := k.requestView(ctx, host, relay)
+	err := k.requestView(ctx, s)
 	k.Metrics.count(sourceHost, err)
-	if err == nil {
-		k.stopAvoiding(host)
-	} else {
-		k.avoid(host)
+	switch {
+	case err == nil:
+		k.stopAvoiding(s.host)
+	case !s.relay || !errors.Is(err, errOld): // during an outage relays are asked further on
+		k.avoid(s.host)
 	}
 	return err
 }
 
 // requestView adopts what a host has, page by page, and its view. It returns errOld if
 // that is too old.
-func (k *Keeper) requestView(ctx context.Context, host string, relay bool) error {
+func (k *Keeper) requestView(ctx context.Context, s source) error {
 	for range maxViewPages {
 		after := k.Table.CompleteTo()
 		have := k.Table.HashesSince(after)
-		request := peer.ViewRequest{After: after, Have: have[:min(maxHeld, len(have))], MaxAge: maxSourceAge, AskOthers: relay}
+		request := peer.ViewRequest{After: after, Have: have[:min(maxHeld, len(have))], MaxAge: maxSourceAge, AskOthers: s.relay}
 		asked := time.Now()
-		answer, err := k.Fleet.RequestView(ctx, host, request)
+		answer, err := k.Fleet.RequestView(ctx, s.host, request)
 		if err != nil {
 			return err
 		}
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -29,6 +29,8 @@
 	// earlier by roleLead for each role.
 	refreshAge = 600 * time.Millisecond
 	roleLead   = 35 * time.Millisecond
+	// relaysAsked is the number of relays that a host asks before the readers.
+	relaysAsked = 2
 	// maxSourceAge is the oldest view that a host accepts from another one.
 	maxSourceAge = 300 * time.Millisecond
 	// transferAllowance is how much older an answer may be that still counts as new.
@@ -209,31 +211,45 @@
 	return &s
 }
 
-// refresh asks the relays of a large domain, or the readers if there are none or none of
-// them answers.
+// refresh asks two relays of a large domain, and then the readers. Only hosts that are no
+// source ask relays.
 func (k *Keeper) refresh(ctx context.Context) error {
 	s := k.viewSources()
-	if len(s.Relays) > 0 && s.Role == domain.NoSource {
-		err := k.askInTurn(ctx, s.Relays[:min(2, len(s.Relays))], true)
-		if err == nil || errors.Is(err, errOld) {
-			return err
-		}
+	if len(s.Relays) == 0 || s.Role != domain.NoSource {
+		return k.askReaders(ctx)
+	}
+	var sources []source
+	for _, host := range s.Relays[:min(relaysAsked, len(s.Relays))] {
+		sources = append(sources, source{host, true})
 	}
-	return k.askReaders(ctx)
+	return k.askOrRead(ctx, append(sources, readersOf(s)...))
 }
 
-// askReaders asks the readers, once for all that wait. If none of them answers, this host
-// is cut off from the others and reads the store itself.
+// askReaders asks the readers, once for all that wait.
 func (k *Keeper) askReaders(ctx context.Context) error {
 	return k.once(ctx, "readers", roundTimeout, func(ctx context.Context) error {
-		err := k.askInTurn(ctx, k.viewSources().Readers, false)
-		if err == nil || errors.Is(err, errOld) {
-			return err
-		}
-		return k.ReadStore(ctx)
+		return k.askOrRead(ctx, readersOf(k.viewSources()))
 	})
 }
 
+func readersOf(s *domain.Sources) []source {
+	sources := make([]source, 0, len(s.Readers))
+	for _, host := range s.Readers {
+		sources = append(sources, source{host, false})
+	}
+	return sources
+}
+
+// askOrRead asks sources in turn. If none of them answers, this host is cut off from the
+// others and reads the store itself.
+func (k *Keeper) askOrRead(ctx context.Context, sources []source) error {
+	err := k.askInTurn(ctx, sources)
+	if err == nil || errors.Is(err, errOld) {
+		return err
+	}
+	return k.ReadStore(ctx)
+}
+
 // ReadStore reads the store, once for all that wait. After a failure it returns an error
 // for a while without a call.
 func (k *Keeper) ReadStore(ctx context.Context) error {
--- a/freshness/keeper_test.go
+++ b/freshness/keeper_test.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/papayasail/papayasail/domain"
 	"github.com/papayasail/papayasail/internal/moment"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/replica"
@@ -96,7 +97,7 @@
 			return peer.ViewAnswer{CompleteTo: 7, Age: 100 * time.Millisecond}, 500 * time.Millisecond, nil
 		}
 		k, table := newKeeper(f)
-		is.NoErr(k.askInTurn(t.Context(), []string{"hb"}, false))
+		is.NoErr(k.askInTurn(t.Context(), []source{{"hb", false}}))
 		is.Equal(k.Age(), 600*time.Millisecond)
 		is.Equal(table.CompleteTo(), store.Version(7))
 		k.record(3, time.Now().Add(-time.Second)) // an older view
@@ -220,7 +221,7 @@
 			return peer.ViewAnswer{Objects: []store.Object{object("c", 8)}, CompleteTo: 9}, 0, nil
 		}
 		k, table := newKeeper(f)
-		is.NoErr(k.askInTurn(t.Context(), []string{"hb"}, false))
+		is.NoErr(k.askInTurn(t.Context(), []source{{"hb", false}}))
 		is.Equal(after, []store.Version{0, 5})
 		is.Equal(table.CompleteTo(), store.Version(9))
 		is.Equal(len(table.Since(0)), 3)
@@ -282,3 +283,35 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a host of a large domain that waits for the time-outs of its relays.
+func TestSilentRelaysAreNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &scriptedFleet{self: "hz", hosts: hostsOf(26)}
+		var relaysOld atomic.Bool
+		f.answer = func(_ string, request peer.ViewRequest) (peer.ViewAnswer, time.Duration, error) {
+			if request.AskOthers && relaysOld.Load() {
+				return peer.ViewAnswer{Age: time.Hour}, 0, nil
+			}
+			if request.AskOthers {
+				return peer.ViewAnswer{}, time.Hour, nil
+			}
+			return peer.ViewAnswer{CompleteTo: 7}, time.Millisecond, nil
+		}
+		for k, _ := newKeeper(f); k.viewSources().Role != domain.NoSource; k, _ = newKeeper(f) {
+			f.self = f.hosts[slices.Index(f.hosts, f.self)-1]
+		}
+		k, _ := newKeeper(f)
+		began := time.Now()
+		is.NoErr(k.refresh(t.Context()))
+		is.Equal(time.Since(began), relaysAsked*relayPatience+time.Millisecond)
+		time.Sleep(2 * (avoidFor + askTimeout))
+		relaysOld.Store(true)
+		f.takeAsked()
+		for range 3 { // during an outage
+			is.True(errors.Is(k.refresh(t.Context()), errOld))
+			is.Equal(len(f.takeAsked()), relaysAsked)
+		}
+	})
+}
--- a/gatewayhost/view_test.go
+++ b/gatewayhost/view_test.go
@@ -289,3 +289,33 @@
 		})
 	}
 }
+
+// Guards against hosts that miss changes because all relays of their domain have failed.
+func TestChangesArriveWithoutTheRelays(t *testing.T) {
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, stop := context.WithCancel(t.Context())
+				f := startViewFleet(ctx, is, 60, 3)
+				time.Sleep(6 * time.Second)
+				var affected []int
+				for i, h := range f.hosts {
+					if h.options.Domain == "d0" && domain.ViewSources(h.Members(), h.Self()).Role != domain.NoSource {
+						affected = append(affected, i)
+					}
+				}
+				is.True(len(affected) > 2)
+				for _, i := range affected {
+					trouble(f, i)
+				}
+				f.memory.Set(kindOfConfiguration, "main", []byte{3})
+				late := f.lateness(f.others(affected), func(h *Host) bool { return h.gateway.Configuration().Version == 3 })
+				t.Log(late)
+				is.True(late < operatorBound)
+				f.checkChanges(t, is, f.others(affected))
+				f.end(stop)
+			})
+		})
+	}
+}
