freshness, replica: fewer reads of the store, and a pause after each refresh

A read of the store by the views asked for the changes of two kinds whenever the revision had moved, although the watches had often brought them. It is now skipped if the host has an object of each revision since. Allocators verify the configuration at the store only when the view is over one second old.

A view that is accepted from a source but is already due again counts as old, so that a refresh is never followed by the next one without a pause.

--- a/allocation/outage_monitor.go
+++ b/allocation/outage_monitor.go
@@ -25,8 +25,8 @@
 	// verifyAfter is the maximum age of the information on the newest
 	// configuration before the store is queried for it. The allocators of a
 	// large fleet share that information, so that only one of them queries the
-	// store.
-	verifyAfter = 650 * time.Millisecond
+	// store. Views of the store are refreshed sooner unless refreshes fail.
+	verifyAfter = time.Second
 )
 
 // OutageMonitor detects leaving servers while the store is down.
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -170,6 +170,9 @@
 			k.active.Mark(time.Now())
 		}
 		err := k.refresh(ctx)
+		if err == nil && k.Age() >= k.refreshAge() {
+			err = errOld // otherwise the next refresh would follow without a pause
+		}
 		if age := k.Age(); age > oldAge != old && ctx.Err() == nil {
 			old = !old
 			k.logOld(old, age, err)
--- a/gatewayhost/view.go
+++ b/gatewayhost/view.go
@@ -15,7 +15,7 @@
 // store's revision, up to which this host then has all changes.
 //
 // The list of the evacuations, of which there are few, tells the revision. The other kinds
-// are read only if it is a newer one.
+// are read only if it is a newer one, and this host's watches have not brought all changes.
 func (h *Host) readChanges(ctx context.Context, after store.Version) (store.Version, error) {
 	started, objects := time.Now(), h.options.Objects
 	listed, revision, err := h.options.Store.List(ctx, objects.Evacuations)
@@ -24,7 +24,7 @@
 	}
 	_, findings := h.table.AdoptList(objects.Evacuations, listed, revision)
 	replica.LogFindings(h.logger, findings)
-	if revision > after {
+	if revision > after && !h.table.HasEach(after, revision) {
 		group, ctx := errgroup.WithContext(ctx)
 		for _, kind := range []string{objects.Configuration, objects.Servers} {
 			group.Go(func() error { return h.readChangesOf(ctx, kind, after, revision) })
--- a/replica/complete_test.go
+++ b/replica/complete_test.go
@@ -29,6 +29,21 @@
 	is.Equal(table.CompleteTo(), store.Version(10))
 }
 
+// Guards against a host that takes its copy for complete although it lacks a change.
+func TestHasEachCountsRevisions(t *testing.T) {
+	is := is.New(t)
+	table := New(func(store.Object) error { return nil })
+	table.Adopt([]store.Object{objectOf("a", "x", 3), objectOf("b", "y", 4), objectOf("a", "z", 6)})
+	is.True(table.HasEach(2, 4))
+	is.True(!table.HasEach(2, 5))
+	is.True(!table.HasEach(2, 6))
+	table.Adopt([]store.Object{objectOf("b", "w", 5)})
+	is.True(table.HasEach(2, 6))
+	table.Adopt([]store.Object{{Kind: "a", Name: "x", Version: 7, Deleted: true}})
+	is.True(!table.HasEach(2, 7)) // the revision of a deletion is not exact
+	is.True(!table.HasEach(store.NewVersion(0, 2), store.NewVersion(1, 6)))
+}
+
 // Guards against objects that are sent again to a host that has them, and against tombstones or newer
 // versions that are left out.
 func TestMissingLeavesOutWhatTheOtherHostHas(t *testing.T) {
--- a/replica/table.go
+++ b/replica/table.go
@@ -294,6 +294,24 @@
 	t.upTo = max(t.upTo, version)
 }
 
+// HasEach reports whether this host has an object of each revision after a version up to
+// another one, of the same era: then it has all changes up to that. It is false, too, if an
+// object has changed twice or was deleted since.
+func (t *Table) HasEach(after, upTo store.Version) bool {
+	if after.Era() != upTo.Era() {
+		return false
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	found := uint64(0)
+	for _, object := range t.objects {
+		if !object.Deleted && object.Version > after && object.Version <= upTo {
+			found++
+		}
+	}
+	return found == upTo.Revision()-after.Revision()
+}
+
 // HashesSince returns the hashes of the objects newer than a version; see Missing.
 func (t *Table) HashesSince(after store.Version) []uint64 {
 	objects := t.Since(after)
