--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -95,7 +95,7 @@
 	Logger  *zap.Logger
 	Metrics *Metrics
 
-	flights singleflight.Group // see rounds and reads
+	flights singleflight.Group // refreshes and reads that callers share; see once
 
 	asOf   moment.Moment // when this host had all changes
 	active moment.Moment // when Run found this host active
@@ -105,7 +105,7 @@
 	avoided map[string]time.Time // hosts that are asked last, until the given time
 	backoff store.Backoff        // of reads
 	readAt  time.Time            // no read before, as the store did not answer
-	sources *domain.Sources      // at the generation below
+	sources *domain.Sources      // computed at generation at; nil: not yet
 	at      uint64
 }
 
