--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -237,3 +237,34 @@
 	greyShare = 0.45
 	greyTurns = 9
 )
+
+// lastRoute removes the only route.
+//
+// Broken: a request sent later than configMs after that runs on the dropped route.
+func lastRoute(w *world, trouble bool) (broken bool, err error) {
+	if _, err := w.addServers("app"); err != nil {
+		return false, err
+	}
+	only := configuration(3, []map[string]any{route("read", "safe", "app", 2)}, []string{keyOne})
+	w.configure(only)
+	if err := w.addHosts(hostCount); err != nil {
+		return false, err
+	}
+	requests := w.send(read("read", keyOne), 100*time.Millisecond)
+	time.Sleep(settle)
+	dropped := time.Now().Add(time.Hour)
+	if trouble {
+		none := configuration(7, nil, []string{keyOne})
+		none["routes"], none["services"] = []any{}, only["services"]
+		dropped = w.configure(none)
+	}
+	time.Sleep(8 * time.Second)
+	late := 0
+	for _, r := range requests.end() {
+		if r.sent.After(dropped.Add(configBound)) && w.ledger.count(r.id) > 0 {
+			late++
+		}
+	}
+	w.note("CONFIG: %d requests ran on a route that had been dropped more than configMs before", late)
+	return late > 0, nil
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -26,6 +26,7 @@
 	"shed-and-drop": shedAndDrop,
 	"other-writer":  otherWriter,
 	"no-signature":  noSignature,
+	"last-route":    lastRoute,
 }
 
 func main() {
