--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -59,7 +59,7 @@
 	if trouble {
 		taken = w.configure(configuration(7, routes, []string{keyTwo}))
 		time.Sleep(1500 * time.Millisecond)
-		w.configure(configuration(12, routes, nil))
+		w.configure(configuration(12, routes, []string{}))
 	}
 	time.Sleep(8 * time.Second)
 	late, never := 0, 0
