--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -101,15 +101,15 @@
 		panic(err) // the requests are this program's own
 	}
 	message.Host = callerHost
-	message.Header.Set("X-Attempt-Id", attempt.id)
-	message.Header.Set("X-Deadline-Ms", strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	message.Header.Set(wire.Attempt, attempt.id)
+	message.Header.Set(wire.Deadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	if r.key != "" {
 		message.Header.Set("Authorization", "Token "+r.key)
 	}
 	if r.prompt {
 		message.Header.Set("X-Model", "m")
-		message.Header.Set("X-Token-Count", "100,20")
-		message.Header.Set("X-Prefix-Hash", fmt.Sprintf("5c1e07a2:50,%s:50", attempt.id[:8]))
+		message.Header.Set(wire.Tokens, "100,20")
+		message.Header.Set(wire.Parts, fmt.Sprintf("5c1e07a2:50,%s:50", attempt.id[:8]))
 	}
 	c.world.note("client sends %s %s %s with key %q to %s", attempt.id, r.method, r.path, r.key, address)
 	wait := c.exchange(message, &attempt)
@@ -129,7 +129,7 @@
 	if err != nil {
 		return 0
 	}
-	attempt.status, attempt.stamp, attempt.body = response.StatusCode, response.Header.Get("X-Server-Stamp"), string(body)
+	attempt.status, attempt.stamp, attempt.body = response.StatusCode, response.Header.Get(wire.Stamp), string(body)
 	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	if err != nil {
 		return 0
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -79,7 +79,7 @@
 	defer s.mu.Unlock()
 	s.seq++
 	return map[string]any{
-		"service": s.service, "addr": s.address, "zone": s.zone, "version": "v1", "slots": slots, "state": "ready", "coldLeftMs": 0, "seq": s.seq,
+		"service": s.service, "addr": s.address, "zone": s.zone, "version": "v1", "slots": slots, "state": "ready", wire.Cold: 0, "seq": s.seq,
 	}
 }
 
@@ -96,13 +96,13 @@
 	case r.URL.Path == "/healthz":
 		w.Header().Set("X-Instance-Id", s.id)
 	case r.URL.Path == "/report":
-		fmt.Fprintf(w, `{"phase":"mixed","models":[],"busy":false,"seq":1,"queued":0,"active":0,"kvUsed":0,"kvTotal":0,"kvHandles":0}`)
-	case r.Header.Get("X-Expect-Instance") != s.id:
+		fmt.Fprintf(w, `{"phase":"mixed","models":[],"busy":false,"seq":1,"queued":0,"active":0,"kvUsed":0,"kvTotal":0,%q:0}`, wire.Copies)
+	case r.Header.Get(wire.Expect) != s.id:
 		w.Header().Set("X-Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case s.shed != nil && s.shed():
-		s.world.note("%s turns %s away", s.id, r.Header.Get("X-Attempt-Id"))
-		w.Header().Set("X-Not-Executed", "1")
+		s.world.note("%s turns %s away", s.id, r.Header.Get(wire.Attempt))
+		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		s.answer(w, r, body)
@@ -114,18 +114,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answered++
-	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	w.Header().Set(wire.Attempt, r.Header.Get(wire.Attempt))
 	w.Header().Set("Keep-Alive", "timeout=5")
-	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", s.running, slots))
+	w.Header().Set(wire.Load, fmt.Sprintf("%d,0,%d", s.running, slots))
 	if s.closeEvery > 0 && s.answered%s.closeEvery == 0 {
 		w.Header().Set("Connection", "close")
 	}
 }
 
 func (s *server) answer(w http.ResponseWriter, r *http.Request, body []byte) {
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(wire.Attempt)
 	s.world.ledger.add(id)
-	s.world.note("%s runs %s %s %s for tenant %q", s.id, id, r.Method, r.URL.Path, r.Header.Get("X-Tenant"))
+	s.world.note("%s runs %s %s %s for tenant %q", s.id, id, r.Method, r.URL.Path, r.Header.Get(wire.Organisation))
 	s.count(1)
 	time.Sleep(s.work)
 	s.count(-1)
@@ -135,7 +135,7 @@
 		_, _ = io.WriteString(w, "<html>try again later</html>") // fails only if the caller is gone
 		return
 	}
-	w.Header().Set("X-Server-Stamp", "stamp-"+id)
+	w.Header().Set(wire.Stamp, "stamp-"+id)
 	if strings.HasPrefix(r.URL.Path, "/letter/") {
 		s.stream(w, id)
 		return
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -191,7 +191,7 @@
 // route returns a route of a configuration.
 func route(name, kind, service string, attempts int) map[string]any {
 	return map[string]any{
-		"name": "r-" + name, "host": callerHost, "pathPrefix": "/" + name + "/", "type": kind, "timeoutMs": 3000, "goalMs": 300,
+		"name": "r-" + name, "host": callerHost, wire.Prefix: "/" + name + "/", "type": kind, "timeoutMs": 3000, "goalMs": 300,
 		"priority": 1, "service": service, "attempts": attempts, "public": false, "resumable": false, "sticky": false, "gapGoalMs": 180,
 	}
 }
@@ -209,7 +209,7 @@
 	return map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "huka270", "apiKeys": keys}},
+		"tenants": []map[string]any{{"name": "huka270", wire.Keys: keys}},
 	}
 }
 
