fleet: an answer that only suggests that a server leaves is a suspicion

Cause: a refusal that also closes its connection was taken for the server's own report of leaving, kept for its incarnation, and passed to other hosts by allocators. Nothing revised it. The same held for a health answer 503 that closes, and for a single 421.

Evidence: the only line on these servers in the hosts' logs is "backend server takes no new work", because "its_answers", at the first such refusal; entries are renewed as ready every 1.2 s afterwards and health answers are 200.

Change: reports of leaving are what the server says itself (Server-Leaving, its report, its entry). Anything else is a fleet.Suspicion, which other hosts never get and which ends with a request that the server accepts, a good health answer with its ID, or a renewed entry. Until then other servers come first; after a 421 it gets no requests. Why it works: no lasting conclusion is drawn from evidence that servers which stay give too, and what ends a suspicion does not depend on requests being sent.

--- a/fleet/candidates.go
+++ b/fleet/candidates.go
@@ -72,7 +72,7 @@
 func (t *Table) candidate(e *entry, s *service, domain string, now time.Time) placement.Candidate {
 	c := placement.Candidate{
 		ID: e.server.ID, Domain: e.server.Domain, SameDomain: e.server.Domain == domain, Slots: e.server.Slots, MemoryTokens: s.memoryTokens,
-		Doubtful: e.health.doubtful || now.Before(e.shunnedUntil), SlowStart: e.cold(now), Pace: e.pace.estimate, ReadingTokensPerMs: e.reading.value,
+		Doubtful: e.health.doubtful || e.suspicion.lastResort() || now.Before(e.shunnedUntil), SlowStart: e.cold(now), Pace: e.pace.estimate, ReadingTokensPerMs: e.reading.value,
 		GapMisses: e.gapMisses,
 	}
 	load := e.ownLoad()
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -25,8 +25,13 @@
 
 // ApplySelfReport applies the status that a server reported about itself.
 func (t *Table) ApplySelfReport(incarnation Incarnation, status SelfReport) {
-	if status.Leaves {
+	switch {
+	case status.Leaves:
 		t.MarkLeaving(incarnation, SourceAnswer)
+	case status.MayLeave:
+		t.Suspect(incarnation, SuspectLeaving)
+	case status.TakesWork:
+		t.Refute(incarnation, RefutedByHealth, status.Asked)
 	}
 	t.MarkCold(incarnation, status.ColdFor)
 	if status.ColdKnown && t.correctCold(incarnation, status.ColdFor) {
--- a/fleet/coldcheck.go
+++ b/fleet/coldcheck.go
@@ -40,9 +40,7 @@
 
 // mayQueryCold requires mu.
 func (t *Table) mayQueryCold(e *entry, now time.Time) bool {
-	limit := t.rateLimits[e.server.ID]
-	limited := limit != nil && limit.perSecond > 0
-	return e.acceptsRequests() && !e.cold(now) && !limited && !t.inBackoff(e.server.ID, now) && t.queueLimit(e, now) < 0
+	return e.acceptsRequests() && !e.cold(now) && t.acceptsQueries(e, now)
 }
 
 // ColdCheckFailed records that a server did not answer the query of a check.
--- a/fleet/evidence.go
+++ b/fleet/evidence.go
@@ -177,7 +177,7 @@
 // is unreachable, is an engine at which requests of several hosts failed,
 // requested a backoff from this host, is brittle and rejected a request of this host,
 // limits its request rate and gets no request
-// of this host now, or reported to it that it is leaving.
+// of this host now, may have been replaced, or reported to it that it is leaving.
 func (t *Table) Avoided(service string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -195,6 +195,9 @@
 	for id, report := range t.leavingReports {
 		avoided[id] = avoided[id] || t.entryOf(report.incarnation) != nil
 	}
+	for e := range t.suspects {
+		avoided[e.server.ID] = avoided[e.server.ID] || e.suspicion.unusable()
+	}
 	maps.DeleteFunc(avoided, func(id string, avoid bool) bool {
 		return !avoid || t.servers[id] == nil || t.servers[id].server.Service != service
 	})
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -17,11 +17,18 @@
 	Leaving bool
 	// SlowFor is how much longer the server is cold; zero: not cold, or not reported.
 	SlowFor time.Duration
+	// Writes is how often the server has written its host list entry.
+	Writes int64
 }
 
 // SelfReport is the status that a server reports about itself when queried.
 type SelfReport struct {
-	Leaves bool // it accepts no new work
+	Asked  time.Time // when it was queried
+	Leaves bool      // it accepts no new work
+	// MayLeave is set if its answer is one that leaving servers give, and others too.
+	MayLeave bool
+	// TakesWork is set if it reported that it is healthy and not leaving.
+	TakesWork bool
 	// ColdFor is how much longer it is cold; zero: not cold, or not reported.
 	ColdFor time.Duration
 	// ColdKnown is set if ColdFor was reported.
@@ -38,7 +45,6 @@
 const (
 	SourceList      LeavingSource = "host_list"   // its host list entry is marked as leaving
 	SourceRemoved   LeavingSource = "removed"     // its host list entry was removed
-	SourceReplaced  LeavingSource = "replaced"    // another server has its address
 	SourceAnswer    LeavingSource = "its_answers" // it reported so itself
 	SourcePeer      LeavingSource = "peer"        // another entry host reported so
 	SourceRestarted LeavingSource = "reborn"      // another incarnation is known
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -56,6 +56,7 @@
 	rateLimitsPruned time.Time
 	coldNews         map[string]coldNews // by server ID
 	gossipTurn       []string            // servers whose rate limits are still to be gossiped in this round
+	suspected        chan struct{}       // receives a token when a server has become a suspect
 	ownChanges       chan struct{}       // receives a token when this host's work on engines has changed
 	changed          chan struct{}       // closed and replaced on each change that may free capacity
 
@@ -64,6 +65,7 @@
 
 	working     map[*entry]struct{}            // has work of this host
 	evident     map[*entry]struct{}            // has evidence that was not taken yet
+	suspects    map[*entry]struct{}            // has a suspicion against it
 	restricted  map[*entry]struct{}            // unavailable, shunned or paused now, or was recently
 	othersLoads map[string]map[*entry]struct{} // by host: has a load of that host
 }
@@ -130,6 +132,7 @@
 	sum                loadSum                   // cached sum of others
 	leavingCh          chan struct{}             // closed when the server starts leaving
 	leavingBecause     LeavingSource
+	suspicion          suspicionState
 }
 
 // NewTable returns an empty table for the entry host of that name.
@@ -137,8 +140,8 @@
 	return &Table{
 		host: host, logger: logger, sharers: sharing.NewHosts(host),
 		servers: map[string]*entry{}, addresses: map[string]*addressUse{}, services: map[string]*service{}, evacuated: map[string]bool{},
-		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, rateLimits: map[string]*rateLimit{}, coldNews: map[string]coldNews{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1),
-		working: map[*entry]struct{}{}, evident: map[*entry]struct{}{}, restricted: map[*entry]struct{}{}, othersLoads: map[string]map[*entry]struct{}{},
+		leavingReports: map[string]leavingReport{}, backoffs: map[string]time.Time{}, rateLimits: map[string]*rateLimit{}, coldNews: map[string]coldNews{}, changed: make(chan struct{}), ownChanges: make(chan struct{}, 1), suspected: make(chan struct{}, 1),
+		working: map[*entry]struct{}{}, evident: map[*entry]struct{}{}, suspects: map[*entry]struct{}{}, restricted: map[*entry]struct{}{}, othersLoads: map[string]map[*entry]struct{}{},
 	}
 }
 
@@ -187,6 +190,7 @@
 	if server.Born == 0 {
 		server.Born = e.server.Born
 	}
+	renewed := server.Writes > e.server.Writes
 	if server.Domain != e.server.Domain {
 		s := t.service(server.Service)
 		s.members.remove(e)
@@ -207,6 +211,8 @@
 	case e.mayReturn():
 		e.removed, e.leaving, e.leavingCh = false, false, make(chan struct{})
 		t.service(server.Service).setLeaving(e, false)
+	case renewed:
+		t.refute(e, RefutedByEntry)
 	}
 	t.notifyChanged()
 }
@@ -274,6 +280,7 @@
 	if e.leaving {
 		return
 	}
+	t.endSuspicion(e)
 	e.leaving, e.leavingBecause = true, because
 	t.service(e.server.Service).setLeaving(e, true)
 	close(e.leavingCh)
@@ -303,6 +310,7 @@
 	s.departed[e.server.Incarnation()] = time.Now()
 	delete(t.working, e)
 	delete(t.evident, e)
+	t.endSuspicion(e)
 	delete(t.restricted, e)
 	for host := range e.others {
 		t.deleteOthersLoad(host, e)
@@ -352,12 +360,12 @@
 	return use.service, true
 }
 
-// acceptsWork reports whether the server is neither leaving nor has an invalid
-// host list entry. Unlike acceptsRequests, it ignores evacuations.
-func (e *entry) acceptsWork() bool { return !e.leaving && !e.invalid }
+// acceptsWork reports whether the server is neither leaving nor replaced, nor has
+// an invalid host list entry. Unlike acceptsRequests, it ignores evacuations.
+func (e *entry) acceptsWork() bool { return !e.leaving && !e.invalid && !e.suspicion.unusable() }
 
-// Usable returns the servers of a service that are neither leaving nor have an
-// invalid host list entry, including those in evacuated failure domains.
+// Usable returns the servers of a service that accept work, including those in
+// evacuated failure domains.
 func (t *Table) Usable(name string) []Server {
 	return t.usable(name, func(*entry) bool { return true })
 }
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -50,6 +50,8 @@
 	WrongServer bool
 	// Leaving is set if the server reports that it accepts no new work.
 	Leaving bool
+	// Closing is set if the server announces that it closes the connection.
+	Closing bool
 	// BackoffFor is how long the server asks this host to send it no requests; zero:
 	// not reported.
 	BackoffFor time.Duration
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -197,11 +197,15 @@
 	}
 	switch {
 	case reply.WrongServer:
-		t.gateway.options.Fleet.MarkLeaving(server.Incarnation(), fleet.SourceReplaced)
+		t.gateway.options.Fleet.Suspect(server.Incarnation(), fleet.SuspectReplaced)
 	case reply.Leaving:
 		t.gateway.options.Fleet.MarkLeaving(server.Incarnation(), fleet.SourceAnswer)
-	case reply.BackoffFor > 0:
+	case reply.BackoffFor > 0: // it is full, and stays
 		t.gateway.options.Fleet.SetBackoff(server.ID, reply.BackoffFor)
+	case reply.NotRun && reply.Closing:
+		t.gateway.options.Fleet.Suspect(server.Incarnation(), fleet.SuspectLeaving)
+	case !reply.NotRun && reply.Complete:
+		t.gateway.options.Fleet.Refute(server.Incarnation(), fleet.RefutedByAnswer, sent)
 	}
 }
 
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -73,7 +73,7 @@
 // are alive. Within ListChangedSlack after an outage, a server is therefore
 // removed only if its entry is not recreated within entryRecoveryTime. Hosts that
 // watch the store query the server, and remove it earlier if it reports that it
-// is leaving or if a query fails. While the store answers any host, a missing entry is a
+// is or may be leaving or if a query fails. While the store answers any host, a missing entry is a
 // removal, even if it rejects this host.
 //
 // It is called with the replica table's lock held. The membership acquires that
@@ -106,7 +106,7 @@
 }
 
 // removeAfterPolling polls a server until its entry has been recreated, the
-// server reports that it is leaving, a query fails, or entryRecoveryTime has
+// server reports that it is or may be leaving, a query fails, or entryRecoveryTime has
 // passed. It polls repeatedly because a server's status may be several
 // hundred milliseconds old: the first answer may predate its decision to leave.
 func (h *Host) removeAfterPolling(server fleet.Server) {
@@ -124,12 +124,12 @@
 	h.removeUnlessRecreated(server.ID)
 }
 
-// queryLeaving queries the status of a server and returns whether it is leaving.
+// queryLeaving queries the status of a server and returns whether it is or may be leaving.
 func (h *Host) queryLeaving(server fleet.Server) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), leavingQueryTimeout)
 	defer cancel()
 	status, err := h.queryStatus(ctx, server)
-	return status.Leaves, err
+	return status.Leaves || status.MayLeave, err
 }
 
 // queryStatus queries the status of a server, at its service's health path if one
