gateway: one decision on what a server's answer is, for calls, streams and moved runs

Played on the old code with the new test: any unmarked status from 201 to 299, with any media type.

Cause: calls and streams each had their own idea of a success. Streams asked for the mark at status 200 only, and passed everything else on as the server's complete answer.

Change: task.kindOf decides by the head of an answer whether it is a refusal, a whole answer, a stream, or wrong; calls, streams and resumed runs use it. A success of any status counts only with the mark. A wrong answer ends with 502 and counts as a failure of its server, but not as a crash. A marked success of any status still reaches the caller, event by event if it is a stream of events.

Related: 408, 421, 429 and 503 without the mark and without the server's report that it did not run the request were passed on, and promise callers what nobody knows; a success that reports that it did not run became such a promise. Both are 502 now. A status of 101 or above 599 is no answer (internal/answerhead, both interfaces).

A test that relied on the fault: TestPartialAnswerClearsNothing took an unmarked success for the answer that shows that servers are not brittle. It now shows that by marked answers; with a partial answer that clears the request it fails as before.

--- a/backend/clientexchange.go
+++ b/backend/clientexchange.go
@@ -181,7 +181,7 @@
 	if x.released.Swap(true) {
 		return
 	}
-	if !x.stopWatching() || x.response.Close || x.response.StatusCode == http.StatusSwitchingProtocols {
+	if !x.stopWatching() || x.response.Close {
 		x.conn.Close()
 		return
 	}
@@ -195,7 +195,7 @@
 	switch {
 	case x.conn.written == 0:
 		failed.Evidence = NothingSent
-	case errors.IsAny(err, answerhead.ErrTooLarge, answerhead.ErrTooManyInterim):
+	case errors.IsAny(err, answerhead.ErrTooLarge, answerhead.ErrTooManyInterim, answerhead.ErrStatus):
 		failed.Evidence = Mismatch
 	case isTimeout(err) || isTimeout(x.conn.writeErr) || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failed.Evidence = Silent
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -119,8 +119,11 @@
 	if reply.Load != nil {
 		work.SetReportedLoad(*reply.Load)
 	}
-	if !accepted(reply) {
+	switch t.kindOf(reply) {
+	case answerRefusal:
 		return t.refusedAttempt(reply)
+	case answerWrong:
+		return t.wrongAnswer(ctx, work)
 	}
 	body, err := t.readAnswer(attemptCtx, work, reply)
 	if err != nil {
@@ -134,9 +137,6 @@
 		work.Outcome(false)
 	}
 	answer := Outcome{Status: reply.Status, Header: reply.Header, Body: body, Complete: true}
-	if reply.Status < http.StatusMultipleChoices && !reply.Complete {
-		return t.mayHaveRun(ctx, ReasonBroken)
-	}
 	t.recordAnswer(reply.Status)
 	if t.expected > 0 {
 		t.gateway.options.Metrics.callTimeRatio.Observe(time.Since(began).Seconds() / t.expected.Seconds())
@@ -209,9 +209,6 @@
 	}
 }
 
-// accepted reports whether the server accepted the request.
-func accepted(reply *Reply) bool { return !reply.NotRun && !reply.WrongServer }
-
 // refusedAttempt returns the result of an attempt that the server refused as not
 // run.
 func (t *task) refusedAttempt(reply *Reply) attempt {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -96,6 +96,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is, w := is.New(t), newHarness()
 		w.put("p3", "plain")
+		for _, id := range []string{"p1", "p2", "p3"} {
+			w.answered(id)
+		}
 		crash := func(_ context.Context, call Call) (*Reply, error) {
 			w.crash(call)
 			return nil, broken(backend.Broken)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/fleet"
 )
 
@@ -46,7 +44,7 @@
 			continue
 		}
 		t.sends++
-		if !accepted(reply) {
+		if t.kindOf(reply) == answerRefusal {
 			result := t.refusedAttempt(reply)
 			reply.Body.Close()
 			work.End()
@@ -63,15 +61,15 @@
 // relay forwards the stream to the caller. If its run is moved, relay continues
 // with the stream of the new server.
 func (t *task) relay(ctx context.Context, sink Sink, work *fleet.Work, reply *Reply) Outcome {
-	if reply.Status == http.StatusOK && !reply.Complete {
+	switch t.kindOf(reply) {
+	case answerWrong:
 		reply.Body.Close()
 		work.End()
-		work.Outcome(true)
-		return t.mayHaveRun(ctx, ReasonBroken).outcome
-	}
-	if reply.Status != http.StatusOK || !isEventStream(reply.Header) {
+		return t.wrongAnswer(ctx, work).outcome
+	case answerWhole:
 		return t.bufferedOutcome(ctx, work, reply)
 	}
+	status := reply.Status
 	run := newRun(t, work)
 	defer run.finish()
 	if t.service.Engine != nil && t.service.Engine.Moves {
@@ -89,12 +87,12 @@
 		case errors.Is(err, errCallerGone):
 			return t.callerGoneOutcome()
 		case ended && marksEnd(reply):
-			return t.completedOutcome(run)
+			return t.completedOutcome(run, status)
 		}
 		to, known := t.awaitTransfer(ctx, run)
 		if ended && !run.moving() { // no move has stopped the run
 			if t.failure = t.confirmEnd(ctx, run.currentWork(), reply); t.failure == nil {
-				return t.completedOutcome(run)
+				return t.completedOutcome(run, status)
 			}
 		}
 		if !known {
@@ -108,17 +106,6 @@
 	}
 }
 
-// isEventStream reports whether an answer on a stream route is a stream of events. An
-// answer that names no media type counts as one.
-func isEventStream(header http.Header) bool {
-	named := header.Get("Content-Type")
-	if named == "" {
-		return true
-	}
-	media, _, err := mime.ParseMediaType(named)
-	return err == nil && media == backend.ContentTypeSSE
-}
-
 // bufferedOutcome returns the outcome of an answer that is not a stream.
 func (t *task) bufferedOutcome(ctx context.Context, work *fleet.Work, reply *Reply) Outcome {
 	defer work.End()
@@ -168,11 +155,13 @@
 	}
 }
 
-func (t *task) completedOutcome(run *run) Outcome {
+// completedOutcome returns the outcome of a stream that was relayed to its end; status is
+// that of its head.
+func (t *task) completedOutcome(run *run, status int) Outcome {
 	run.recordOutcome(false)
 	t.recordGapGoal(run, true)
-	t.recordAnswer(http.StatusOK)
-	return Outcome{Status: http.StatusOK, Streamed: true, Complete: true}
+	t.recordAnswer(status)
+	return Outcome{Status: status, Streamed: true, Complete: true}
 }
 
 func (t *task) callerGoneOutcome() Outcome {
@@ -244,7 +233,7 @@
 		t.gateway.options.Logger.Warn(msgResumeFailed, append(fields, zap.Error(err))...)
 		return nil, false
 	}
-	if reply.Status != http.StatusOK || !accepted(reply) || !reply.Complete || !isEventStream(reply.Header) {
+	if t.kindOf(reply) != answerStream {
 		reply.Body.Close()
 		t.gateway.options.Logger.Warn(msgResumeFailed, append(fields, zap.Int("status", reply.Status), zap.Bool("complete", reply.Complete))...)
 		return nil, false
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -62,6 +62,17 @@
 			r.Complete = false
 			return r
 		},
+		"unmarked, another success": func() *Reply {
+			r := answer(http.StatusAccepted, wholeStream(1))
+			r.Header.Set("Content-Type", "text/event-stream")
+			r.Complete = false
+			return r
+		},
+		"reports that it did not run": func() *Reply {
+			r := answer(http.StatusOK, wholeStream(1))
+			r.NotRun = true
+			return r
+		},
 		"no events": func() *Reply {
 			r := answer(http.StatusOK, "")
 			r.Header.Set("Content-Type", "text/html")
--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -15,6 +15,8 @@
 	MaxBytes = 32 << 10
 	// MaxInterim is the maximum number of interim answers (1xx) before an answer.
 	MaxInterim = 8
+
+	maxStatus = 599
 )
 
 var (
@@ -22,6 +24,9 @@
 	ErrTooLarge = errors.New("answerhead: head of answer is too large")
 	// ErrTooManyInterim means that more than MaxInterim interim answers arrived.
 	ErrTooManyInterim = errors.New("answerhead: too many interim answers")
+	// ErrStatus means that a status is not that of an answer to a request: no request
+	// asks for another protocol.
+	ErrStatus = errors.New("answerhead: status of no answer")
 )
 
 // Reader reads answers from a connection. Heads are read with ReadResponse, bodies
@@ -38,15 +43,18 @@
 }
 
 // ReadResponse reads the head of the final answer to request and skips interim
-// answers. Errors: those of http.ReadResponse, ErrTooLarge, ErrTooManyInterim. After
-// an error the connection must be closed.
+// answers. Errors: those of http.ReadResponse, ErrTooLarge, ErrTooManyInterim, ErrStatus.
+// After an error the connection must be closed.
 func (r *Reader) ReadResponse(request *http.Request) (*http.Response, error) {
 	for range MaxInterim + 1 {
 		response, err := r.readHead(request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		switch status := response.StatusCode; {
+		case status == http.StatusSwitchingProtocols || status > maxStatus:
+			return nil, errors.Wrapf(ErrStatus, "%d", status)
+		case status >= http.StatusOK:
 			return response, nil
 		}
 	}
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -104,3 +104,16 @@
 		is.True(rest.read <= MaxBytes)
 	})
 }
+
+// Guards against bytes that are no answer to a request and reach a caller as one.
+func TestStatusOfNoAnswerIsAnError(t *testing.T) {
+	for status, expected := range map[string]error{
+		"101 Switching Protocols": ErrStatus, "600 Odd": ErrStatus, "999 Odd": ErrStatus, "200 OK": nil, "299 Odd": nil, "599 Odd": nil,
+		"103 Early Hints\r\n\r\nHTTP/1.1 200 OK": nil, "103 Early Hints\r\n\r\nHTTP/1.1 101 Switching Protocols": ErrStatus,
+	} {
+		_, err := NewReader(strings.NewReader("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n")).ReadResponse(request())
+		if !errors.Is(err, expected) {
+			t.Errorf("%q: %v", status, err)
+		}
+	}
+}
