platform, gateway: a list that was emptied is not an absent one

Cause: Configuration.NeedsKey asked whether there are keys, where it has to ask whether the configuration has organisations; the decoder did not tell an empty list from an absent one.

Without tenants no request needs a key; with tenants and without keys no key is valid. Public routes are served throughout.

A part that cannot be read no longer keeps the whole configuration before in force, with its removed keys and routes: it allows nothing, is logged and counted, and the rest is in force. Requests that are not found in such a configuration are refused as not run, never denied.

--- a/configuration/organisation.go
+++ b/configuration/organisation.go
@@ -34,7 +34,7 @@
 type Organisation struct {
 	Name        string               `json:"name"`
 	TokenSHA256 []settings.TokenHash `json:"token_sha256"`
-	Services    []string             `json:"services,omitempty"` // empty: all services
+	Services    []string             `json:"services,omitempty"` // nil: all services
 	// Version is the version of the organisation's last change. The stored object
 	// written by that change has zero here, because its version was not known
 	// yet; withVersions replaces zero by the object's version.
@@ -50,7 +50,7 @@
 
 // MayUse reports whether the organisation may use a service.
 func (o *Organisation) MayUse(service string) bool {
-	return len(o.Services) == 0 || slices.Contains(o.Services, service)
+	return o.Services == nil || slices.Contains(o.Services, service)
 }
 
 // Check validates the organisation. Its errors are marked ErrOrganisation.
@@ -60,6 +60,8 @@
 		return invalidOrganisation("name %q must be lower-case letters, digits, - and _, beginning with a letter", o.Name)
 	case len(o.TokenSHA256) == 0 || len(o.TokenSHA256) > maxOrganisationTokens:
 		return invalidOrganisation("%s has %d tokens, must have 1 to %d", o.Name, len(o.TokenSHA256), maxOrganisationTokens)
+	case o.Services != nil && len(o.Services) == 0:
+		return invalidOrganisation("%s has an empty list of services; without a list it may use all services", o.Name)
 	case len(o.Services) > maxOrganisationServices:
 		return invalidOrganisation("%s names %d services, at most %d", o.Name, len(o.Services), maxOrganisationServices)
 	}
--- a/configuration/organisation_test.go
+++ b/configuration/organisation_test.go
@@ -279,8 +279,11 @@
 	}
 	services := organisation("services", "t")
 	services.Services = []string{"a", "a"}
+	noServices := organisation("no-services", "t")
+	noServices.Services = []string{}
+	is.True(!noServices.MayUse("a"))
 	for _, bad := range []Organisation{
-		organisation("Name", "t"), organisation("", "t"), organisation("a\nb", "t"), organisation("none"), many, services,
+		organisation("Name", "t"), organisation("", "t"), organisation("a\nb", "t"), organisation("none"), many, services, noServices,
 		organisation("twice", "t", "t"), organisation("empty", ""), organisation("clash", "held"),
 	} {
 		result, err := acceptor.PutOrganisation(ctx, organisationChange("bad", 0, bad))
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -54,9 +54,12 @@
 	// Resumable is set if callers may resume a generation that broke off, at any server,
 	// after the last event that they received.
 	Resumable bool
-	// Regions are those in which requests may be served; none: in all.
+	// Regions are those in which requests may be served; nil: in all, empty: in none.
 	Regions []string
 	Targets []Target
+	// Unreadable is set if a part of the route could not be read. It matches requests as
+	// usual, so that none falls to another route, but they are refused as not run.
+	Unreadable bool
 }
 
 // Engine describes the model engines of a service.
@@ -88,7 +91,7 @@
 	Name string
 	// Priority overrides that of routes; nil: the route's priority applies.
 	Priority *int
-	// Regions are those in which its requests may be served; none: in all.
+	// Regions are those in which its requests may be served; nil: in all, empty: in none.
 	Regions []string
 }
 
@@ -103,13 +106,17 @@
 	Version  uint64 // set by the operator; increases, not always by one
 	Services map[string]*Service
 	Limits   ClientLimits
+	// Problems are the reasons why parts of it could not be read. These parts allow
+	// nothing; the others are in force.
+	Problems []error
 
 	routes map[string][]*Route // by host; longest prefix first
 	keys   map[string]*Organisation
 }
 
-// NewConfiguration returns a configuration with indexed routes and keys. If there
-// are no keys, no request needs one.
+// NewConfiguration returns a configuration with indexed routes and keys. Keys are nil if
+// it does not name any organisations, so that no request needs a key. With an empty map,
+// no key is valid.
 func NewConfiguration(version uint64, routes []*Route, services []*Service, keys map[string]*Organisation, limits ClientLimits) *Configuration {
 	c := &Configuration{Version: version, Limits: limits, Services: map[string]*Service{}, routes: map[string][]*Route{}, keys: keys}
 	for _, service := range services {
@@ -142,18 +149,18 @@
 
 // NeedsKey reports whether requests on a route need a key.
 func (c *Configuration) NeedsKey(route *Route) bool {
-	return len(c.keys) > 0 && !route.Public
+	return c.keys != nil && !route.Public
 }
 
-// target selects a service of the route at random by weight; draw returns a
-// random number in [0, n).
+// target selects a service of the route at random by weight, or none if all weights are
+// zero; draw returns a random number in [0, n).
 func (r *Route) target(draw func(n int) int) string {
 	total := 0
 	for _, target := range r.Targets {
 		total += max(0, target.Weight)
 	}
 	if total == 0 {
-		return r.Targets[0].Service
+		return ""
 	}
 	at := draw(total)
 	for _, target := range r.Targets {
@@ -162,5 +169,5 @@
 			return target.Service
 		}
 	}
-	return r.Targets[0].Service
+	return ""
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,7 @@
 // SetConfiguration puts a configuration in force for new requests.
 func (g *Gateway) SetConfiguration(c *Configuration) {
 	g.configuration.Store(c)
+	g.options.Metrics.configurationProblems.Set(float64(len(c.Problems)))
 	g.retries.prune(c)
 	g.waitingCalls.prune(c)
 	for _, service := range c.Services {
@@ -167,7 +168,7 @@
 	organisation  string
 	priority      int
 	service       *Service
-	regions       [][]string // lists of regions, each of which binds unless it is empty
+	regions       [][]string // lists of regions, each of which binds unless it is nil
 	fingerprint   uint64     // equal for retries by the caller
 	admission     *quarantine.Admission
 	deadline      time.Time     // the earlier of the route's timeout and the caller's deadline
@@ -258,7 +259,8 @@
 // A host that is cut off from the store or has just started may lack a route or
 // key that was added recently. A denial would make the caller give up a valid
 // request permanently, so it is returned only if the local configuration is
-// confirmed as the newest; otherwise the request is refused as not run.
+// confirmed as the newest and was read in full; otherwise the request is refused as not
+// run.
 func (t *task) admit(ctx context.Context) (Outcome, bool) {
 	if _, ok := t.lookUp(); ok {
 		return Outcome{}, true
@@ -268,14 +270,23 @@
 	}
 	// The confirmed configuration may be newer than the one loaded on arrival.
 	t.configuration = t.gateway.configuration.Load()
-	return t.lookUp()
+	outcome, ok := t.lookUp()
+	if !ok && len(t.configuration.Problems) > 0 {
+		return refused(ReasonUnreadable, retryNoServer), false
+	}
+	return outcome, ok
 }
 
+// lookUp looks up the route, the organisation and the service. It returns the outcome of a
+// request that the configuration does not allow.
 func (t *task) lookUp() (Outcome, bool) {
 	t.route = t.configuration.Route(t.request.Host, t.request.Path)
 	if t.route == nil {
 		return denied(http.StatusNotFound, ReasonNoRoute), false
 	}
+	if t.route.Unreadable {
+		return refused(ReasonUnreadable, retryNoServer), false
+	}
 	t.priority, t.regions = t.route.Priority, nil
 	if t.configuration.NeedsKey(t.route) {
 		organisation, ok := t.configuration.Organisation(t.request.Key)
@@ -288,10 +299,9 @@
 		}
 	}
 	t.regions = append(t.regions, t.route.Regions)
-	name := t.route.target(rand.IntN)
-	t.service = t.configuration.Services[name]
+	t.service = t.configuration.Services[t.route.target(rand.IntN)]
 	if t.service == nil {
-		t.service = &Service{Name: name}
+		return refused(ReasonNoService, retryNoServer), false
 	}
 	return Outcome{}, true
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,8 @@
 	retryDecisions *prometheus.CounterVec
 	retryResults   *prometheus.CounterVec
 	callTimeRatio  prometheus.Histogram
+
+	configurationProblems prometheus.Gauge
 }
 
 // NewMetrics registers the gateway's counters and histograms.
@@ -64,8 +66,12 @@
 			Help:    "Time that plain servers took for calls, divided by the time that was expected when they were chosen.",
 			Buckets: prometheus.ExponentialBuckets(0.125, 1.4142, 13),
 		}),
+		configurationProblems: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "papayasail_gateway_configuration_problems",
+			Help: "Parts of the configuration in force that could not be read.",
+		}),
 	}
-	registerer.MustRegister(m.requests, m.duration, m.firstEvent, m.longestPause, m.moves, m.gapGoals, m.retryDecisions, m.retryResults, m.callTimeRatio)
+	registerer.MustRegister(m.requests, m.duration, m.firstEvent, m.longestPause, m.moves, m.gapGoals, m.retryDecisions, m.retryResults, m.callTimeRatio, m.configurationProblems)
 	return m
 }
 
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -4,7 +4,7 @@
 
 // restricted reports whether the request may be served in some regions only.
 func (t *task) restricted() bool {
-	return slices.ContainsFunc(t.regions, func(regions []string) bool { return len(regions) > 0 })
+	return slices.ContainsFunc(t.regions, func(regions []string) bool { return regions != nil })
 }
 
 // allowedDomains returns the failure domains of the service's servers in which the request
@@ -25,7 +25,7 @@
 
 func (t *task) allowedIn(region string) bool {
 	return !slices.ContainsFunc(t.regions, func(regions []string) bool {
-		return len(regions) > 0 && !slices.Contains(regions, region)
+		return regions != nil && !slices.Contains(regions, region)
 	})
 }
 
--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -25,6 +25,8 @@
 		{nil, []string{"north", "south"}, []string{"p1", "p2"}},
 		{[]string{"south"}, []string{"south", "east"}, []string{"p2"}},
 		{[]string{"south"}, []string{"north"}, nil},
+		{[]string{}, nil, nil},
+		{nil, []string{}, nil},
 		{[]string{"west"}, nil, nil}, // p3 is in a domain of unknown region
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -87,6 +87,8 @@
 	ReasonStale           Reason = "configuration_unsure"   // no such route or key here, but the configuration may be stale
 	ReasonNoRoute         Reason = "no_route"               // not in the newest configuration
 	ReasonBadKey          Reason = "unknown_key"            // key not in the newest configuration
+	ReasonNoService       Reason = "no_service"             // the route's service is not in the newest configuration
+	ReasonUnreadable      Reason = "configuration_partial"  // what could allow it could not be read
 	ReasonMalformed       Reason = "malformed"              // cannot be forwarded
 	ReasonTooLarge        Reason = "too_large"              // body over the configured limit
 	ReasonStopping        Reason = "stopping"               // this host is stopping
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -11,7 +11,13 @@
 	"github.com/papayasail/papayasail/store"
 )
 
-const msgConfiguration = "configuration in force"
+const (
+	msgConfiguration        = "configuration in force"
+	msgConfigurationPartial = "parts of the configuration in force cannot be read, and allow nothing"
+
+	// maxLoggedProblems bounds the unreadable parts that one log line names.
+	maxLoggedProblems = 8
+)
 
 // apply applies a stored object to the gateway or the fleet. It is called with
 // the replica table's lock held.
@@ -41,6 +47,10 @@
 	h.gateway.SetConfiguration(next)
 	h.logger.Info(msgConfiguration, zap.Uint64("configuration", next.Version), zap.Uint64("revision", object.Version.Revision()),
 		zap.Uint64("era", object.Version.Era()))
+	if problems := next.Problems; len(problems) > 0 {
+		h.logger.Error(msgConfigurationPartial, zap.Uint64("configuration", next.Version), zap.Int("count", len(problems)),
+			zap.Errors("problems", problems[:min(maxLoggedProblems, len(problems))]))
+	}
 	return nil
 }
 
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -211,6 +211,9 @@
 			TokenSHA256: tokenHash(item, tokens),
 			Services:    item.Texts("services", strictyaml.Optional),
 		}
+		if item.Has("services") && len(organisation.Services) == 0 {
+			item.AddFinding("services", "is empty; leave it out to allow all services")
+		}
 		item.ReportUnknownFields()
 		checkUnique(item, names, organisation.Name)
 		list = append(list, organisation)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,7 +41,7 @@
 type Organisation struct {
 	Name        string
 	TokenSHA256 TokenHash
-	Services    []string // empty: all services
+	Services    []string // nil: all services
 }
 
 // Distance is the usual one-way latency between two failure domains, the same
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -56,6 +56,20 @@
 	is.True(!ok)
 }
 
+// Guards against an organisation that may use all services once its last one was removed.
+func TestEmptyListOfServicesIsAMistake(t *testing.T) {
+	is := is.New(t)
+	for _, empty := range []string{"services: []", "services:"} {
+		_, err := Parse("s", []byte(strings.Replace(sample(), "services: [outlook]", empty, 1)))
+		is.True(err != nil && strings.Contains(err.Error(), "services"))
+	}
+	s, err := Parse("s", []byte(strings.Replace(sample(), "    services: [outlook]\n", "", 1)))
+	is.NoErr(err)
+	organisation, _ := s.Tokens().Organisation("dsi")
+	is.True(organisation.MayUse("gauges"))
+	is.True(!Organisation{Services: []string{}}.MayUse("gauges"))
+}
+
 func TestParseReportsAllMistakesTogether(t *testing.T) {
 	is := is.New(t)
 	broken := strings.NewReplacer(
--- a/settings/token.go
+++ b/settings/token.go
@@ -91,7 +91,7 @@
 
 // MayUse reports whether the organisation may use a service.
 func (o Organisation) MayUse(service string) bool {
-	if len(o.Services) == 0 {
+	if o.Services == nil {
 		return true
 	}
 	for _, allowed := range o.Services {
