fleet: a server's entry that stands replaces one that came first

Change: while two entries differ the server gets no work, as before. The later one is adopted once it has stood for 5 s in which the store answered; a server overwrites an entry of somebody else at its next write, after 1.2 s.

--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -44,6 +44,7 @@
 	defer t.mu.Unlock()
 	if e := t.servers[id]; e != nil {
 		t.markInvalid(e)
+		e.conflicting = nil
 	}
 }
 
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -102,3 +104,43 @@
 	table.Put(later)
 	is.Equal(len(table.Candidates("llm", "d1")), 2)
 }
+
+// Guards against a server that is unusable for the rest of its incarnation because the first
+// entry that this host saw was written by somebody else, and against requests to a server of
+// another service while somebody else overwrites its entry.
+func TestEntryThatStandsIsTheServersOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stood = 5 * time.Second
+		is, table := is.New(t), newTable()
+		own := Server{ID: "c", Born: 100, Service: "llm", Address: "10.0.0.3:1", Domain: "d1", Slots: 24}
+		others := own
+		others.Service = "app"
+		usable := func() bool { return table.Begin("c", Work{ID: "1"}, false) != nil }
+		is.True(!table.Put(others))
+		is.True(table.Put(own))
+		is.True(!table.Put(own)) // reported once
+		is.True(!usable())
+		table.ResolveConflict(own, stood)
+		is.True(!usable()) // too early
+		time.Sleep(stood)
+		table.ResolveConflict(own, stood)
+		is.True(usable())
+		is.Equal(len(table.Candidates("llm", "d1")), 3)
+		is.Equal(len(table.Candidates("app", "d1")), 0)
+		is.Equal(len(table.Leaving("app")), 0) // other hosts must not be told that it leaves
+		service, _ := table.ServiceAt(own.Address)
+		is.Equal(service, "llm")
+
+		is.True(table.Put(others))
+		time.Sleep(stood)
+		is.True(!table.Put(own)) // the server has written again
+		is.True(usable())
+		is.True(table.Put(others))
+		table.ResolveConflict(others, stood) // of the first time
+		is.Equal(len(table.Candidates("app", "d1")), 0)
+		table.MarkInvalid("c")
+		time.Sleep(stood)
+		table.ResolveConflict(others, stood)
+		is.Equal(len(table.Candidates("app", "d1")), 0)
+	})
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -22,6 +22,8 @@
 	msgRestarted    = "backend server has started again under its id"
 	msgInvalidEntry = "backend server is not named by its entry any more"
 
+	msgIdentityAdopted = "backend server has the service and address of its later entry"
+
 	// unreachableFor is how long a server gets no work after it refused or did
 	// not accept a connection. Restarting a process takes about a second.
 	unreachableFor = time.Second
@@ -102,6 +104,8 @@
 	leaving            bool
 	removed            bool
 	invalid            bool        // its host list entry is invalid
+	conflicting        *Server     // newest entry, of another service or address; nil: there is none
+	conflictingSince   time.Time   // when conflicting first had this service and address
 	evacuated          bool        // its failure domain is evacuated
 	listedColdUntil    time.Time   // cold until then, according to its host list entry
 	coldUntil          time.Time   // cold until then, as it reported itself or as assumed after an evacuation
@@ -167,12 +171,19 @@
 // entry that is not marked as leaving makes the server usable again. A server
 // that reported itself as leaving does not become usable again.
 //
-// Service and address never change within one incarnation. An entry that
-// changes either was written by somebody else and is invalid: using it would
-// send requests to a service for which they are not configured.
-func (t *Table) Put(server Server) {
+// Service and address never change within one incarnation. Of two entries that
+// differ in either, one was written by somebody else. The server gets no work
+// while its entry differs from the first one: using it could send requests to a
+// service for which they are not configured. Put then reports a conflict, once
+// for each such entry; see ResolveConflict.
+func (t *Table) Put(server Server) (conflict bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.put(server)
+}
+
+// put requires mu.
+func (t *Table) put(server Server) (conflict bool) {
 	e := t.servers[server.ID]
 	if e != nil && !e.server.Incarnation().Is(server.Incarnation()) {
 		t.replace(e, server)
@@ -183,10 +194,16 @@
 	if e == nil {
 		e = t.add(server)
 	}
-	if e.server.Service != server.Service || e.server.Address != server.Address {
+	if !e.server.sameIdentity(server) {
 		t.markInvalid(e)
-		return
+		conflict = e.conflicting == nil || !e.conflicting.sameIdentity(server)
+		if conflict {
+			e.conflictingSince = time.Now()
+		}
+		e.conflicting = &server
+		return conflict
 	}
+	e.conflicting = nil
 	if server.Born == 0 {
 		server.Born = e.server.Born
 	}
@@ -215,6 +232,26 @@
 		t.refute(e, RefutedByEntry)
 	}
 	t.notifyChanged()
+	return false
+}
+
+// ResolveConflict adopts the service and the address of the given entry, which differ from
+// those of the first one, if no other entry came since and they have stood for some time,
+// in which the server would have overwritten an entry of somebody else. A host that starts
+// while there is such an entry takes it for the first one.
+func (t *Table) ResolveConflict(server Server, stood time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[server.ID]
+	if e == nil || e.conflicting == nil || !e.conflicting.sameIdentity(server) || time.Since(e.conflictingSince) < stood {
+		return
+	}
+	t.logger.Warn(msgIdentityAdopted, zap.String("server", server.ID), zap.String("service", server.Service), zap.String("address", server.Address),
+		zap.String("service_before", e.server.Service), zap.String("address_before", e.server.Address), zap.Int("own_work", len(e.work)))
+	adopted := *e.conflicting
+	t.drop(e)
+	delete(t.service(e.server.Service).departed, e.server.Incarnation()) // it stays
+	t.put(adopted)
 }
 
 // add requires mu.
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -60,10 +60,30 @@
 		h.fleet.MarkInvalid(object.Name)
 		return err
 	}
-	h.fleet.Put(server)
+	if h.fleet.Put(server) {
+		go h.resolveConflict(server)
+	}
 	return nil
 }
 
+// conflictTime is how long one of two entries of a server with different services or
+// addresses has to stand until it counts as the server's own. Servers write their entries
+// every 1.2 s, also over those of others.
+const conflictTime = 5 * time.Second
+
+// resolveConflict adopts an entry that differs from the first one of its server's
+// incarnation, unless the server has written another one within conflictTime in which the
+// store answered.
+func (h *Host) resolveConflict(server fleet.Server) {
+	for {
+		_ = sleep.For(context.Background(), conflictTime) // fails only when the context ends, which this one never does
+		if h.views.SinceOutage() >= conflictTime {
+			h.fleet.ResolveConflict(server, conflictTime)
+			return
+		}
+	}
+}
+
 const (
 	// entryRecoveryTime is the time after a store outage within which live servers
 	// have recreated the entries that expired during the outage.
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -93,6 +93,9 @@
 				return fleet.Server{}, errUnreadable
 			}
 			server := fleet.Server{ID: id, Service: "s", Address: "10.9.9.9:1", Domain: "d", Slots: 1, Leaving: string(data) == "leaving"}
+			if string(data) == "of another service" {
+				server.Service = "other"
+			}
 			if string(data) == "cold" {
 				server.SlowFor = time.Minute
 			}
