fleet: another host's report of leaving ends when the store contradicts it

Cause: a host that is told of a removed entry after it has itself seen the entry return keeps the report until the entry changes again, which a server that stays never causes.

Change: 10 s after such a report, if the view of the store was current throughout and the entry is still ready, the report ends; hosts do not keep each other's reports up. What this host learns itself, from the server, its entry or its removal, takes the place of another host's report and is never revised this way.

Tests: TestPeerReportsThatTheHostListContradictsEnd and TestPeerReportsAreRevisedByACurrentView fail without the revision; TestOwnKnowledgeOfLeavingIsNotRevised guards its limits.

--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // leavingReportTTL is the minimum time for which a server's own report of
@@ -11,6 +13,13 @@
 // within that time.
 const leavingReportTTL = 30 * time.Minute
 
+// PeerReportTTL is how long another host's report that a server is leaving counts against
+// the server's host list entry. After it, such reports do not count for the same time, in
+// which all hosts revise theirs: hosts would otherwise keep each other's reports up.
+const PeerReportTTL = 10 * time.Second
+
+const msgPeerReportRevised = "backend server stays, contrary to the reports of other hosts"
+
 // leavingReport records that a server reported itself as leaving.
 type leavingReport struct {
 	incarnation Incarnation
@@ -37,6 +46,34 @@
 	return known && report.incarnation.Is(incarnation)
 }
 
+// endLeaving makes a leaving server usable again. Requires mu.
+func (t *Table) endLeaving(e *entry) {
+	e.removed, e.leaving, e.leavingCh = false, false, make(chan struct{})
+	t.service(e.server.Service).setLeaving(e, false)
+}
+
+// RevisePeerReports makes servers usable again that only other hosts reported as leaving,
+// before PeerReportTTL. The caller must have had a current view of the host list since
+// then: a server that leaves is marked or missing there by now.
+//
+// Another host may report a removal that it saw before the entry returned, to a host that
+// has already seen the return.
+func (t *Table) RevisePeerReports() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		for e := range s.leaving {
+			if e.leavingBecause != SourcePeer || time.Since(e.peerReport) < PeerReportTTL {
+				continue
+			}
+			t.logger.Info(msgPeerReportRevised, zap.String("server", e.server.ID), zap.String("address", e.server.Address))
+			t.endLeaving(e)
+			e.noPeerReports = time.Now().Add(PeerReportTTL)
+			t.notifyChanged()
+		}
+	}
+}
+
 // setLeaving records that a member starts or no longer counts as leaving.
 func (s *service) setLeaving(e *entry, leaving bool) {
 	s.leavingList = nil
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -56,3 +56,63 @@
 		is.True(len(table.leavingReports) <= 1)
 	})
 }
+
+// Guards against a server that hosts never use again because one of them, whose view was
+// older, reported it as leaving after its entry had returned, and all repeat that.
+func TestPeerReportsThatTheHostListContradictsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, one, other := is.New(t), newTable(), newTable()
+		entry := Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24}
+		usable := func(table *Table) bool { return len(table.Candidates("llm", "d1")) == 2 }
+		exchange := func() {
+			for from, to := range map[*Table]*Table{one: other, other: one} {
+				for _, incarnation := range from.Leaving("llm") {
+					to.MarkLeaving(incarnation, SourcePeer)
+				}
+			}
+		}
+		one.MarkLeaving(entry.Incarnation(), SourcePeer)
+		for range 3 {
+			time.Sleep(PeerReportTTL/3 - time.Second)
+			exchange()
+			one.RevisePeerReports()
+			is.True(!usable(one) && !usable(other))
+		}
+		for range 4 {
+			time.Sleep(PeerReportTTL / 3)
+			exchange()
+			one.RevisePeerReports()
+			other.RevisePeerReports()
+		}
+		is.True(usable(one) && usable(other))
+		time.Sleep(PeerReportTTL)
+		one.MarkLeaving(entry.Incarnation(), SourcePeer)
+		is.True(!usable(one)) // another time
+	})
+}
+
+// Guards against the revision of what this host itself knows of a leaving server that
+// another host reported first.
+func TestOwnKnowledgeOfLeavingIsNotRevised(t *testing.T) {
+	entry := Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", Domain: "d1", Slots: 24}
+	leaves := entry
+	leaves.Leaving = true
+	for name, learn := range map[string]func(*Table){
+		"own report": func(table *Table) { table.MarkLeaving(entry.Incarnation(), SourceAnswer) },
+		"entry":      func(table *Table) { table.Put(leaves) },
+		"removed":    func(table *Table) { table.Remove("a") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, table := is.New(t), newTable()
+				table.Begin("a", Work{ID: "1"}, false) // keeps it in the table
+				table.MarkLeaving(entry.Incarnation(), SourcePeer)
+				learn(table)
+				time.Sleep(2 * PeerReportTTL)
+				table.RevisePeerReports()
+				is.Equal(len(table.Candidates("llm", "d1")), 1)
+				is.Equal(table.Leaving("llm"), []Incarnation{{ID: "a"}})
+			})
+		})
+	}
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -136,6 +136,8 @@
 	sum                loadSum                   // cached sum of others
 	leavingCh          chan struct{}             // closed when the server starts leaving
 	leavingBecause     LeavingSource
+	peerReport         time.Time // when another host reported it as leaving
+	noPeerReports      time.Time // until then such reports do not count
 	suspicion          suspicionState
 }
 
@@ -167,7 +169,7 @@
 
 // Put applies a server's host list entry. A leaving server remains leaving for
 // the rest of its incarnation, with one exception: if its entry was missing
-// here, or if this host first learned from another host that it is leaving, an
+// here, or if this host has only another host's report that it is leaving, an
 // entry that is not marked as leaving makes the server usable again. A server
 // that reported itself as leaving does not become usable again.
 //
@@ -226,8 +228,7 @@
 	case server.Leaving:
 		t.setLeaving(e, SourceList)
 	case e.mayReturn():
-		e.removed, e.leaving, e.leavingCh = false, false, make(chan struct{})
-		t.service(server.Service).setLeaving(e, false)
+		t.endLeaving(e)
 	case renewed:
 		t.refute(e, RefutedByEntry)
 	}
@@ -283,8 +284,8 @@
 }
 
 // mayReturn reports whether a host list entry that is not marked as leaving makes
-// a leaving server usable again: its entry was missing here, or another host,
-// whose entry may have been missing, was the first to report it as leaving.
+// a leaving server usable again: its entry was missing here, or only another host,
+// whose entry may have been missing, has reported it as leaving.
 func (e *entry) mayReturn() bool {
 	return e.leaving && (e.removed || e.leavingBecause == SourcePeer)
 }
@@ -315,8 +316,17 @@
 // setLeaving requires mu.
 func (t *Table) setLeaving(e *entry, because LeavingSource) {
 	if e.leaving {
+		if because != SourcePeer {
+			e.leavingBecause = because // its own knowledge counts, whoever reported first
+		}
 		return
 	}
+	if because == SourcePeer {
+		if time.Now().Before(e.noPeerReports) {
+			return
+		}
+		e.peerReport = time.Now()
+	}
 	t.endSuspicion(e)
 	e.leaving, e.leavingBecause = true, because
 	t.service(e.server.Service).setLeaving(e, true)
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -276,7 +276,7 @@
 // background returns the background loops; each runs until its context ends.
 func (h *Host) background() []func(context.Context) error {
 	return []func(context.Context) error{
-		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.quarantines.Run, h.watch.Run, h.syncQuarantine, h.releaseLostGenerations, h.querySuspects,
+		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.quarantines.Run, h.watch.Run, h.syncQuarantine, h.releaseLostGenerations, h.querySuspects, h.revisePeerReports,
 		h.runNode, h.allocation.Run, h.allocation.Exchange, h.outageMonitor.Run, h.views.Run,
 	}
 }
--- a/gatewayhost/suspects.go
+++ b/gatewayhost/suspects.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/internal/sleep"
 )
 
@@ -13,6 +14,8 @@
 	// be queried; suspectTimeout bounds one query.
 	suspectsInterval = 100 * time.Millisecond
 	suspectTimeout   = 500 * time.Millisecond
+	// revisionInterval is the interval at which reports of other hosts are revised.
+	revisionInterval = 2 * time.Second
 )
 
 // querySuspects queries servers that may take no new work (see fleet.Suspicion) until
@@ -43,3 +46,14 @@
 	}
 	return ctx.Err()
 }
+
+// revisePeerReports compares what other hosts report of leaving servers with the store,
+// until ctx ends.
+func (h *Host) revisePeerReports(ctx context.Context) error {
+	for sleep.For(ctx, revisionInterval) == nil {
+		if h.views.SinceOutage() >= fleet.PeerReportTTL {
+			h.fleet.RevisePeerReports()
+		}
+	}
+	return ctx.Err()
+}
--- a/gatewayhost/suspects_test.go
+++ b/gatewayhost/suspects_test.go
@@ -73,3 +73,29 @@
 		})
 	}
 }
+
+// Guards against another host's report that ends the use of a server for good, and against
+// its revision by a view that is older than the report.
+func TestPeerReportsAreRevisedByACurrentView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h, memory := standaloneHost(notLeaving)
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = h.views.Run(ctx) }()
+		go func() { _ = h.revisePeerReports(ctx) }()
+		server := fleet.Server{ID: "i-1", Service: "s", Address: "10.9.9.9:1", Domain: "d", Slots: 2}
+		h.fleet.Put(server)
+		time.Sleep(time.Second)
+		h.fleet.MarkLeaving(server.Incarnation(), fleet.SourcePeer)
+		time.Sleep(fleet.PeerReportTTL / 2)
+		memory.SetFaults(store.Faults{Outage: true})
+		time.Sleep(fleet.PeerReportTTL)
+		memory.SetFaults(store.Faults{})
+		time.Sleep(fleet.PeerReportTTL / 2)
+		is.Equal(len(h.fleet.Candidates("s", "d")), 0)
+		time.Sleep(fleet.PeerReportTTL)
+		is.Equal(len(h.fleet.Candidates("s", "d")), 1)
+		stop()
+		synctest.Wait()
+	})
+}
