gatewayhost: conclusions from the store need a view that is current

A host that has not joined its fleet yet has no view of the store, which was taken for one without outages when other hosts' reports of leaving and contradicting entries were judged. Names of the suspects' queries.

--- a/fleet/suspicion.go
+++ b/fleet/suspicion.go
@@ -117,8 +117,8 @@
 }
 
 // SuspectsDue returns the suspects that this host has to query now whether they take work,
-// and records that they are queried. any is false if there are no suspects at all.
-func (t *Table) SuspectsDue() (due []Server, any bool) {
+// and records that they are queried. suspects is false if there are none at all.
+func (t *Table) SuspectsDue() (due []Server, suspects bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
--- a/fleet/suspicion_test.go
+++ b/fleet/suspicion_test.go
@@ -127,8 +127,8 @@
 			queries := make([]int, hosts)
 			for began := time.Now(); time.Since(began) < period; time.Sleep(50 * time.Millisecond) {
 				for i, table := range tables {
-					due, any := table.SuspectsDue()
-					is.True(any)
+					due, suspects := table.SuspectsDue()
+					is.True(suspects)
 					queries[i] += len(due)
 				}
 			}
@@ -142,8 +142,8 @@
 			due, _ := tables[0].SuspectsDue()
 			is.Equal(len(due), 0) // it wants nothing from this host
 			tables[0].Refute(Incarnation{ID: "a"}, RefutedByHealth, time.Now())
-			_, any := tables[0].SuspectsDue()
-			is.True(!any)
+			_, suspects := tables[0].SuspectsDue()
+			is.True(!suspects)
 		})
 	}
 }
--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -77,7 +77,7 @@
 func (h *Host) resolveConflict(server fleet.Server) {
 	for {
 		_ = sleep.For(context.Background(), conflictTime) // fails only when the context ends, which this one never does
-		if h.views.SinceOutage() >= conflictTime {
+		if h.viewCurrentFor(conflictTime) {
 			h.fleet.ResolveConflict(server, conflictTime)
 			return
 		}
--- a/gatewayhost/freshness.go
+++ b/gatewayhost/freshness.go
@@ -56,6 +56,12 @@
 	return min(h.verifiedAt.Age(), h.relayedVerifiedAt.Age(), h.views.Age())
 }
 
+// viewCurrentFor reports whether this host has had a current view of the store for at
+// least the given time.
+func (h *Host) viewCurrentFor(d time.Duration) bool {
+	return h.views.Age() < d && h.views.SinceOutage() >= d
+}
+
 // recordRelayedVerification records that another allocator verified, age ago,
 // that the revision was the newest in the store. It fetches that revision if this
 // host's is older.
--- a/gatewayhost/suspects.go
+++ b/gatewayhost/suspects.go
@@ -19,14 +19,14 @@
 )
 
 // querySuspects queries servers that may take no new work (see fleet.Suspicion) until
-// their own word decides, or ctx ends.
+// their own answers decide, or ctx ends.
 //
 // A suspect gets few requests or none, so that requests alone might never show that it
 // takes work.
 func (h *Host) querySuspects(ctx context.Context) error {
 	for sleep.For(ctx, suspectsInterval) == nil {
-		due, any := h.fleet.SuspectsDue()
-		if !any {
+		due, suspects := h.fleet.SuspectsDue()
+		if !suspects {
 			select {
 			case <-h.fleet.Suspected():
 			case <-ctx.Done():
@@ -51,7 +51,7 @@
 // until ctx ends.
 func (h *Host) revisePeerReports(ctx context.Context) error {
 	for sleep.For(ctx, revisionInterval) == nil {
-		if h.views.SinceOutage() >= fleet.PeerReportTTL {
+		if h.viewCurrentFor(fleet.PeerReportTTL) {
 			h.fleet.RevisePeerReports()
 		}
 	}
