--- a/gatewayhost/apply.go
+++ b/gatewayhost/apply.go
@@ -68,7 +68,7 @@
 
 // conflictTime is how long one of two entries of a server with different services or
 // addresses has to stand until it counts as the server's own. Servers write their entries
-// every 1.2 s, also over those of others.
+// every one to three seconds, also over those of others.
 const conflictTime = 5 * time.Second
 
 // resolveConflict adopts an entry that differs from the first one of its server's
