gateway: a test does not wait for timers that have expired

Cause: hundreds of goroutines of one synctest bubble select on time.After(0) at the same time.

Change: the test's allocator returns at once if it has nothing to wait for.

--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -29,6 +29,9 @@
 	c.mu.Lock()
 	c.requests = append(c.requests, req)
 	c.mu.Unlock()
+	if req.Hold <= 0 {
+		return allocation.Placement{} // timers that have expired break the race detector if many run in one bubble
+	}
 	select {
 	case <-time.After(req.Hold):
 	case <-ctx.Done():
