--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -105,9 +105,8 @@
 	is.Equal(len(table.Candidates("llm", "d1")), 2)
 }
 
-// Guards against a server that is unusable for the rest of its incarnation because the first
-// entry that this host saw was written by somebody else, and against requests to a server of
-// another service while somebody else overwrites its entry.
+// Guards against a server that is unusable because the first entry that this host saw was
+// another writer's, and against use of a server by such an entry.
 func TestEntryThatStandsIsTheServersOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const stood = 5 * time.Second
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -38,11 +38,6 @@
 // Incarnation returns the identity of the server's incarnation.
 func (s Server) Incarnation() Incarnation { return Incarnation{s.ID, s.Born} }
 
-// sameIdentity reports whether both have the same service and address.
-func (s Server) sameIdentity(other Server) bool {
-	return s.Service == other.Service && s.Address == other.Address
-}
-
 // LeavingSource is how this host learned that a server is leaving.
 type LeavingSource string
 
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -22,8 +22,6 @@
 	msgRestarted    = "backend server has started again under its id"
 	msgInvalidEntry = "backend server is not named by its entry any more"
 
-	msgIdentityAdopted = "backend server has the service and address of its later entry"
-
 	// unreachableFor is how long a server gets no work after it refused or did
 	// not accept a connection. Restarting a process takes about a second.
 	unreachableFor = time.Second
@@ -236,25 +234,6 @@
 	return false
 }
 
-// ResolveConflict adopts the service and the address of the given entry, which differ from
-// those of the first one, if no other entry came since and they have stood for some time,
-// in which the server would have overwritten an entry of somebody else. A host that starts
-// while there is such an entry takes it for the first one.
-func (t *Table) ResolveConflict(server Server, stood time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.servers[server.ID]
-	if e == nil || e.conflicting == nil || !e.conflicting.sameIdentity(server) || time.Since(e.conflictingSince) < stood {
-		return
-	}
-	t.logger.Warn(msgIdentityAdopted, zap.String("server", server.ID), zap.String("service", server.Service), zap.String("address", server.Address),
-		zap.String("service_before", e.server.Service), zap.String("address_before", e.server.Address), zap.Int("own_work", len(e.work)))
-	adopted := *e.conflicting
-	t.drop(e)
-	delete(t.service(e.server.Service).departed, e.server.Incarnation()) // it stays
-	t.put(adopted)
-}
-
 // add requires mu.
 func (t *Table) add(server Server) *entry {
 	e := &entry{
--- a/gatewayhost/conflict_test.go
+++ b/gatewayhost/conflict_test.go
@@ -12,9 +12,8 @@
 	"github.com/papayasail/papayasail/store"
 )
 
-// Guards against a server that this host never uses because it started while the server's
-// entry was written by somebody else; an entry that the server could not overwrite while
-// the store was away proves nothing.
+// Guards against a server that this host never uses because it started on another writer's
+// entry, and against belief in an entry that stood only because the store was away.
 func TestServersOwnEntryAfterAnotherWriters(t *testing.T) {
 	for name, outage := range map[string]bool{"calm": false, "outage of the store": true} {
 		t.Run(name, func(t *testing.T) {
