gateway: an unmarked answer that ends a request for good is wrong

What callers would see: a spoiled answer of status 300 to 499 without the server's mark was passed on. Callers repeat no request after it, so one wrong answer ended a valid request, and to the operator it looked like a denial by the host.

Change: the list of statuses that mean "not run" gives way to one rule: without the mark only an answer that promises nothing counts, which is 500 and above but for 503.

A check that is replaced: TestOnlyMarkedAnswersCountAsTheServersOwn held that an unmarked 404 and 302 reach the caller.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -25,14 +25,13 @@
 )
 
 // kindOf returns what an answer is, by its head. Calls, streams and resumed runs all
-// decide by it. Without the server's mark, neither a success counts, nor a status by
-// which callers conclude that the request has not run.
+// decide by it. Without the server's mark, only a failure that promises nothing counts.
 func (t *task) kindOf(reply *Reply) answerKind {
 	success := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
 	switch {
 	case reply.WrongServer, reply.NotRun && reply.Status >= http.StatusBadRequest:
 		return answerRefusal
-	case reply.NotRun, !reply.Complete && (success || meansNotRun(reply.Status)):
+	case reply.NotRun, !reply.Complete && !promisesNothing(reply.Status):
 		return answerWrong
 	case t.route.Kind == Generation && success && isEventStream(reply):
 		return answerStream
@@ -40,13 +39,11 @@
 	return answerWhole
 }
 
-// meansNotRun reports whether callers conclude from a status that the request has not run.
-func meansNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
+// promisesNothing reports whether callers conclude nothing from a status about whether the
+// request has run or may be repeated. By 408, 421, 429 and 503 they conclude that it has
+// not run, by all others below 500 that it must not be repeated.
+func promisesNothing(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable
 }
 
 // isEventStream reports whether a successful answer is a stream of events. One of status
--- a/gateway/answer_test.go
+++ b/gateway/answer_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 )
 
-// Guards against an answer without the server's mark that reaches a caller as a success, or
-// as a promise that the request has not run.
+// Guards against an answer without the server's mark that reaches a caller as a success, as
+// a promise that the request has not run, or as a reason to give the request up.
 func TestOnlyMarkedAnswersCountAsTheServersOwn(t *testing.T) {
 	const wrong = http.StatusBadGateway
 	type head struct {
@@ -33,8 +33,11 @@
 		{status: 408, marked: true}:               408,
 		{status: 500}:                             500,
 		{status: 500, marked: true}:               500,
-		{status: 404}:                             404,
-		{status: 302}:                             302,
+		{status: 404}:                             wrong,
+		{status: 404, marked: true}:               404,
+		{status: 401, media: "text/html"}:         wrong,
+		{status: 302}:                             wrong,
+		{status: 302, marked: true}:               302,
 		{status: 504, media: "text/event-stream"}: 504,
 	}
 	for _, media := range []string{"", "text/html", "application/json", "text/event-stream", "text/event-stream; charset=utf-8"} {
