gatewayhost, freshness: a host's own silence is no outage of the store

Cause: removeServer held a removal back for 2.5 s, counted from the news, if the host's view of the store had been over 1.5 s old in the last three seconds. That a view is old says nothing about the store: the host may have stood still or been cut off. And after a real outage the deferral was counted from each removal, also from those that came after the return.

Evidence: removals and returns logged on scratch copies, with the time since the store's return. "First complete view after the return" was ruled out as the rule: on outages of 2.8 s, entries are in the first view and expire after it.

Change: hosts keep, apart from their view, a span in which the store answered some host, and send it with each answer to a request for a view. A silence that another host's span covers is no outage. Entries deleted until two seconds after the return, the time that the platform names, are decided on together in a view from after that time; later ones at once. A host whose silence is not settled by its source asks all readers once.

--- a/freshness/ask.go
+++ b/freshness/ask.go
@@ -41,8 +41,9 @@
 
 // source is a host that is asked for its view.
 type source struct {
-	host  string
-	relay bool // asks the readers on behalf of others; else it reads the store
+	host   string
+	relay  bool          // asks the readers on behalf of others; else it reads the store
+	maxAge time.Duration // oldest view that is accepted from it
 }
 
 func (s source) patience() time.Duration {
@@ -163,12 +164,13 @@
 	for range maxViewPages {
 		after := k.Table.CompleteTo()
 		have := k.Table.HashesSince(after)
-		request := peer.ViewRequest{After: after, Have: have[:min(maxHeld, len(have))], MaxAge: maxSourceAge, AskOthers: s.relay}
+		request := peer.ViewRequest{After: after, Have: have[:min(maxHeld, len(have))], MaxAge: s.maxAge, AskOthers: s.relay}
 		asked := time.Now()
 		answer, err := k.Fleet.RequestView(ctx, s.host, request)
 		if err != nil {
 			return err
 		}
+		k.observe(availabilityOf(answer, asked))
 		k.Adopt(answer.Objects)
 		if answer.More {
 			k.Table.SetCompleteTo(answer.CompleteTo)
@@ -178,10 +180,63 @@
 			k.Metrics.age.Observe(before.Seconds())
 		}
 		k.record(answer.CompleteTo, asked.Add(-answer.Age))
-		if answer.Age > maxSourceAge+transferAllowance {
+		if answer.Age > s.maxAge+transferAllowance {
 			return errOld
 		}
 		return nil
 	}
 	return errOld
 }
+
+// availabilityOf returns what the answer to a request that was made at the given time
+// shows. It is no longer than what the answering host knows, however long the answer took.
+func availabilityOf(answer peer.ViewAnswer, asked time.Time) availability {
+	known := answer.Available
+	if known.Since == 0 && answer.Age < moment.Never { // the age of a view shows a read, too
+		known = peer.Availability{Since: answer.Age, Until: answer.Age}
+	}
+	a := availability{from: time.Now().Add(-known.Since), to: asked.Add(-known.Until), afterOutage: known.AfterOutage}
+	switch late := a.from.Sub(a.to); {
+	case known.Since == 0 && known.Until == 0 && answer.Age == moment.Never, late > transferAllowance:
+		return availability{}
+	case late > 0:
+		a.to = a.from
+	}
+	return a
+}
+
+// countAsked reports whether the readers are still to be asked of the latest outage, and
+// counts them as asked from now on.
+func (k *Keeper) countAsked() bool {
+	from := k.available.get().from
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if from.Sub(k.asked).Abs() <= oldAge {
+		return false
+	}
+	k.asked = from
+	return true
+}
+
+// askWitnesses asks all readers at once for what they know, until the latest outage that is
+// known ended at least d ago. The readers do not read the store for it.
+func (k *Keeper) askWitnesses(ctx context.Context, d time.Duration) error {
+	readers := slices.DeleteFunc(slices.Clone(k.viewSources().Readers), func(host string) bool { return host == k.Host })
+	results := make(chan error, len(readers))
+	for _, host := range readers {
+		go func() { results <- k.requestView(ctx, source{host: host, maxAge: maxWitnessAge}) }()
+	}
+	var failure error
+	for range readers {
+		select {
+		case err := <-results:
+			failure = errors.CombineErrors(failure, err)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if k.SinceOutage() >= d {
+			return nil
+		}
+	}
+	return failure
+}
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -25,6 +25,10 @@
 	msgNew    = "view of the store is new again"
 	msgTurned = "store does not answer this host's read for the fleet"
 
+	msgOutageEnded   = "no read of the store by any host is known for some time"
+	msgUnsettled     = "no host knows more of an outage of the store"
+	msgOutageRefuted = "store answered other hosts while this one had no view of it"
+
 	// refreshAge is the age at which a host refreshes its view. Hosts that others ask are
 	// earlier by roleLead for each role.
 	refreshAge = 600 * time.Millisecond
@@ -33,6 +37,8 @@
 	relaysAsked = 2
 	// maxSourceAge is the oldest view that a host accepts from another one.
 	maxSourceAge = 300 * time.Millisecond
+	// maxWitnessAge is above the age of any view.
+	maxWitnessAge = 24 * time.Hour
 	// transferAllowance is how much older an answer may be that still counts as new.
 	transferAllowance = 100 * time.Millisecond
 	// readerPatience and relayPatience are the times after which the next host is asked.
@@ -47,8 +53,11 @@
 	avoidFor = 2 * time.Second
 	// activeCheckInterval is how often a starting host checks whether it is active.
 	activeCheckInterval = 100 * time.Millisecond
-	// oldAge is the age from which a view is reported as old.
+	// oldAge is the age from which a view is reported as old, and a pause between reads of the
+	// store is an outage.
 	oldAge = 1500 * time.Millisecond
+	// settledCheckInterval is the interval at which AwaitSettled looks for newer evidence.
+	settledCheckInterval = 50 * time.Millisecond
 	// maxViewPages bounds the pages of one answer.
 	maxViewPages = 64
 	// maxHeld is the maximum number of hashes in a request.
@@ -97,14 +106,15 @@
 
 	flights singleflight.Group // refreshes and reads that callers share; see once
 
-	asOf   moment.Moment // when this host had all changes
-	active moment.Moment // when Run found this host active
-	outage moment.Moment // latest end of a time without a view under oldAge
+	asOf      moment.Moment // when this host had all changes
+	active    moment.Moment // when Run found this host active
+	available availabilityTable
 
 	mu      sync.Mutex           // guards all below, and writing asOf; locked before the table's
 	avoided map[string]time.Time // hosts that are asked last, until the given time
 	backoff store.Backoff        // of reads
 	readAt  time.Time            // no read before, as the store did not answer
+	asked   time.Time            // end of the outage of which the readers were asked
 	sources *domain.Sources      // computed at generation at; nil: not yet
 	at      uint64
 }
@@ -113,19 +123,75 @@
 // or moment.Never.
 func (k *Keeper) Age() time.Duration { return k.asOf.Age() }
 
-// SinceOutage returns the time since this host last had a view that was old: nobody read the
-// store. It is zero during an outage, and moment.Never if there was none.
+// SinceOutage returns the time since the store answered again after an outage, in which no
+// host read it. It is zero during an outage, and moment.Never if there was none since this
+// host began to serve. A time in which this host stood still, or was cut off, counts as an
+// outage until another host shows that it read the store meanwhile.
 func (k *Keeper) SinceOutage() time.Duration {
-	if k.inOutage() {
+	active := k.active.Age()
+	if active == moment.Never {
+		return moment.Never
+	}
+	known := k.available.get()
+	silence := active
+	if !known.to.IsZero() {
+		silence = min(silence, time.Since(known.to))
+	}
+	switch {
+	case silence > oldAge:
 		return 0
+	case !known.afterOutage:
+		return moment.Never
 	}
-	return k.outage.Age()
+	return time.Since(known.from)
 }
 
-// inOutage reports whether the view is old although this host has refreshed it for that long.
-func (k *Keeper) inOutage() bool {
-	active := k.active.Age()
-	return active != moment.Never && min(active, k.asOf.Age()) > oldAge
+// Settled reports whether this host has a view of the store that is at least d newer than
+// the end of its latest outage.
+func (k *Keeper) Settled(d time.Duration) bool {
+	since := k.SinceOutage()
+	return since == moment.Never || since-min(since, k.Age()) >= d
+}
+
+// AwaitSettled waits until Settled. After an outage it asks other hosts once whether they
+// read the store meanwhile, and at the end for a newer view. It returns the error of ctx.
+func (k *Keeper) AwaitSettled(ctx context.Context, d time.Duration) error {
+	for !k.Settled(d) {
+		var err error
+		switch since := k.SinceOutage(); {
+		case since == 0: // Run refreshes the view
+		case since > d:
+			err = k.once(ctx, "settled", roundTimeout, func(ctx context.Context) error {
+				return k.askOrRead(ctx, readersOf(k.viewSources(), since-d))
+			})
+		case k.countAsked():
+			err = k.once(ctx, "witnesses", askTimeout, func(ctx context.Context) error { return k.askWitnesses(ctx, d) })
+		}
+		if err != nil && ctx.Err() == nil {
+			k.Logger.Debug(msgUnsettled, zap.Error(err))
+		}
+		if k.Settled(d) {
+			break
+		}
+		if err := sleep.For(ctx, settledCheckInterval); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// observe records that the store answered some host.
+func (k *Keeper) observe(a availability) {
+	if k.active.Age() == moment.Never {
+		return // a starting host does not refresh its view, so that pauses mean nothing
+	}
+	before, after := k.available.merge(a)
+	switch {
+	case after.afterOutage && after.from.Sub(before.to) > oldAge && !before.to.IsZero():
+		k.Logger.Info(msgOutageEnded, zap.Duration("lasted", after.from.Sub(before.to)))
+	case before.afterOutage && after.from.Before(before.from):
+		k.Logger.Info(msgOutageRefuted, zap.Duration("available", time.Since(after.from)), zap.Bool("earlier_outage", after.afterOutage))
+	}
 }
 
 // record records that the table has all changes up to a version, which were all at the
@@ -134,18 +200,15 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.Table.SetCompleteTo(completeTo)
-	if time.Since(at) >= k.asOf.Age() {
-		return
+	if time.Since(at) < k.asOf.Age() {
+		k.asOf.Mark(at)
 	}
-	if k.inOutage() {
-		k.outage.Mark(time.Now())
-	}
-	k.asOf.Mark(at)
 }
 
 // Confirm records that the store's revision was the given one at a time, as another read
 // of this host has shown.
 func (k *Keeper) Confirm(revision store.Version, at time.Time) {
+	k.observe(availability{from: at, to: at})
 	if completeTo := k.Table.CompleteTo(); revision <= completeTo {
 		k.record(completeTo, at)
 	}
@@ -223,22 +286,22 @@
 	}
 	var sources []source
 	for _, host := range s.Relays[:min(relaysAsked, len(s.Relays))] {
-		sources = append(sources, source{host, true})
+		sources = append(sources, source{host: host, relay: true, maxAge: maxSourceAge})
 	}
-	return k.askOrRead(ctx, append(sources, readersOf(s)...))
+	return k.askOrRead(ctx, append(sources, readersOf(s, maxSourceAge)...))
 }
 
 // askReaders asks the readers, once for all that wait.
 func (k *Keeper) askReaders(ctx context.Context) error {
 	return k.once(ctx, "readers", roundTimeout, func(ctx context.Context) error {
-		return k.askOrRead(ctx, readersOf(k.viewSources()))
+		return k.askOrRead(ctx, readersOf(k.viewSources(), maxSourceAge))
 	})
 }
 
-func readersOf(s *domain.Sources) []source {
+func readersOf(s *domain.Sources, maxAge time.Duration) []source {
 	sources := make([]source, 0, len(s.Readers))
 	for _, host := range s.Readers {
-		sources = append(sources, source{host, false})
+		sources = append(sources, source{host: host, maxAge: maxAge})
 	}
 	return sources
 }
@@ -267,6 +330,7 @@
 		completeTo, err := k.Read(ctx, k.Table.CompleteTo())
 		k.recordRead(err)
 		if err == nil {
+			k.observe(availability{from: started, to: started})
 			k.record(completeTo, started)
 		}
 		return err
@@ -316,7 +380,11 @@
 	k.mu.Lock()
 	age, completeTo := k.asOf.Age(), k.Table.CompleteTo()
 	k.mu.Unlock()
-	return peer.ViewAnswer{Objects: k.Table.Missing(request.After, request.Have), CompleteTo: completeTo, Age: age}
+	answer := peer.ViewAnswer{Objects: k.Table.Missing(request.After, request.Have), CompleteTo: completeTo, Age: age}
+	if known := k.available.get(); !known.to.IsZero() {
+		answer.Available = peer.Availability{Since: time.Since(known.from), Until: time.Since(known.to), AfterOutage: known.afterOutage}
+	}
+	return answer
 }
 
 // NewMetrics returns the metrics of a Keeper, registered with registerer.
--- a/freshness/keeper_test.go
+++ b/freshness/keeper_test.go
@@ -97,7 +97,7 @@
 			return peer.ViewAnswer{CompleteTo: 7, Age: 100 * time.Millisecond}, 500 * time.Millisecond, nil
 		}
 		k, table := newKeeper(f)
-		is.NoErr(k.askInTurn(t.Context(), []source{{"hb", false}}))
+		is.NoErr(k.askInTurn(t.Context(), []source{{host: "hb", relay: false, maxAge: maxSourceAge}}))
 		is.Equal(k.Age(), 600*time.Millisecond)
 		is.Equal(table.CompleteTo(), store.Version(7))
 		k.record(3, time.Now().Add(-time.Second)) // an older view
@@ -221,7 +221,7 @@
 			return peer.ViewAnswer{Objects: []store.Object{object("c", 8)}, CompleteTo: 9}, 0, nil
 		}
 		k, table := newKeeper(f)
-		is.NoErr(k.askInTurn(t.Context(), []source{{"hb", false}}))
+		is.NoErr(k.askInTurn(t.Context(), []source{{host: "hb", relay: false, maxAge: maxSourceAge}}))
 		is.Equal(after, []store.Version{0, 5})
 		is.Equal(table.CompleteTo(), store.Version(9))
 		is.Equal(len(table.Since(0)), 3)
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -129,9 +129,6 @@
 	// [gateway.Budget].
 	RepeatRatio, RepeatAllowance float64
 	RepeatWindow                 time.Duration
-	// ListChangedSlack is how long after an outage of the store entries of live servers
-	// may be missing from the store.
-	ListChangedSlack time.Duration
 	// AnswerMemory bounds the memory of buffered answers; see [gateway.Options].
 	AnswerMemory int64
 	// StopGrace is the time from the stop signal until the process is killed.
@@ -172,11 +169,12 @@
 	rejoins            atomic.Uint64 // number of rejoins under a new incarnation
 	watch              *domain.WatchDuty
 	views              *freshness.Keeper
+	undecided          *undecidedRemovals
 }
 
 // New returns a host; Run starts it.
 func New(o Options) *Host {
-	h := &Host{options: o, logger: o.Logger, quarantineDirty: make(chan struct{}, 1)}
+	h := &Host{options: o, logger: o.Logger, quarantineDirty: make(chan struct{}, 1), undecided: newUndecidedRemovals()}
 	h.table = replica.New(h.apply)
 	h.table.SetAcross(h.across)
 	h.table.OnNewEra = h.handleNewEra
@@ -277,7 +275,7 @@
 func (h *Host) background() []func(context.Context) error {
 	return []func(context.Context) error{
 		h.boot, h.configuration.Run, h.servers.Run, h.evacuations.Run, h.quarantines.Run, h.watch.Run, h.syncQuarantine, h.releaseLostGenerations, h.querySuspects, h.revisePeerReports,
-		h.runNode, h.allocation.Run, h.allocation.Exchange, h.outageMonitor.Run, h.views.Run,
+		h.runNode, h.allocation.Run, h.allocation.Exchange, h.outageMonitor.Run, h.views.Run, h.decideRemovals,
 	}
 }
 
--- a/gatewayhost/host_test.go
+++ b/gatewayhost/host_test.go
@@ -112,7 +112,7 @@
 	return New(Options{
 		Name: name, Domain: "d", PeerAddress: address + peerPort, CallerAddress: address + ":8000", Seeds: seeds, Network: through,
 		Store: checkedStore{memory}, Objects: objects(), NewBackend: func(link.Network) Backend { return backend },
-		RepeatRatio: 0.2, RepeatAllowance: 54, RepeatWindow: 10 * time.Second, ListChangedSlack: 3 * time.Second, StopGrace: 8 * time.Second,
+		RepeatRatio: 0.2, RepeatAllowance: 54, RepeatWindow: 10 * time.Second, StopGrace: 8 * time.Second,
 		Logger: zap.NewNop(), Registerer: prometheus.NewRegistry(),
 	})
 }
@@ -125,16 +125,18 @@
 	return newHost("a", network.New(network.Options{}).Host("10.0.0.1"), "10.0.0.1", memory, queryLeaving), memory
 }
 
-// endOutage lets the host see an outage of the store and its end.
-func endOutage(h *Host, memory *store.Memory) {
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
+// endOutage lets the host see an outage of the store and its end. The host's view of the
+// store, and its decisions on removals, go on until the test ends.
+func endOutage(ctx context.Context, h *Host, memory *store.Memory) {
 	go func() { _ = h.views.Run(ctx) }()
+	go func() { _ = h.decideRemovals(ctx) }()
 	time.Sleep(100 * time.Millisecond)
 	memory.SetFaults(store.Faults{Outage: true})
 	time.Sleep(2 * time.Second)
 	memory.SetFaults(store.Faults{})
-	time.Sleep(time.Second)
+	for h.views.SinceOutage() == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 func serverEntry(version store.Version, deleted bool) []store.Object {
@@ -146,7 +148,7 @@
 func TestRemovalAfterStoreFailureDoesNotDeadlock(t *testing.T) {
 	is := is.New(t)
 	h, memory := standaloneHost(notLeaving)
-	endOutage(h, memory)
+	endOutage(t.Context(), h, memory)
 	done := make(chan struct{})
 	go func() {
 		h.table.Adopt(serverEntry(5, false))
@@ -169,9 +171,9 @@
 		is := is.New(t)
 		h, memory := standaloneHost(notLeaving)
 		h.table.Adopt(serverEntry(5, false))
-		endOutage(h, memory)
+		endOutage(t.Context(), h, memory)
 		h.table.Adopt(serverEntry(6, true))
-		time.Sleep(2 * time.Second)
+		time.Sleep(2*time.Second - time.Millisecond)
 		is.Equal(len(h.fleet.Usable("s")), 1)
 		h.table.Adopt(serverEntry(7, false))
 		time.Sleep(5 * time.Second)
@@ -199,7 +201,7 @@
 		is := is.New(t)
 		h, memory := standaloneHost(notLeaving)
 		h.table.Adopt(serverEntry(5, false))
-		endOutage(h, memory)
+		endOutage(t.Context(), h, memory)
 		h.table.Adopt(serverEntry(6, true))
 		time.Sleep(entryRecoveryTime + leavingQueryInterval)
 		synctest.Wait()
@@ -217,7 +219,7 @@
 			return asked > 1, nil
 		})
 		h.table.Adopt(serverEntry(5, false))
-		endOutage(h, memory)
+		endOutage(t.Context(), h, memory)
 		h.table.Adopt(serverEntry(6, true))
 		time.Sleep(leavingQueryInterval + time.Millisecond)
 		synctest.Wait()
--- a/gatewayhost/view_outage_test.go
+++ b/gatewayhost/view_outage_test.go
@@ -48,7 +48,7 @@
 		t.Logf("%.1f reads a second", perSecond)
 		is.True(perSecond < hosts) // one in a second for each host is what all of them would make at the least
 		f.memory.SetFaults(store.Faults{})
-		time.Sleep(operatorBound + f.hosts[0].options.ListChangedSlack) // missing entries are believed after that
+		time.Sleep(operatorBound + entryRecoveryTime) // missing entries are believed after that
 		f.checkChanges(t, is, f.others(nil))
 		f.end(stop)
 	})
--- a/gatewayhost/view_test.go
+++ b/gatewayhost/view_test.go
@@ -107,12 +107,12 @@
 			Name: fmt.Sprintf("h%03d", i), Domain: fmt.Sprintf("d%d", i%domains), Capacity: 400, PeerAddress: ipOfHost(i) + peerPort, CallerAddress: ipOfHost(i) + ":8000",
 			Seeds: seeds, Network: f.fabric.Host(ipOfHost(i)), Store: through, Objects: objects(),
 			NewBackend:  func(link.Network) Backend { return servers{queryLeaving: notLeaving} },
-			RepeatRatio: 0.2, RepeatAllowance: 54, RepeatWindow: 10 * time.Second, ListChangedSlack: 3 * time.Second, StopGrace: 8 * time.Second,
+			RepeatRatio: 0.2, RepeatAllowance: 54, RepeatWindow: 10 * time.Second, StopGrace: 8 * time.Second,
 			Logger: zap.NewNop(), Registerer: prometheus.NewRegistry(),
 		})
 		h.booting.Store(true)
 		f.hosts, f.stores = append(f.hosts, h), append(f.stores, through)
-		for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.evacuations.Run, h.watch.Run, h.views.Run} {
+		for _, run := range []func(context.Context) error{h.runNode, h.boot, h.servers.Run, h.configuration.Run, h.evacuations.Run, h.watch.Run, h.views.Run, h.decideRemovals} {
 			go func() { _ = run(ctx) }()
 		}
 	}
--- a/peer/view.go
+++ b/peer/view.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/papayasail/papayasail/internal/moment"
 	"github.com/papayasail/papayasail/peer/peerpb"
 	"github.com/papayasail/papayasail/store"
 )
@@ -37,11 +38,19 @@
 	Objects    []store.Object // newer than After, without those in Have, ordered by version
 	CompleteTo store.Version  // the host has all changes up to it
 	// Age is the time since these were all changes in the store; moment.Never: not known.
-	Age time.Duration
+	Age       time.Duration
+	Available Availability
 	// More is set if Objects are only the first ones; CompleteTo is then that of Objects.
 	More bool
 }
 
+// Availability is a time in which the store answered some host without a long pause, as far
+// as a host knows. The zero value means that it knows of none.
+type Availability struct {
+	Since, Until time.Duration // ages of its begin and end
+	AfterOutage  bool          // nobody is known to have read the store before
+}
+
 // RequestView asks a host for its view of the store. Errors: ErrUnknownHost, ErrHostGone,
 // ErrUnreachable.
 func (n *Node) RequestView(ctx context.Context, host string, request ViewRequest) (ViewAnswer, error) {
@@ -62,7 +71,11 @@
 	}
 	return ViewAnswer{
 		Objects: objectsFromProto(response.GetObjects()), CompleteTo: store.Version(response.GetCompleteVersion()),
-		Age: time.Duration(response.GetAgeMs()) * time.Millisecond, More: response.GetMore(),
+		Age: ageOf(response.GetAgeMs()), More: response.GetMore(),
+		Available: Availability{
+			Since: time.Duration(response.GetAvailableSinceMs()) * time.Millisecond, Until: time.Duration(response.GetAvailableUntilMs()) * time.Millisecond,
+			AfterOutage: response.GetAfterOutage(),
+		},
 	}, nil
 }
 
@@ -88,8 +101,11 @@
 // end between objects of the same version.
 func viewPage(answer ViewAnswer) *peerpb.ViewResponse {
 	response := &peerpb.ViewResponse{
-		CompleteVersion: uint64(answer.CompleteTo),
-		AgeMs:           uint32(min(max(0, answer.Age.Milliseconds()+1), math.MaxUint32)), // rounded up
+		CompleteVersion:  uint64(answer.CompleteTo),
+		AgeMs:            millisecondsUp(answer.Age),
+		AvailableSinceMs: milliseconds(answer.Available.Since),
+		AvailableUntilMs: millisecondsUp(answer.Available.Until),
+		AfterOutage:      answer.Available.AfterOutage,
 	}
 	size := 0
 	for i, object := range answer.Objects {
@@ -103,3 +119,21 @@
 	}
 	return response
 }
+
+// ageOf returns the age of a view in a message.
+func ageOf(ms uint32) time.Duration {
+	if ms == math.MaxUint32 {
+		return moment.Never
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// milliseconds returns a duration for a message, rounded down, and millisecondsUp one that is
+// not shorter.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32))
+}
+
+func millisecondsUp(d time.Duration) uint32 {
+	return uint32(min(max(0, d.Milliseconds()+1), math.MaxUint32))
+}
