platform, backend, answerhead: tests that an unfinished head is no answer

Report: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole.

It does not happen here.

--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -378,3 +378,40 @@
 		}
 	})
 }
+
+// Guards against a head, or a stream, that its server left unfinished and that counts as an answer, or as a
+// generation that has ended.
+func TestUnfinishedAnswersAreBroken(t *testing.T) {
+	stream := streamHead + encodeChunks(token0, finish1, DoneMarker)
+	unfinished := strings.Index(stream, DoneMarker) + len(DoneMarker) // the marker ends a stream, with its line
+	for name, c := range map[string]struct {
+		answer     string
+		unfinished int // longest prefix that is not whole
+		call       func(c *Client) error
+	}{
+		"call": {completeResponse, len(completeResponse) - 1, func(c *Client) error { return get(c, context.Background()) }},
+		"generation": {stream + bodyEnd, unfinished, func(c *Client) error {
+			_, err := readStream(c.Start(context.Background(), serverAddress, CompletionRequest{GenerationID: "g"}))
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for cut := range c.unfinished + 1 {
+				inBubble(t, func(is *is.I, fabric *network.Fabric, client *Client) {
+					s := serve(is, fabric, c.answer[:cut])
+					err := c.call(client)
+					if evidenceOf(err) != Broken || s.requests.Load() != 1 {
+						t.Errorf("%q: %d requests, %v", c.answer[:cut], s.requests.Load(), err)
+					}
+				})
+			}
+			inBubble(t, func(is *is.I, fabric *network.Fabric, client *Client) {
+				serve(is, fabric, c.answer)
+				is.NoErr(c.call(client))
+			})
+		})
+	}
+}
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -117,3 +119,45 @@
 		}
 	}
 }
+
+// cutReader delivers a text and then fails as a connection does.
+func cutReader(text string, end error) io.Reader {
+	return io.MultiReader(strings.NewReader(text), iotest.ErrReader(end))
+}
+
+// Guards against a head that its server left unfinished and that counts as an answer, with an empty or a shorter
+// body.
+func TestNoPrefixOfAHeadIsAnAnswer(t *testing.T) {
+	const marks = "X-Attempt-Id: a1\r\nX-Server-Stamp: 3e1b.07\r\n"
+	heads := 0
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodHead} {
+		for _, status := range []string{"200 OK", "200", "204 No Content", "304 Not Modified", "404 Not Found", "503 Service Unavailable"} {
+			for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				for _, framing := range []string{"Content-Length: 800\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", ""} {
+					for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n"} {
+						crlf := version + " " + status + "\r\n" + marks + framing + "X-Last: b\r\n\r\n"
+						for _, head := range []string{interim + crlf, interim + strings.ReplaceAll(crlf, "\r\n", "\n"), interim + version + " " + status + "\r\n" + framing + marks + "\r\n"} {
+							heads++
+							checkPrefixes(t, method, head)
+						}
+					}
+				}
+			}
+		}
+	}
+	t.Logf("%d heads", heads)
+}
+
+func checkPrefixes(t *testing.T, method, head string) {
+	t.Helper()
+	for cut := range head {
+		for _, end := range []error{io.EOF, syscall.ECONNRESET} {
+			if response, err := NewReader(cutReader(head[:cut], end)).ReadResponse(&http.Request{Method: method}); err == nil {
+				t.Fatalf("%s: %q and then %v are an answer with status %d", method, head[:cut], end, response.StatusCode)
+			}
+		}
+	}
+	if _, err := NewReader(cutReader(head, io.EOF)).ReadResponse(&http.Request{Method: method}); err != nil {
+		t.Fatalf("%s: %q: %v", method, head, err)
+	}
+}
