freshness: a machine's suspension counts as its host's silence

Found while looking for the same cause elsewhere: the monotonic clock stands still while a machine is suspended, so a host that was suspended knew of no silence, took entries that had expired in an outage meanwhile for removals, and told other hosts that the store had answered all the while.

Change: what a host knows of the store's availability is moved back by the time of a suspension (boot time clock less monotonic clock), and a question that was under way counts as asked that much earlier.

--- a/freshness/ask.go
+++ b/freshness/ask.go
@@ -165,11 +165,14 @@
 		after := k.Table.CompleteTo()
 		have := k.Table.HashesSince(after)
 		request := peer.ViewRequest{After: after, Have: have[:min(maxHeld, len(have))], MaxAge: s.maxAge, AskOthers: s.relay}
-		asked := time.Now()
+		asked, suspended := time.Now(), k.suspended()
 		answer, err := k.Fleet.RequestView(ctx, s.host, request)
 		if err != nil {
 			return err
 		}
+		if meanwhile := k.suspended() - suspended; meanwhile >= minSuspension {
+			asked = asked.Add(-meanwhile)
+		}
 		k.observe(availabilityOf(answer, asked))
 		k.Adopt(answer.Objects)
 		if answer.More {
--- a/freshness/availability.go
+++ b/freshness/availability.go
@@ -43,8 +43,9 @@
 // availabilityTable holds the availability that a host knows. No other lock is taken while
 // its mutex is held.
 type availabilityTable struct {
-	mu    sync.Mutex // guards known
-	known availability
+	mu        sync.Mutex // guards all below
+	known     availability
+	suspended time.Duration // of the machine, when known was last corrected
 }
 
 func (t *availabilityTable) get() availability {
@@ -60,3 +61,20 @@
 	t.known = before.merge(b)
 	return before, t.known
 }
+
+// correct moves what is known back by the time for which the machine was suspended since the
+// last call, given the total, and returns that time. Short ones are errors of the clocks.
+func (t *availabilityTable) correct(total time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since := total - t.suspended
+	if since < minSuspension {
+		return 0
+	}
+	t.suspended = total
+	if t.known.to.IsZero() {
+		return 0
+	}
+	t.known.from, t.known.to = t.known.from.Add(-since), t.known.to.Add(-since)
+	return since
+}
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -26,6 +26,7 @@
 	msgTurned = "store does not answer this host's read for the fleet"
 
 	msgOutageEnded   = "no read of the store by any host is known for some time"
+	msgSuspended     = "machine was suspended"
 	msgUnsettled     = "no host knows more of an outage of the store"
 	msgOutageRefuted = "store answered other hosts while this one had no view of it"
 
@@ -56,6 +57,8 @@
 	// oldAge is the age from which a view is reported as old, and a pause between reads of the
 	// store is an outage.
 	oldAge = 1500 * time.Millisecond
+	// minSuspension is above the error of the clocks that show a suspension.
+	minSuspension = 100 * time.Millisecond
 	// settledCheckInterval is the interval at which AwaitSettled looks for newer evidence.
 	settledCheckInterval = 50 * time.Millisecond
 	// maxViewPages bounds the pages of one answer.
@@ -89,7 +92,7 @@
 	RequestView(ctx context.Context, host string, request peer.ViewRequest) (peer.ViewAnswer, error)
 }
 
-// Keeper keeps the view of one host fresh. All fields are required.
+// Keeper keeps the view of one host fresh. All fields but Suspended are required.
 type Keeper struct {
 	Host  string
 	Fleet Fleet
@@ -100,9 +103,11 @@
 	Active func() bool
 	// Read reads the changes after a version from the store into the table, and returns the
 	// version up to which the table then has all of them.
-	Read    func(ctx context.Context, after store.Version) (store.Version, error)
-	Logger  *zap.Logger
-	Metrics *Metrics
+	Read func(ctx context.Context, after store.Version) (store.Version, error)
+	// Suspended returns for how long the machine has been suspended in all; nil: never.
+	Suspended func() time.Duration
+	Logger    *zap.Logger
+	Metrics   *Metrics
 
 	flights singleflight.Group // refreshes and reads that callers share; see once
 
@@ -132,6 +137,7 @@
 	if active == moment.Never {
 		return moment.Never
 	}
+	k.noteSuspension()
 	known := k.available.get()
 	silence := active
 	if !known.to.IsZero() {
@@ -180,11 +186,27 @@
 	return ctx.Err()
 }
 
+// noteSuspension takes the time for which the machine was suspended for a silence of this
+// host. The age of its view is corrected by the next refresh.
+func (k *Keeper) noteSuspension() {
+	if since := k.available.correct(k.suspended()); since > 0 {
+		k.Logger.Info(msgSuspended, zap.Duration("for", since))
+	}
+}
+
+func (k *Keeper) suspended() time.Duration {
+	if k.Suspended == nil {
+		return 0
+	}
+	return k.Suspended()
+}
+
 // observe records that the store answered some host.
 func (k *Keeper) observe(a availability) {
 	if k.active.Age() == moment.Never {
 		return // a starting host does not refresh its view, so that pauses mean nothing
 	}
+	k.noteSuspension()
 	before, after := k.available.merge(a)
 	switch {
 	case after.afterOutage && after.from.Sub(before.to) > oldAge && !before.to.IsZero():
@@ -381,6 +403,7 @@
 	age, completeTo := k.asOf.Age(), k.Table.CompleteTo()
 	k.mu.Unlock()
 	answer := peer.ViewAnswer{Objects: k.Table.Missing(request.After, request.Have), CompleteTo: completeTo, Age: age}
+	k.noteSuspension()
 	if known := k.available.get(); !known.to.IsZero() {
 		answer.Available = peer.Availability{Since: time.Since(known.from), Until: time.Since(known.to), AfterOutage: known.afterOutage}
 	}
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -26,6 +26,7 @@
 	"github.com/papayasail/papayasail/freshness"
 	"github.com/papayasail/papayasail/gateway"
 	"github.com/papayasail/papayasail/internal/moment"
+	"github.com/papayasail/papayasail/internal/suspension"
 	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer"
 	"github.com/papayasail/papayasail/placement"
@@ -185,7 +186,7 @@
 	}
 	h.views = &freshness.Keeper{
 		Host: o.Name, Fleet: h, Table: h.table, Adopt: h.adoptView, Active: func() bool { return !h.booting.Load() }, Read: h.readChanges,
-		Logger: o.Logger, Metrics: freshness.NewMetrics(o.Registerer),
+		Suspended: suspension.Total, Logger: o.Logger, Metrics: freshness.NewMetrics(o.Registerer),
 	}
 	h.configuration = h.newFollower(o.Objects.Configuration, configurationSpacing)
 	h.servers = h.newFollower(o.Objects.Servers, serversSpacing)
