--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -128,7 +128,7 @@
 // Guards against a head that its server left unfinished and that counts as an answer, with an empty or a shorter
 // body.
 func TestNoPrefixOfAHeadIsAnAnswer(t *testing.T) {
-	const marks = "X-Attempt-Id: a1\r\nX-Server-Stamp: 3e1b.07\r\n"
+	const marks = "X-Request-Id: a1\r\nX-Mark: 3e1b.07\r\n"
 	heads := 0
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodHead} {
 		for _, status := range []string{"200 OK", "200", "204 No Content", "304 Not Modified", "404 Not Found", "503 Service Unavailable"} {
