--- a/freshness/ask.go
+++ b/freshness/ask.go
@@ -192,25 +192,28 @@
 }
 
 // availabilityOf returns what the answer to a request that was made at the given time
-// shows. It is no longer than what the answering host knows, however long the answer took.
+// shows. It claims no more than the answering host, however long the answer took.
 func availabilityOf(answer peer.ViewAnswer, asked time.Time) availability {
-	known := answer.Available
-	if known.Since == 0 && answer.Age < moment.Never { // the age of a view shows a read, too
-		known = peer.Availability{Since: answer.Age, Until: answer.Age}
+	claim := answer.Available
+	if claim.Since == 0 {
+		if answer.Age == moment.Never {
+			return availability{}
+		}
+		claim = peer.Availability{Since: answer.Age, Until: answer.Age} // the view shows one read
 	}
-	a := availability{from: time.Now().Add(-known.Since), to: asked.Add(-known.Until), afterOutage: known.AfterOutage}
+	a := availability{from: time.Now().Add(-claim.Since), to: asked.Add(-claim.Until), afterOutage: claim.AfterOutage}
 	switch late := a.from.Sub(a.to); {
-	case known.Since == 0 && known.Until == 0 && answer.Age == moment.Never, late > transferAllowance:
-		return availability{}
+	case late > transferAllowance:
+		return availability{} // the time of the read is not known well enough
 	case late > 0:
 		a.to = a.from
 	}
 	return a
 }
 
-// countAsked reports whether the readers are still to be asked of the latest outage, and
-// counts them as asked from now on.
-func (k *Keeper) countAsked() bool {
+// startInquiry reports whether the readers have not been asked of the latest outage yet, and
+// records that they are.
+func (k *Keeper) startInquiry() bool {
 	from := k.available.get().from
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -221,13 +224,13 @@
 	return true
 }
 
-// askWitnesses asks all readers at once for what they know, until the latest outage that is
-// known ended at least d ago. The readers do not read the store for it.
+// askWitnesses asks all readers at once what they know, and returns as soon as an answer
+// shows that no outage has ended within d. The readers do not read the store for it.
 func (k *Keeper) askWitnesses(ctx context.Context, d time.Duration) error {
 	readers := slices.DeleteFunc(slices.Clone(k.viewSources().Readers), func(host string) bool { return host == k.Host })
 	results := make(chan error, len(readers))
 	for _, host := range readers {
-		go func() { results <- k.requestView(ctx, source{host: host, maxAge: maxWitnessAge}) }()
+		go func() { results <- k.requestView(ctx, source{host: host, maxAge: anyAge}) }()
 	}
 	var failure error
 	for range readers {
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -25,10 +25,10 @@
 	msgNew    = "view of the store is new again"
 	msgTurned = "store does not answer this host's read for the fleet"
 
-	msgOutageEnded   = "no read of the store by any host is known for some time"
+	msgOutageEnded   = "store answers again after an outage"
+	msgOutageRefuted = "store answered other hosts in what this host took for an outage"
+	msgUnsettled     = "other hosts do not say whether there was an outage of the store"
 	msgSuspended     = "machine was suspended"
-	msgUnsettled     = "no host knows more of an outage of the store"
-	msgOutageRefuted = "store answered other hosts while this one had no view of it"
 
 	// refreshAge is the age at which a host refreshes its view. Hosts that others ask are
 	// earlier by roleLead for each role.
@@ -38,8 +38,8 @@
 	relaysAsked = 2
 	// maxSourceAge is the oldest view that a host accepts from another one.
 	maxSourceAge = 300 * time.Millisecond
-	// maxWitnessAge is above the age of any view.
-	maxWitnessAge = 24 * time.Hour
+	// anyAge is above the age of any view.
+	anyAge = 24 * time.Hour
 	// transferAllowance is how much older an answer may be that still counts as new.
 	transferAllowance = 100 * time.Millisecond
 	// readerPatience and relayPatience are the times after which the next host is asked.
@@ -119,7 +119,7 @@
 	avoided map[string]time.Time // hosts that are asked last, until the given time
 	backoff store.Backoff        // of reads
 	readAt  time.Time            // no read before, as the store did not answer
-	asked   time.Time            // end of the outage of which the readers were asked
+	asked   time.Time            // end of the latest outage of which the readers were asked
 	sources *domain.Sources      // computed at generation at; nil: not yet
 	at      uint64
 }
@@ -159,8 +159,8 @@
 	return since == moment.Never || since-min(since, k.Age()) >= d
 }
 
-// AwaitSettled waits until Settled. After an outage it asks other hosts once whether they
-// read the store meanwhile, and at the end for a newer view. It returns the error of ctx.
+// AwaitSettled waits until Settled. It asks other hosts whether they read the store in what
+// this host takes for an outage, and after d for a newer view. It returns the error of ctx.
 func (k *Keeper) AwaitSettled(ctx context.Context, d time.Duration) error {
 	for !k.Settled(d) {
 		var err error
@@ -170,7 +170,7 @@
 			err = k.once(ctx, "settled", roundTimeout, func(ctx context.Context) error {
 				return k.askOrRead(ctx, readersOf(k.viewSources(), since-d))
 			})
-		case k.countAsked():
+		case k.startInquiry():
 			err = k.once(ctx, "witnesses", askTimeout, func(ctx context.Context) error { return k.askWitnesses(ctx, d) })
 		}
 		if err != nil && ctx.Err() == nil {
@@ -186,7 +186,7 @@
 	return ctx.Err()
 }
 
-// noteSuspension takes the time for which the machine was suspended for a silence of this
+// noteSuspension counts the time for which the machine was suspended as a silence of this
 // host. The age of its view is corrected by the next refresh.
 func (k *Keeper) noteSuspension() {
 	if since := k.available.correct(k.suspended()); since > 0 {
@@ -204,7 +204,7 @@
 // observe records that the store answered some host.
 func (k *Keeper) observe(a availability) {
 	if k.active.Age() == moment.Never {
-		return // a starting host does not refresh its view, so that pauses mean nothing
+		return // a starting host does not refresh its view: a pause would look like an outage
 	}
 	k.noteSuspension()
 	before, after := k.available.merge(a)
--- a/gatewayhost/removal.go
+++ b/gatewayhost/removal.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/papayasail/papayasail/fleet"
 	"github.com/papayasail/papayasail/internal/sleep"
@@ -22,15 +21,15 @@
 	leavingQueryInterval = 250 * time.Millisecond
 
 	msgEntryGone       = "entry of a backend server is gone after an outage of the store"
-	msgRemovalsDecided = "entries of backend servers that are still missing count as removed"
+	msgRemovalsDecided = "backend servers without an entry after an outage of the store are removed"
 )
 
-// undecidedRemovals are the servers whose entries were deleted when they may have expired.
+// undecidedRemovals are the servers whose entries were deleted, but may only have expired.
 type undecidedRemovals struct {
 	added chan struct{} // has a token when there are new ones
 
 	mu  sync.Mutex      // guards ids; locked after the replica table's lock
-	ids map[string]bool // the value is set once the server is polled
+	ids map[string]bool // the value is set once list has returned the id as fresh
 }
 
 func newUndecidedRemovals() *undecidedRemovals {
@@ -54,9 +53,9 @@
 func (u *undecidedRemovals) list() (all, fresh []string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for id, polled := range u.ids {
+	for id, listed := range u.ids {
 		all = append(all, id)
-		if !polled {
+		if !listed {
 			fresh = append(fresh, id)
 			u.ids[id] = true
 		}
@@ -83,9 +82,8 @@
 //
 // Failure: servers cannot renew their entries during a store outage, so the
 // entries expire, and after the outage servers appear removed although they
-// are alive. An entry that is deleted before entryRecoveryTime has passed since the outage
-// is therefore a removal only if it is missing after that time, too, however late this
-// host hears of it. A time in which only this host had no view of the store is no outage.
+// are alive. If this host hears of a deletion before it has a view from entryRecoveryTime
+// after an outage, the server is therefore removed only if that view lacks the entry, too.
 //
 // It is called with the replica table's lock held. The membership acquires that
 // lock as well, so calling WatchDuty.Watches here would deadlock the host.
@@ -97,12 +95,12 @@
 	h.undecided.add(id)
 }
 
-// decideRemovals decides which of the servers are gone whose entries were deleted when they
-// may have expired, until ctx ends. Hosts that watch the store query these servers, and
-// remove one earlier if it reports that it is or may be leaving or if a query fails.
+// decideRemovals decides which undecided servers are gone, until ctx ends. Hosts that watch
+// the store query these servers, and remove one earlier if it reports that it is or may be
+// leaving or if a query fails.
 func (h *Host) decideRemovals(ctx context.Context) error {
-	polls, ctx := errgroup.WithContext(ctx)
-	defer func() { _ = polls.Wait() }() // polls return no errors
+	var polls sync.WaitGroup
+	defer polls.Wait()
 	for {
 		select {
 		case <-h.undecided.added:
@@ -112,7 +110,7 @@
 		for all, fresh := h.undecided.list(); len(all) > 0; all, fresh = h.undecided.list() {
 			for _, id := range fresh {
 				if server, _ := h.fleet.Get(id); server.ID != "" && h.watch.Watches() {
-					polls.Go(func() error { h.removeAfterPolling(ctx, server); return nil })
+					polls.Go(func() { h.removeAfterPolling(ctx, server) })
 				}
 			}
 			waiting, stop := context.WithTimeout(ctx, leavingQueryInterval)
@@ -128,15 +126,16 @@
 	}
 }
 
-// removeMissing removes those servers whose entries have not been recreated.
+// removeMissing removes those servers whose entries have not been recreated. An entry that
+// is deleted again meanwhile is undecided anew.
 func (h *Host) removeMissing(ids []string) {
+	h.undecided.remove(ids)
 	removed := 0
 	for _, id := range ids {
 		if h.removeUnlessRecreated(id) {
 			removed++
 		}
 	}
-	h.undecided.remove(ids)
 	h.logger.Info(msgRemovalsDecided, zap.Int("removed", removed), zap.Int("returned", len(ids)-removed),
 		zap.Duration("since_outage", h.views.SinceOutage()), zap.Duration("view_age", h.views.Age()))
 }
--- a/gatewayhost/removal_test.go
+++ b/gatewayhost/removal_test.go
@@ -108,7 +108,7 @@
 }
 
 // Guards against work lost by servers whose entries expired in an outage, or soon after it, also at hosts that
-// stood still in the outage or have just started.
+// stood still or were cut off at its end.
 func TestEntriesThatExpiredInAnOutageCostNoServer(t *testing.T) {
 	for _, size := range []struct{ hosts, domains int }{{7, 3}, {40, 2}} {
 		for _, expiry := range []time.Duration{-time.Second, 200 * time.Millisecond, 900 * time.Millisecond} {
