entryhost: heads of callers are bounded on our own interface too

What callers saw: 50 unfinished heads of 1,000,000 bytes took a host to 981 MB, 300 heads of 60 KB with their bodies held back to 415 MB.

Cause: the server set no MaxHeaderBytes, so the library's 1 MiB stood, and nothing bounded lines, bodies or connections over all callers.

Change: the host's server shares one Intake of limits.caller_memory (64 MiB, or what a single request within body_bytes and header_bytes needs if that is more) and limits.caller_connections; limits.header_bytes (64 KiB) replaces the library's bound. A body for which there is no memory is refused as overloaded, not run. Settings in which one request would meet caller_memory are refused by check.

--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -121,7 +121,8 @@
 	h.hostList = newHostList(o.Store, h.pool, h.watchDuty.Watches)
 	h.orderController = h.newOrderController()
 	h.follower = &replica.Follower{Store: o.Store, Kind: configuration.Kind, Table: h.table.Table, Logger: o.Logger, Active: h.followsStore, WriteBack: true}
-	h.server = link.NewDrainServer(&http.Server{Handler: h.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
+	h.server = link.NewDrainServer(&http.Server{Handler: h.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: o.Settings.Limits.HeaderBytes})
+	h.server.Intake = h.newIntake()
 	registerCollectors()
 	h.subscribe()
 	return h, nil
--- a/entryhost/http.go
+++ b/entryhost/http.go
@@ -55,7 +55,8 @@
 		h.relay.Call(w, r, service, callPath(r, service))
 	})
 	callers.Mount(mux)
-	operatorserver.New(operator.NewEndpoints(&operatorService{h}), mux, decoder, encoder, nil, asProblem).Mount(mux)
+	operators := operatorserver.New(operator.NewEndpoints(&operatorService{h}), mux, decoder, encoder, nil, asProblem)
+	operators.Mount(mux)
 	gatherer := prometheus.Gatherers{h.options.Registry, prometheus.DefaultGatherer}
 	mux.Handle(http.MethodGet, "/metrics", promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}).ServeHTTP)
 	mux.Handle(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +10,8 @@
 
 	"github.com/papayasail/papayasail/backend"
 	"github.com/papayasail/papayasail/contract"
+	"github.com/papayasail/papayasail/internal/bytebudget"
+	"github.com/papayasail/papayasail/link"
 	"github.com/papayasail/papayasail/peer/peerpb"
 	"github.com/papayasail/papayasail/quarantine"
 	"github.com/papayasail/papayasail/record"
@@ -219,10 +220,13 @@
 
 // readBody reads a request's body of at most MaxBodyBytes.
 func (r *Relay) readBody(w http.ResponseWriter, req *http.Request) ([]byte, *contract.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.MaxBodyBytes))
+	body, err := link.RequestAccount(req.Context()).ReadAll(http.MaxBytesReader(w, req.Body, r.MaxBodyBytes), r.MaxBodyBytes)
 	if err == nil {
 		return body, nil
 	}
+	if errors.IsAny(err, bytebudget.ErrExhausted, link.ErrEvicted) {
+		return nil, FullRefusal()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, contract.NotRun(contract.ReasonBodyTooLarge, 0, "the body is over the limit").WithStatus(http.StatusRequestEntityTooLarge)
@@ -230,6 +234,11 @@
 	return nil, contract.NotRun(contract.ReasonBadRequest, 0, "the body could not be read").WithStatus(http.StatusBadRequest).WithCause(err)
 }
 
+// FullRefusal returns the refusal of a request for which there is no memory.
+func FullRefusal() *contract.Refusal {
+	return contract.NotRun(contract.ReasonOverloaded, time.Second, "the entry host has no memory for more requests")
+}
+
 // requestKey parses the idempotency key of a request that may run at most once.
 func requestKey(req *http.Request) (record.Key, *contract.Refusal) {
 	value := req.Header.Get(HeaderKey)
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -24,6 +24,8 @@
 // Defaults of optional fields.
 const (
 	DefaultBodyBytes       = 1 << 20
+	DefaultHeaderBytes     = 64 << 10
+	DefaultCallerMemory    = 64 << 20
 	DefaultRecords         = 20_000
 	DefaultRecordBytes     = 16 << 20
 	DefaultRecordAge       = 10 * time.Minute
@@ -39,6 +41,11 @@
 const (
 	// maxLimitBytes is the highest value of body_bytes and record_bytes.
 	maxLimitBytes = 1 << 30
+	// minHeaderBytes and maxHeaderBytes are the lowest and highest value of header_bytes.
+	minHeaderBytes = 4 << 10
+	maxHeaderBytes = 1 << 20
+	// bytesPerHeaderByte is twice the memory that a byte of a head may need.
+	bytesPerHeaderByte = 200
 	// maxKeepAlive is well below the idle time after which callers consider a
 	// connection dead (caller.DefaultSilence). Otherwise callers would
 	// repeatedly resume every idle stream.
@@ -260,17 +267,29 @@
 		return between(name, lowest, 24*time.Hour, fallback)
 	}
 	l := Limits{
-		BodyBytes:       number("body_bytes", "bytes", 1024, maxLimitBytes, DefaultBodyBytes),
-		Records:         number("records", "records", 1, math.MaxInt32, DefaultRecords),
-		RecordBytes:     number("record_bytes", "bytes", 1024, maxLimitBytes, DefaultRecordBytes),
-		RecordAge:       duration("record_age", time.Second, DefaultRecordAge),
-		KeepAddresses:   between("keep_addresses", time.Second, time.Hour, DefaultKeepAddresses),
-		KeepAlive:       between("keep_alive", 10*time.Millisecond, maxKeepAlive, DefaultKeepAlive),
-		WriteDeadline:   duration("write_deadline", 10*time.Millisecond, DefaultWriteDeadline),
-		StopBound:       duration("stop_bound", 0, DefaultStopBound),
-		PlatformCalls:   number("platform_calls_per_second", "calls", 1, 10_000, DefaultPlatformCalls),
-		LoadsPerMinute:  number("loads_per_minute", "loads", 0, 10_000, 0),
-		PeerProbePeriod: duration("peer_probe_period", 10*time.Millisecond, DefaultPeerProbePeriod),
+		BodyBytes:         number("body_bytes", "bytes", 1024, maxLimitBytes, DefaultBodyBytes),
+		HeaderBytes:       number("header_bytes", "bytes", minHeaderBytes, maxHeaderBytes, DefaultHeaderBytes),
+		CallerMemory:      number("caller_memory", "bytes", 0, math.MaxInt, 0),
+		CallerConnections: number("caller_connections", "connections", 0, math.MaxInt32, 0),
+		Records:           number("records", "records", 1, math.MaxInt32, DefaultRecords),
+		RecordBytes:       number("record_bytes", "bytes", 1024, maxLimitBytes, DefaultRecordBytes),
+		RecordAge:         duration("record_age", time.Second, DefaultRecordAge),
+		KeepAddresses:     between("keep_addresses", time.Second, time.Hour, DefaultKeepAddresses),
+		KeepAlive:         between("keep_alive", 10*time.Millisecond, maxKeepAlive, DefaultKeepAlive),
+		WriteDeadline:     duration("write_deadline", 10*time.Millisecond, DefaultWriteDeadline),
+		StopBound:         duration("stop_bound", 0, DefaultStopBound),
+		PlatformCalls:     number("platform_calls_per_second", "calls", 1, 10_000, DefaultPlatformCalls),
+		LoadsPerMinute:    number("loads_per_minute", "loads", 0, 10_000, 0),
+		PeerProbePeriod:   duration("peer_probe_period", 10*time.Millisecond, DefaultPeerProbePeriod),
+	}
+	// Half of the memory must be enough for a single request: a body in a buffer that grows,
+	// and a head of the shortest lines.
+	needed := 4*l.BodyBytes + bytesPerHeaderByte*l.HeaderBytes
+	switch {
+	case l.CallerMemory == 0:
+		l.CallerMemory = max(DefaultCallerMemory, needed)
+	case l.CallerMemory < needed:
+		section.AddFinding("caller_memory", "must be at least %d bytes for body_bytes and header_bytes", needed)
 	}
 	// With a shorter record_age, the outcome of a key would be dropped while callers
 	// still use the key.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,17 +53,22 @@
 
 // Limits bounds the resources and wait times of one entry host.
 type Limits struct {
-	BodyBytes       int           // maximum size of a request body, bytes
-	Records         int           // maximum number of outcomes stored for idempotency keys
-	RecordBytes     int           // maximum total size of answers stored for idempotency keys, bytes
-	RecordAge       time.Duration // minimum retention of an outcome
-	KeepAddresses   time.Duration // maximum time for which callers cache the address list; also the length of an epoch
-	KeepAlive       time.Duration // interval of keep-alive comments in an idle stream
-	WriteDeadline   time.Duration // maximum time of a blocked write to a caller
-	StopBound       time.Duration // maximum duration of a graceful stop
-	PlatformCalls   int           // maximum calls per second of this host to the platform's store
-	LoadsPerMinute  int           // model loads that the weight store allows for the whole fleet; 0: no limit
-	PeerProbePeriod time.Duration // interval between probes of other entry hosts
+	BodyBytes    int // maximum size of a request body, bytes
+	HeaderBytes  int // maximum size of a request's head, bytes
+	CallerMemory int // memory for callers' connections, heads and bodies, bytes
+	// CallerConnections is the maximum number of open connections of callers; 0: half of
+	// the descriptors that the operating system allows.
+	CallerConnections int
+	Records           int           // maximum number of outcomes stored for idempotency keys
+	RecordBytes       int           // maximum total size of answers stored for idempotency keys, bytes
+	RecordAge         time.Duration // minimum retention of an outcome
+	KeepAddresses     time.Duration // maximum time for which callers cache the address list; also the length of an epoch
+	KeepAlive         time.Duration // interval of keep-alive comments in an idle stream
+	WriteDeadline     time.Duration // maximum time of a blocked write to a caller
+	StopBound         time.Duration // maximum duration of a graceful stop
+	PlatformCalls     int           // maximum calls per second of this host to the platform's store
+	LoadsPerMinute    int           // model loads that the weight store allows for the whole fleet; 0: no limit
+	PeerProbePeriod   time.Duration // interval between probes of other entry hosts
 }
 
 // TLS gives the PEM files for the caller address.
@@ -75,7 +80,7 @@
 // DefaultLimits returns the limits used for fields that are not set.
 func DefaultLimits() Limits {
 	return Limits{
-		BodyBytes: DefaultBodyBytes, Records: DefaultRecords, RecordBytes: DefaultRecordBytes, RecordAge: DefaultRecordAge,
+		BodyBytes: DefaultBodyBytes, HeaderBytes: DefaultHeaderBytes, CallerMemory: DefaultCallerMemory, Records: DefaultRecords, RecordBytes: DefaultRecordBytes, RecordAge: DefaultRecordAge,
 		KeepAddresses: DefaultKeepAddresses, KeepAlive: DefaultKeepAlive, WriteDeadline: DefaultWriteDeadline,
 		StopBound: DefaultStopBound, PlatformCalls: DefaultPlatformCalls,
 		PeerProbePeriod: DefaultPeerProbePeriod,
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -56,6 +56,33 @@
 	is.True(!ok)
 }
 
+// Guards against limits on what callers hold that a single request within the other limits
+// meets.
+func TestCallerMemoryHoldsAWholeRequest(t *testing.T) {
+	is := is.New(t)
+	limitsOf := func(text string) (Limits, error) {
+		s, err := Parse("s", []byte(sample()+"limits: {"+text+"}\n"))
+		if err != nil {
+			return Limits{}, err
+		}
+		return s.Limits, nil
+	}
+	l, err := limitsOf("body_bytes: 100000000")
+	is.NoErr(err)
+	is.True(l.CallerMemory > 400_000_000)
+	l, err = limitsOf("caller_memory: 20000000, caller_connections: 50, header_bytes: 16384")
+	is.NoErr(err)
+	is.Equal(l.CallerMemory, 20_000_000)
+	is.Equal(l.CallerConnections, 50)
+	is.Equal(l.HeaderBytes, 16384)
+	for text, field := range map[string]string{
+		"caller_memory: 1000000": "caller_memory", "caller_memory: -1": "caller_memory", "caller_connections: -1": "caller_connections", "header_bytes: 100": "header_bytes",
+	} {
+		_, err := limitsOf(text)
+		is.True(err != nil && strings.Contains(err.Error(), field))
+	}
+}
+
 // Guards against an organisation that may use all services once its last one was removed.
 func TestEmptyListOfServicesIsAMistake(t *testing.T) {
 	is := is.New(t)
