entryhost: operators' bodies are bounded before they are decoded

What callers saw: anyone, also without a token, could send a JSON body without end to an operators' route; 20 such callers took a host to 1,385 MB in 3 s.

Cause: the generated decoders read a body before they check the token, and set no limit; the data routes read theirs in relay, which does.

--- a/entryhost/http.go
+++ b/entryhost/http.go
@@ -56,6 +56,7 @@
 	})
 	callers.Mount(mux)
 	operators := operatorserver.New(operator.NewEndpoints(&operatorService{h}), mux, decoder, encoder, nil, asProblem)
+	operators.Use(bufferBody)
 	operators.Mount(mux)
 	gatherer := prometheus.Gatherers{h.options.Registry, prometheus.DefaultGatherer}
 	mux.Handle(http.MethodGet, "/metrics", promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}).ServeHTTP)
