gateway, platform: what callers name is bounded where hosts keep it

Cause: a part of two bytes became a string of its own, though only the first 32 parts of a prompt count, and every request's log line listed all of them. Log lines that wait for the output were bounded in number, not in size: a queue of 1,024 lines with an ID of 60 KB each is 61 MB. The same ID was sent to allocators, whose queue keeps 8,192 requests and 4,096 places in line.

Servers still get each header as it was sent. The log queue is bounded by 1 MiB.

--- a/fleet/reserve.go
+++ b/fleet/reserve.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/papayasail/papayasail/internal/shortid"
+)
 
 // ownReservationLifetime is how long a reservation for this host's own generation
 // is valid. The gateway calls Begin within milliseconds of the placement, unless
@@ -36,7 +40,7 @@
 	if e.reserved == nil {
 		e.reserved = map[string]ownReservation{}
 	}
-	e.reserved[request] = ownReservation{load, now.Add(ownReservationLifetime)}
+	e.reserved[shortid.Of(request)] = ownReservation{load, now.Add(ownReservationLifetime)}
 }
 
 // endReservation ends the reservation of a request of this host, if there is one.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -129,7 +129,7 @@
 	failedHosts        map[string]time.Time // entry hosts whose requests failed there, and when; cleared by an answer
 	lastAnswer         time.Time            // when it last answered a request of any host
 	work               map[*Work]struct{}
-	reserved           map[string]ownReservation // by request ID; see Reserve
+	reserved           map[string]ownReservation // by short request ID; see Reserve
 	others             map[string]Load           // load of other entry hosts, by host name
 	sum                loadSum                   // cached sum of others
 	leavingCh          chan struct{}             // closed when the server starts leaving
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/papayasail/papayasail/internal/shortid"
 	"github.com/papayasail/papayasail/placement"
 )
 
@@ -104,7 +105,7 @@
 	defer t.mu.Unlock()
 	e := t.servers[server]
 	now := time.Now()
-	started := e != nil && e.endReservation(work.ID) // the reservation was counted as a start
+	started := e != nil && e.endReservation(shortid.Of(work.ID)) // the reservation was counted as a start
 	if e == nil || e.evacuated || !resumed && (!e.acceptsWork() || t.inBackoff(server, now) || t.rejectionPause(e, now) > 0 || !t.takeRate(server, now) || !t.takeCallShare(e, now)) {
 		return nil
 	}
--- a/gateway/callqueue.go
+++ b/gateway/callqueue.go
@@ -173,7 +173,7 @@
 	reserve := func(late bool) *fleet.Work { return t.reserveCall(ctx, late) }
 	scope := strings.Join(append(t.allowedDomains(), t.tried...), " ")
 	w := &callWaiter{
-		Value: &waitingCall{reserve, make(chan *fleet.Work, 1)}, Request: t.request.ID, Organisation: queuedAs(t.organisation, scope), Rank: t.priority,
+		Value: &waitingCall{reserve, make(chan *fleet.Work, 1)}, Request: t.request.shortID(), Organisation: queuedAs(t.organisation, scope), Rank: t.priority,
 		Need: placement.Need{PromptTokens: 1}, Scope: scope,
 		Arrived: t.request.Arrived, OnTimeUntil: t.request.Arrived.Add(t.route.Goal - took), HoldUntil: t.deadline.Add(-callHoldMargin * took),
 	}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -41,7 +41,7 @@
 func (t *task) log(o Outcome) {
 	t.gateway.options.Metrics.observe(t, o)
 	fields := []zap.Field{
-		zap.String("request", t.request.ID),
+		zap.String("request", t.request.shortID()),
 		zap.Int("status", o.Status),
 		zap.String("reason", string(o.Reason)),
 		zap.Bool("not_run", o.NotRun),
@@ -55,7 +55,7 @@
 		fields = append(fields, zap.String("fingerprint", strconv.FormatUint(t.fingerprint, 16)))
 	}
 	if len(t.request.Prompt.SharedParts) > 0 {
-		fields = append(fields, zap.Strings("prompt_parts", t.request.Prompt.SharedParts))
+		fields = append(fields, zap.Strings("prompt_parts", t.request.Prompt.logParts()))
 	}
 	if o.RetryAfter > 0 {
 		fields = append(fields, zap.Duration("retry_after", o.RetryAfter))
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -55,7 +55,7 @@
 	source, id := run.server(), run.task.request.ID
 	turnCtx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
-	move := migration.Move{Source: source.ID, Run: id, LostWork: run.lostWork(), Need: placement.Need{PromptTokens: run.memoryTokens(), OutputTokens: run.expectedRemaining()}, Except: run.task.disallowedServers()}
+	move := migration.Move{Source: source.ID, Run: run.task.request.shortID(), LostWork: run.lostWork(), Need: placement.Need{PromptTokens: run.memoryTokens(), OutputTokens: run.expectedRemaining()}, Except: run.task.disallowedServers()}
 	destination, end, err := g.options.Allocator.TakeTurn(turnCtx, run.task.service.Name, move)
 	if err != nil {
 		return
@@ -152,7 +152,7 @@
 // itself before its move.
 func (g *Gateway) recordMove(run *run, source fleet.Server, result string, err error, more ...zap.Field) {
 	g.options.Metrics.moves.WithLabelValues(result).Inc()
-	fields := append(more, zap.String("request", run.task.request.ID), zap.String("from", source.ID), zap.String("result", result),
+	fields := append(more, zap.String("request", run.task.request.shortID()), zap.String("from", source.ID), zap.String("result", result),
 		zap.Int("tokens", run.memoryTokens()))
 	if err != nil || result != "copied" {
 		g.options.Logger.Warn(msgMoveFailed, append(fields, zap.Error(err))...)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -145,7 +145,7 @@
 // for the given time.
 func (t *task) placementRequest(need placement.Need, hold time.Duration) allocation.PlacementRequest {
 	req := allocation.PlacementRequest{
-		Request: t.request.ID, Fingerprint: t.fingerprint, Need: need, Domains: t.allowedDomains(),
+		Request: t.request.shortID(), Fingerprint: t.fingerprint, Need: need, Domains: t.allowedDomains(),
 		Organisation: t.organisation, Rank: t.priority, Arrived: t.request.Arrived, Hold: max(0, hold), AskedBefore: t.askedBefore,
 	}
 	if t.route.Patience > 0 {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -69,7 +69,7 @@
 // follows, and each crash ends all other runs on the server.
 func (t *task) reportSuspectedCrash(work *fleet.Work) {
 	server, workContext, backend := work.Server(), work.Context(), t.gateway.options.Backend
-	t.admission.Broken(t.request.ID, server.ID, work.MayBeBrittle(), func(ctx context.Context) bool {
+	t.admission.Broken(t.request.shortID(), server.ID, work.MayBeBrittle(), func(ctx context.Context) bool {
 		return workContext.Err() != nil || backend.RefusesConnection(ctx, server)
 	})
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,7 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/papayasail/papayasail/internal/bytebudget"
+	"github.com/papayasail/papayasail/internal/shortid"
 	"github.com/papayasail/papayasail/placement"
+	"github.com/papayasail/papayasail/quarantine"
 )
 
 // Request is one attempt of a caller. The decoder has already read the whole
@@ -43,6 +45,9 @@
 	return d.Sum64()
 }
 
+// shortID returns the ID for logs, tables and messages to other hosts.
+func (r *Request) shortID() string { return shortid.Of(r.ID) }
+
 // Prompt describes the requested generation.
 type Prompt struct {
 	Tokens    int
@@ -51,10 +56,19 @@
 	// only at the median; zero: none.
 	HintedOutput int
 	// SharedParts are the IDs of the parts of the prompt that other requests may have
-	// too, in order.
+	// too, in order. Only the first quarantine.MaxParts count.
 	SharedParts []string
 }
 
+// logParts returns the shared parts for logs.
+func (p Prompt) logParts() []string {
+	parts := make([]string, 0, min(len(p.SharedParts), quarantine.MaxParts))
+	for _, part := range p.SharedParts[:cap(parts)] {
+		parts = append(parts, shortid.Of(part))
+	}
+	return parts
+}
+
 // fallbackOutput is the expected output, in tokens, of a generation without a
 // length hint.
 const fallbackOutput = 256
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -200,7 +200,7 @@
 	defer run.signalTransferDone()
 	if left := t.admission.Left(); left > 0 {
 		endAll(to.reservations)
-		t.gateway.options.Logger.Warn(msgNotResumed, zap.String("request", t.request.ID), zap.String("from", to.source.ID), zap.Duration("left", left))
+		t.gateway.options.Logger.Warn(msgNotResumed, zap.String("request", t.request.shortID()), zap.String("from", to.source.ID), zap.Duration("left", left))
 		return nil, false
 	}
 	for i, work := range to.reservations {
@@ -226,7 +226,7 @@
 	began := time.Now()
 	reply, err := t.resumeAt(ctx, work, call)
 	fields := []zap.Field{
-		zap.String("request", t.request.ID), zap.String("from", to.source.ID), zap.String("to", work.Server().ID),
+		zap.String("request", t.request.shortID()), zap.String("from", to.source.ID), zap.String("to", work.Server().ID),
 		zap.String("last_event", run.lastEventID), zap.Duration("took", time.Since(began)),
 	}
 	if err != nil {
--- a/internal/boundedlog/boundedlog.go
+++ b/internal/boundedlog/boundedlog.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// queueSize is the maximum number of lines that wait for the output. At some
-	// 400 bytes per line they use less than half a megabyte.
-	queueSize = 1024
+	// queueSize is the maximum number of lines that wait for the output, and queueBytes
+	// their maximum size together.
+	queueSize  = 1024
+	queueBytes = 1 << 20
 	// Of the lines with the same level and message, the first sampleFirst lines of each second
 	// are written, and after those one in sampleThereafter. Lines about failures have
 	// another level and thus a separate limit.
@@ -27,6 +28,7 @@
 // for example because the output is blocked.
 type Writer struct {
 	lines   chan []byte
+	queued  atomic.Int64 // bytes of lines
 	output  io.Writer
 	dropped atomic.Uint64
 	closing chan struct{}
@@ -45,12 +47,21 @@
 // Write queues a copy of a line, or drops the line if the queue is full. It never
 // blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > queueBytes || !w.enqueue(line) {
+		w.queued.Add(-size)
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (w *Writer) enqueue(line []byte) bool {
 	select {
 	case w.lines <- append([]byte(nil), line...):
+		return true
 	default:
-		w.dropped.Add(1)
+		return false
 	}
-	return len(line), nil
 }
 
 // Sync implements zapcore.WriteSyncer. It does nothing; lines are written in the
@@ -98,6 +109,7 @@
 	if _, err := w.output.Write(line); err != nil {
 		w.dropped.Add(1) // the error can't be logged, only counted
 	}
+	w.queued.Add(-int64(len(line)))
 }
 
 // New returns a logger of JSON lines to writer. Lines left out by sampling and
--- a/internal/boundedlog/boundedlog_test.go
+++ b/internal/boundedlog/boundedlog_test.go
@@ -58,3 +58,36 @@
 	is.True(strings.Count(out.text.String(), `"level":"info"`) < 2*sampleFirst)
 	is.Equal(strings.Count(out.text.String(), `"level":"warn"`), 1)
 }
+
+// Guards against long lines that use up the memory of the process while its output is not
+// read.
+func TestWaitingLinesAreBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	out := &gatedOutput{release: release}
+	w := NewWriter(out)
+	line := []byte(strings.Repeat("a", 60<<10))
+	for range queueSize {
+		_, err := w.Write(line)
+		is.NoErr(err)
+	}
+	_, err := w.Write([]byte("short\n")) // there is room for it
+	is.NoErr(err)
+	close(release)
+	w.Close()
+	is.True(out.written <= queueBytes+len(line)) // one line is with the output
+	is.True(out.written > queueBytes/2)
+	is.Equal(w.queued.Load(), int64(0))
+}
+
+// gatedOutput counts bytes, and blocks until release is closed.
+type gatedOutput struct {
+	release chan struct{}
+	written int // bytes
+}
+
+func (o *gatedOutput) Write(p []byte) (int, error) {
+	<-o.release
+	o.written += len(p)
+	return len(p), nil
+}
--- a/quarantine/admission.go
+++ b/quarantine/admission.go
@@ -21,7 +21,7 @@
 type Subject struct {
 	Request uint64 // equal for retries by its caller at any entry host
 	// Parts identify the parts of its prompt that other requests may have too, in
-	// order; see [PartID]. Only the first maxParts count.
+	// order; see [PartID]. Only the first MaxParts count.
 	Parts []uint64
 }
 
@@ -48,7 +48,7 @@
 // and must cancel its run. A run that has written events is not cancelled because of
 // a part of its prompt: it may be what clears the part.
 func (t *Table) Admit(subject Subject, cancel func()) (admission *Admission, left time.Duration) {
-	subject.Parts = subject.Parts[:min(len(subject.Parts), maxParts)]
+	subject.Parts = subject.Parts[:min(len(subject.Parts), MaxParts)]
 	t.mu.Lock()
 	quarantined, suspected := t.partsOnTrial(subject.Parts)
 	t.mu.Unlock()
--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -87,7 +87,7 @@
 		changed = t.parts.addPass(p.Part, now.Add(-p.Age)) || changed
 	}
 	for _, c := range evidence.Crashes {
-		if c.Age < suspicionDuration && len(c.Parts) <= maxParts {
+		if c.Age < suspicionDuration && len(c.Parts) <= MaxParts {
 			changed = t.addCrash(c, now.Add(-c.Age), false) || changed
 		}
 	}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -34,8 +34,8 @@
 	// sameCrashWindow is the maximum difference between the times at which hosts see one
 	// crash. A server whose identity survives a restart may crash again after that.
 	sameCrashWindow = time.Second
-	// maxParts bounds the parts of one prompt that count.
-	maxParts = 32
+	// MaxParts bounds the parts of one prompt that count.
+	MaxParts = 32
 	// maxCrashes and maxRunsPerCrash bound the crashes that are remembered.
 	maxCrashes      = 64
 	maxRunsPerCrash = 32
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -530,12 +530,12 @@
 func TestPartEvidenceIsBounded(t *testing.T) {
 	inBubble(t, func(is *is.I) {
 		table := newPartTable(is)
-		many := make([]uint64, 4*maxParts)
+		many := make([]uint64, 4*MaxParts)
 		for i := range many {
 			many[i] = uint64(i)
 		}
 		table.admit(many...).Completed()
-		table.crashes(2*maxCrashes, time.Millisecond, many[:maxParts]...)
+		table.crashes(2*maxCrashes, time.Millisecond, many[:MaxParts]...)
 		is.Equal(len(table.parts.crashes), maxCrashes)
 		evidence := table.GossipEvidence()
 		is.Equal(len(evidence.Crashes), maxChangedRecords)
