gatewayhost, link: the limit of heads follows the configuration

What callers would see: where an operator allows heads of more than 64 KiB, callers within that limit were answered 431, which they do not repeat.

Cause: the server's limit was a constant; limits.maxHeaderBytes was not read.

Change: the intake, which sees the bytes of heads first, holds the limit in force: 64 KiB or what the configuration says if that is more, at most the 1 MiB of the server. Memory is bounded by the budget, not by this limit.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -97,7 +97,8 @@
 
 // ClientLimits are the limits on callers' requests.
 type ClientLimits struct {
-	MaxBodyBytes int64
+	MaxHeaderBytes int64
+	MaxBodyBytes   int64
 }
 
 // Configuration is one version of the operator's configuration. It is immutable
--- a/gatewayhost/host.go
+++ b/gatewayhost/host.go
@@ -63,7 +63,10 @@
 	// connection closed by the host loses a request sent at the same moment.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = time.Minute
-	maxHeaderBytes    = 64 << 10
+	// minHeadLimit is the lowest limit of a request's head, in bytes, whatever the
+	// configuration says; maxHeadLimit is the highest.
+	minHeadLimit = 64 << 10
+	maxHeadLimit = 1 << 20
 )
 
 // Objects names the stored objects that a host uses, and decodes them.
@@ -133,8 +136,8 @@
 	RepeatWindow                 time.Duration
 	// AnswerMemory bounds the memory of buffered answers; see [gateway.Options].
 	AnswerMemory int64
-	// Intake bounds what callers make the host hold, at all its servers together. Its Logger
-	// and Registerer are those of the host.
+	// Intake bounds what callers make the host hold, at all its servers together. Its Logger,
+	// Registerer and MaxHeadBytes are those of the host.
 	Intake link.IntakeOptions
 	// StopGrace is the time from the stop signal until the process is killed.
 	StopGrace  time.Duration
@@ -181,7 +184,7 @@
 // New returns a host; Run starts it.
 func New(o Options) *Host {
 	h := &Host{options: o, logger: o.Logger, quarantineDirty: make(chan struct{}, 1), undecided: newUndecidedRemovals()}
-	o.Intake.Logger, o.Intake.Registerer = o.Logger, o.Registerer
+	o.Intake.Logger, o.Intake.Registerer, o.Intake.MaxHeadBytes = o.Logger, o.Registerer, h.headLimit
 	h.intake = link.NewIntake(o.Intake)
 	h.table = replica.New(h.apply)
 	h.table.SetAcross(h.across)
@@ -297,7 +300,7 @@
 // serve starts an HTTP server in the group; it runs until ctx ends.
 func (h *Host) serve(ctx context.Context, group *errgroup.Group, s Server) *link.DrainServer {
 	server := link.NewDrainServer(&http.Server{
-		Handler: s.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadLimit,
 		ErrorLog: zap.NewStdLog(h.logger.Named("http")),
 	})
 	server.Intake = h.intake
@@ -315,6 +318,15 @@
 	return server
 }
 
+// headLimit returns the limit of the head of callers' requests, in bytes.
+func (h *Host) headLimit() int {
+	limit := int64(minHeadLimit)
+	if c := h.gateway.Configuration(); c != nil {
+		limit = max(limit, c.Limits.MaxHeaderBytes)
+	}
+	return int(min(limit, maxHeadLimit))
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
--- a/link/intake.go
+++ b/link/intake.go
@@ -49,6 +49,8 @@
 	intakeLogInterval = time.Second
 	// freeTimeout is the longest wait for the memory of an ended request.
 	freeTimeout = time.Second
+	// maxDiscardedBytes bounds what is read after an answer that ends a connection.
+	maxDiscardedBytes = 256 << 10
 	// closingDivisor divides the limit of connections: so many more may be open while they
 	// are being closed.
 	closingDivisor = 4
@@ -66,6 +68,9 @@
 	Memory int64
 	// Connections bounds the open connections of callers; default: ConnectionsFor(0).
 	Connections int
+	// MaxHeadBytes returns the limit of a request's head, in bytes; nil: only the HTTP
+	// server's limit holds. Heads over it are answered 431.
+	MaxHeadBytes func() int
 	// RefusalType and RefusalBody are the content type and the body of the answer to a
 	// request that is refused as not run.
 	RefusalType string
@@ -213,8 +218,10 @@
 	refused bool          // there was no room for its request
 	freed   chan struct{} // closed when it holds no memory any more
 
-	// readAhead is the cost of bytes that may belong to the next head. It is used by
-	// whoever reads from the connection.
+	// headBytes is the size of the current head so far, and of what was read with it. It is
+	// used by whoever reads from the connection, like readAhead.
+	headBytes int
+	// readAhead is the cost of bytes that may belong to the next head.
 	readAhead int64
 }
 
@@ -392,6 +399,16 @@
 	return h.phase, h.evicted
 }
 
+// discardRest reads what the caller still sends, for finalWait at most, after an answer: bytes
+// that are not read when the connection closes reset it, and the caller loses the answer.
+func (h *holding) discardRest() {
+	if half, ok := h.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // the caller may be gone
+	}
+	_ = h.conn.SetReadDeadline(time.Now().Add(finalWait))  // fails only on a closed connection
+	_, _ = io.CopyN(io.Discard, h.conn, maxDiscardedBytes) // ends with the deadline
+}
+
 // beforeRead returns an error if the connection is ended. An idle one is read a final time,
 // in case a request has arrived.
 func (h *holding) beforeRead() error {
@@ -478,12 +495,31 @@
 		h.readAhead += cost
 		return nil
 	case phaseAccepted, phaseIdle:
+		h.headBytes = 0
 		h.begin(cost)
 	default:
 		h.reserve(cost)
 	}
 	h.readAhead = cost
-	return h.refuseHead()
+	if err := h.refuseHead(); err != nil {
+		return err
+	}
+	h.headBytes += len(data)
+	if limit := h.intake.options.MaxHeadBytes; limit != nil && h.headBytes > limit()+readAheadBytes {
+		h.answer(headTooLarge)
+		h.discardRest()
+		return ErrEvicted
+	}
+	return nil
+}
+
+// headTooLarge is the answer to a request whose head is over its limit.
+var headTooLarge = []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+
+// answer answers a request whose head is not read to its end.
+func (h *holding) answer(text []byte) {
+	_ = h.conn.SetWriteDeadline(time.Now().Add(finalWait)) // fails only on a closed connection
+	_, _ = h.conn.Write(text)                              // the caller may be gone
 }
 
 // refuseHead answers a request that was ended or refused while its head arrives.
@@ -494,8 +530,7 @@
 	if !refuse {
 		return nil
 	}
-	_ = h.conn.SetWriteDeadline(time.Now().Add(finalWait)) // fails only on a closed connection
-	_, _ = h.conn.Write(h.intake.refusal)                  // the caller may be gone
+	h.answer(h.intake.refusal)
 	return ErrEvicted
 }
 
--- a/link/intake_test.go
+++ b/link/intake_test.go
@@ -218,3 +218,27 @@
 		}
 	})
 }
+
+// Guards against heads over the limit in force, and against a limit that a smaller head meets.
+func TestIntakeLimitsHeads(t *testing.T) {
+	inIntakeBubble(t, func(t *testing.T, is *is.I, fabric *network.Fabric) {
+		limit := 16 << 10
+		intakeServer(t, fabric, link.IntakeOptions{Memory: 16 << 20, Connections: 100, MaxHeadBytes: func() int { return limit }}, nil)
+		head := func(size int) string {
+			const start, end = "GET / HTTP/1.1\r\nHost: h\r\nLong: ", "\r\n\r\n"
+			return start + strings.Repeat("a", size-len(start)-len(end)) + end
+		}
+		conn := connect(t, fabric, requestText)
+		readAnswer(t, conn)
+		for range 3 {
+			_, err := io.WriteString(conn, head(limit))
+			is.NoErr(err)
+			readAnswer(t, conn)
+		}
+		sent, ended := closed(connect(t, fabric, head(limit+16<<10)))
+		is.True(ended)
+		is.True(strings.HasPrefix(sent, "HTTP/1.1 431 "))
+		limit = 64 << 10
+		readAnswer(t, connect(t, fabric, head(limit)))
+	})
+}
