link: more connections than the limit do not stay, newcomers go after idle ones

What callers saw: beside 800 connections that are kept after a request, at a limit of 150, an ordinary request was not answered within a minute.

A request that arrives on a connection which is being ended is served, so more than the limit stayed open for good, each accept waited for others to close, and each wait came after the connection was counted and before it was served. Looking for the same cause: a newcomer whose request was on its way was ended before idle connections, as it had no whole request yet.

TestIntakeReturnsToItsLimit and TestIntakeEndsIdleConnectionsBeforeThoseThatHaveJustBegun fail without the change.

Change: an accept ends as many as are over the limit; it waits before the next connection is taken from the system; connections that were opened, or whose request began, in the last 100 ms and that hold at most 64 KiB come after the idle ones.

--- a/link/drain.go
+++ b/link/drain.go
@@ -149,6 +149,9 @@
 // connection has arrived for finalWait.
 func (l *drainListener) Accept() (net.Conn, error) {
 	for finalAccept := false; ; {
+		if l.intake != nil {
+			l.intake.awaitClosed()
+		}
 		conn, err := l.Listener.Accept()
 		if err == nil {
 			l.extend()
@@ -180,7 +183,6 @@
 			_ = conn.Close() // the caller may be gone
 			return nil
 		}
-		l.intake.awaitClosed()
 	}
 	return c
 }
--- a/link/intake.go
+++ b/link/intake.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"crypto/tls"
 	"math"
 	"net"
@@ -25,6 +26,8 @@
 	intakeLogInterval = time.Second
 	// modestBytes is how much a connection may hold and still end others that hold less.
 	modestBytes = 64 << 10
+	// beginningTime is how long a connection counts as one that has just begun.
+	beginningTime = 100 * time.Millisecond
 	// freeTimeout is the longest wait for the memory of an ended request.
 	freeTimeout = time.Second
 	// closingDivisor divides the limit of connections: so many more may be open while they
@@ -76,8 +79,8 @@
 // read, before they are decoded.
 //
 // At a limit, connections without a whole request are ended first, those first that have
-// held most for longest. Next are idle connections, from the oldest. A request that has
-// arrived whole is not cut off. All methods may be called from any goroutine.
+// held most for longest. Next are idle connections, from the oldest, and then connections
+// that have just begun. A request that has arrived whole is not cut off. All methods may be called from any goroutine.
 type Intake struct {
 	options IntakeOptions
 	budget  *bytebudget.Budget
@@ -136,13 +139,15 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if len(i.open)-i.evicted >= i.options.Connections || i.budget.Free() < h.idleBytes {
+	short := i.budget.Free() < h.idleBytes
+	for short || len(i.open)-i.evicted >= i.options.Connections {
 		victim := i.victim(h, h.idleBytes)
 		if victim == nil {
 			i.recordEnd(phaseAccepted)
 			return nil
 		}
 		i.evict(victim)
+		short = false // the memory of one is enough once it is free
 	}
 	h.account.Overdraw(h.idleBytes)
 	i.open[h] = struct{}{}
@@ -198,13 +203,15 @@
 }
 
 // victim returns the connection that is ended so that another one can hold the given memory;
-// nil: there is none. A connection that holds much ends only those that hold as much.
-// Requires mu.
+// nil: there is none. A connection that holds much ends only those that hold as much. One that
+// has just begun and holds little is ended only after the idle ones: its request is probably
+// on its way. Requires mu.
 func (i *Intake) victim(by *holding, memory int64) *holding {
 	now := time.Now()
 	weigh := func(h *holding, held int64) float64 { return float64(held) * now.Sub(h.since).Seconds() }
-	var heaviest, oldest *holding
-	most := weigh(by, memory)
+	var heaviest, idle, recent *holding
+	own := weigh(by, memory)
+	most, mostRecent := own, own
 	for h := range i.open {
 		held := h.account.Held()
 		if h == by || h.evicted || memory > modestBytes && held < memory {
@@ -213,19 +220,21 @@
 		switch h.phase {
 		case phaseServing:
 		case phaseIdle:
-			if oldest == nil || h.since.Before(oldest.since) {
-				oldest = h
+			if idle == nil || h.since.Before(idle.since) {
+				idle = h
 			}
 		default:
-			if weight := weigh(h, held); weight > most {
+			weight := weigh(h, held)
+			if held <= modestBytes && now.Sub(h.since) < beginningTime {
+				if weight > mostRecent {
+					recent, mostRecent = h, weight
+				}
+			} else if weight > most {
 				heaviest, most = h, weight
 			}
 		}
 	}
-	if heaviest != nil {
-		return heaviest
-	}
-	return oldest
+	return cmp.Or(heaviest, idle, recent)
 }
 
 // evict ends a connection. Its memory counts as free at once if it has no request, and else
