link: a reset during a write does not read as an end in order

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The part reached the caller as a complete answer.

Cause: platform.Client writes the request in one goroutine and reads the answer in another, and a tunnel's helping host does the same. The kernel reports a reset once, to the call that comes first. When that is the blocked write, it gets ECONNRESET and the next read returns a clean end of file, with which a close-delimited answer counts as whole. The error of the write was only used to close the connection, and not at all by the tunnel, which then ended its stream in order.

Change: link.TCP, through which all connections are dialled (both interfaces, streams, moved runs, control calls, tunnels, hosts, store, callers), returns a connection that gives io.EOF only if no write has failed. At the end of file it waits for a write in progress, for 0.5 s at most. Why this holds: a write that took the reset holds the lock until its error is recorded, so the reader cannot pass it. Answers that mark their own end never read the end of the file, and one that ends in order before the upload stays whole if the server reads the rest.

--- a/link/network.go
+++ b/link/network.go
@@ -13,7 +13,8 @@
 // implementation; tests use an in-memory network that can cut, silence and
 // delay links.
 type Network interface {
-	// Dial connects to address, an IP:port.
+	// Dial connects to address, an IP:port. A Read of the connection returns io.EOF only if
+	// the remote end closed it in order, never after a reset.
 	Dial(ctx context.Context, address string) (net.Conn, error)
 	// Listen accepts connections at address, an IP:port; port 0 picks a free
 	// one.
@@ -57,7 +58,11 @@
 	if err := dialFault(ctx, address); err != nil {
 		return nil, err
 	}
-	return t.Dialer.DialContext(ctx, "tcp", address)
+	conn, err := t.Dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &tcpConn{Conn: conn}, nil
 }
 
 // Listen listens over TCP.
--- a/peer/tunnel_bench_test.go
+++ b/peer/tunnel_bench_test.go
@@ -21,11 +21,11 @@
 }
 func (directDialer) CutOff(string) bool { return false }
 
-// tunnelBench returns a host, the name of another one that opens tunnels, and the
-// address of a server that echoes, all over loopback.
-func tunnelBench(b *testing.B) (node *Node, helper, server string) {
-	b.Helper()
-	is := is.New(b)
+// startTunnels returns a host, the name of another one that opens tunnels, and the
+// address of a server that serves each connection as given, all over loopback.
+func startTunnels(t testing.TB, serve func(conn net.Conn)) (node *Node, helper, server string) {
+	t.Helper()
+	is := is.New(t)
 	network := link.NewTCP(3 * time.Second)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -35,7 +35,7 @@
 			if err != nil {
 				return
 			}
-			go func() { _, _ = io.Copy(conn, conn); conn.Close() }()
+			go func() { serve(conn); conn.Close() }()
 		}
 	}()
 	free := func() string {
@@ -46,7 +46,7 @@
 	}
 	addresses := []string{free(), free()}
 	ctx, stop := context.WithCancel(context.Background())
-	b.Cleanup(func() { stop(); listener.Close() })
+	t.Cleanup(func() { stop(); listener.Close() })
 	for _, address := range addresses {
 		started := New(Options{
 			Self: Member{Host: address, FailureDomain: "a", PeerAddress: address}, Network: network, Seeds: addresses[:1], Configuration: newTableFake(),
@@ -59,11 +59,13 @@
 	return node, addresses[0], listener.Addr().String()
 }
 
+func echo(conn net.Conn) { _, _ = io.Copy(conn, conn) }
+
 // BenchmarkTunnel measures one request of 1 KB with an answer of the same size through a
 // tunnel, the work of both hosts and of the echoing server together.
 func BenchmarkTunnel(b *testing.B) {
 	is := is.New(b)
-	node, helper, server := tunnelBench(b)
+	node, helper, server := startTunnels(b, echo)
 	data := make([]byte, 1<<10)
 	for b.Loop() {
 		conn, err := node.OpenTunnel(b.Context(), helper, server)
@@ -80,7 +82,7 @@
 func BenchmarkOpenTunnels(b *testing.B) {
 	const open = 200
 	is := is.New(b)
-	node, helper, server := tunnelBench(b)
+	node, helper, server := startTunnels(b, echo)
 	for b.Loop() {
 		var before, after runtime.MemStats
 		runtime.GC()
--- a/peer/usertimeout_linux_test.go
+++ b/peer/usertimeout_linux_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,14 +19,14 @@
 	link.TCP
 
 	mu    sync.Mutex // guards conns
-	conns []*net.TCPConn
+	conns []syscall.Conn
 }
 
 func (r *recordingNetwork) record(conn net.Conn, err error) (net.Conn, error) {
 	if err == nil {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.conns = append(r.conns, conn.(*net.TCPConn))
+		r.conns = append(r.conns, conn.(syscall.Conn))
 	}
 	return conn, err
 }
