answerhead: a head with an invalid field name is no answer

Callers saw: a server sent a head in which the name of a field held a blank ("X Odd: b"). The caller got the line as the server had sent it. Where the blank stood before the colon of the line that frames the body ("Content-Length : 5"), the caller got a body that was not the server's: the line was not seen, and the body ended with the connection.

Cause: net/http accepts blanks in names, for compatibility, and keeps such lines under the name as it stands. Nothing looked at the names.

Control bytes, tabs and bytes above 127 in a name were errors of net/http before and are kept as rows.

The trailer of a chunked body is another case: it reaches no caller, decides nothing and comes after the end that the body marks.

--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -142,6 +142,8 @@
 		"line without end":        {"HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", 9<<20), Mismatch},
 		"header without end":      {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: b\r\n", 1<<20), Mismatch},
 		"interim without end":     {strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1<<10) + completeResponse, Mismatch},
+		"blank in a name":         {strings.Replace(completeResponse, "X-Request-Id", "X Odd: b\r\nX-Request-Id", 1), Mismatch},
+		"blank after a name":      {strings.Replace(completeResponse, "Content-Length:", "Content-Length :", 1), Mismatch},
 		"status 000":              {strings.Replace(completeResponse, "200 OK", "000 X", 1), Mismatch},
 		"response after 000":      {strings.Replace(emptyResponse, "200 OK", "000 X", 1) + completeResponse, Mismatch},
 		"refused and did not run": {"HTTP/1.1 503 X\r\nX-Request-Id: ID\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n", RefusedNotRun},
--- a/backend/clientexchange.go
+++ b/backend/clientexchange.go
@@ -195,7 +195,7 @@
 	switch {
 	case x.conn.written == 0:
 		failed.Evidence = NothingSent
-	case errors.IsAny(err, answerhead.ErrTooLarge, answerhead.ErrTooManyInterim, answerhead.ErrStatus):
+	case answerhead.IsNoAnswer(err):
 		failed.Evidence = Mismatch
 	case isTimeout(err) || isTimeout(x.conn.writeErr) || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failed.Evidence = Silent
--- a/backend/evidence.go
+++ b/backend/evidence.go
@@ -27,8 +27,9 @@
 	// example by a lost connection, a cancelled context, or a response that is over
 	// the size limit or not framed.
 	Broken
-	// Mismatch: the response belongs to another request, its header has no end, its status
-	// is that of no answer, or the chunks of a stream are invalid or out of order.
+	// Mismatch: the response belongs to another request, its header has no end or an invalid
+	// field name, its status is that of no answer, or the chunks of a stream are invalid or
+	// out of order.
 	Mismatch
 )
 
--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -27,8 +28,28 @@
 	// ErrStatus means that a status is not that of an answer to a request: it is outside the
 	// range of HTTP, or switches to another protocol, which no request asks for.
 	ErrStatus = errors.New("answerhead: status of no answer")
+	// ErrName means that the name of a field is no token (RFC 9110, 5.1). Such a line may be
+	// the one that frames the body.
+	ErrName = errors.New("answerhead: name of a field is invalid")
 )
 
+// IsNoAnswer reports whether an error of ReadResponse means that what arrived is no answer,
+// though the connection has not broken.
+func IsNoAnswer(err error) bool {
+	return errors.IsAny(err, ErrTooLarge, ErrTooManyInterim, ErrStatus, ErrName)
+}
+
+// CheckNames returns ErrName if the name of a field is no token. Net/http accepts blanks in
+// names, for compatibility, and keeps such lines as they are.
+func CheckNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrName, "%.64q", name)
+		}
+	}
+	return nil
+}
+
 // Reader reads answers from a connection. Heads are read with ReadResponse, bodies
 // through the response.
 type Reader struct {
@@ -43,7 +64,8 @@
 }
 
 // ReadResponse reads the head of the final answer to request and skips interim
-// answers. Errors: those of http.ReadResponse, ErrTooLarge, ErrTooManyInterim, ErrStatus.
+// answers. Errors: those of http.ReadResponse, ErrTooLarge, ErrTooManyInterim, ErrStatus,
+// ErrName.
 // After an error the connection must be closed.
 func (r *Reader) ReadResponse(request *http.Request) (*http.Response, error) {
 	for range MaxInterim + 1 {
@@ -68,7 +90,10 @@
 	if r.source.exceeded {
 		return nil, errors.CombineErrors(ErrTooLarge, err) // net/http may hide the error of the source
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, CheckNames(response.Header)
 }
 
 // source is the connection below the buffer of a Reader. While a head is read, it
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -122,6 +122,44 @@
 	}
 }
 
+// Guards against a line of a head whose name is none, and that is passed on, or that hides from
+// the parser how long the body is.
+func TestNameThatIsNoTokenIsAnError(t *testing.T) {
+	const rest = "Content-Length: 0\r\n\r\n"
+	for _, line := range []string{
+		"X Odd: b", "X-Odd : b", "Content-Length : 5", "Transfer-Encoding : chunked", "Transfer Encoding: chunked",
+		"X\tOdd: b", "X-Odd\t: b", "X\x00Odd: b", "X\x01Odd: b", "X\x7fOdd: b", "X\x80Odd: b", "X\rOdd: b", "X(Odd): b", ": b", " X-Odd: b",
+	} {
+		for name, head := range map[string]string{
+			"first": "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest, "interim": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+			"stray": "HTTP/1.1 503 Odd\r\nX-A: b\r\n" + line + "\r\n" + rest,
+		} {
+			if line[0] == ' ' && name == "stray" {
+				continue // continues the value before it
+			}
+			response, err := NewReader(strings.NewReader(head)).ReadResponse(request())
+			if err == nil {
+				t.Errorf("%s: %q is a line of an answer: %v", name, line, response.Header)
+			}
+		}
+	}
+	for _, line := range []string{"X-Odd:b", "x_odd!#$%&'*+.^`|~: b", "X-Odd: b c\td"} {
+		_, err := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest)).ReadResponse(request())
+		is.New(t).NoErr(err)
+	}
+}
+
+// Guards against a whole body that is lost because of a trailer, which reaches no caller.
+func TestNameInTrailerDoesNotSpoilTheBody(t *testing.T) {
+	is := is.New(t)
+	response, err := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Odd: b\r\n\r\n")).ReadResponse(request())
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "whole")
+	is.Equal(len(response.Header), 0)
+}
+
 // cutReader delivers a text and then fails as a connection does.
 func cutReader(text string, end error) io.Reader {
 	return io.MultiReader(strings.NewReader(text), iotest.ErrReader(end))
