gateway: a stopping host leaves time for its last answers

Callers saw: in a planned stop, a request whose time ended just at the end of the grace was taken and passed on, and its connection was closed without an answer. Requests that end earlier were answered, and those that end later refused as not run.

Cause: a stopping host accepts requests whose deadline is not after the moment at which it cuts off what is left. Both came at the same time: the answer that the time is over was still to be sent when the connections were closed.

Change: the last deadline that is accepted is 0.2 s before that moment, which is longer than the pause of a process that has used up its processor quota.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,7 +110,12 @@
 // Configuration returns the configuration in force, or nil.
 func (g *Gateway) Configuration() *Configuration { return g.configuration.Load() }
 
-// Stop makes the gateway refuse requests whose deadline is after the given time,
+// lastAnswersTime is how long before this host cuts off its remaining requests the last
+// deadline of those that it accepts is: their answers are still to be sent. It is longer than
+// the pause of a process that has used up its processor quota.
+const lastAnswersTime = 200 * time.Millisecond
+
+// Stop makes the gateway refuse requests that it could not answer by the given time,
 // at which this host cuts off its remaining requests. Short calls are still
 // served for a while; long generations are refused, also those that wait for a place.
 func (g *Gateway) Stop(by time.Time) {
@@ -137,10 +142,11 @@
 // InFlightGenerations returns the number of generations in flight.
 func (g *Gateway) InFlightGenerations() int { return int(g.generations.Load()) }
 
-// stopsBefore reports whether this host may stop before the given time.
-func (g *Gateway) stopsBefore(moment time.Time) bool {
+// stopsBefore reports whether this host may stop before a request with the given deadline is
+// answered.
+func (g *Gateway) stopsBefore(deadline time.Time) bool {
 	by := g.stopDeadline.Load()
-	return by != nil && moment.After(*by)
+	return by != nil && deadline.After(by.Add(-lastAnswersTime))
 }
 
 // stopDeadlinePassed reports whether the deadline of this host's stop has passed,
