backend: bodies that are read at a time are bounded together

Callers saw: nothing yet; found while looking for readers of answers without a bound. On our own interface each body was bounded by 8 MB, but not all of them together: 30 calls to servers that send bodies without end held 180 MB, on hosts that have 134 MB.

Cause: package backend read bodies with io.ReadAll below a limit of each. The platform's client accounts for them in a bytebudget.

Change: so does package backend, with 32 MB for all bodies being read. A body over its share of what the others leave is given up like one over its own limit (evidence broken); small ones are still read.

Evidence: TestBodiesWithoutEndAreBoundedTogether failed before: all 30 bodies of 6 MB were held. Now at most 32 MB are, and a call beside them is answered.

--- a/backend/client.go
+++ b/backend/client.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/papayasail/papayasail/internal/bytebudget"
 	"github.com/papayasail/papayasail/internal/defaults"
 	"github.com/papayasail/papayasail/link"
 )
@@ -22,6 +23,7 @@
 	defaultIdleTimeout    = 2 * time.Second
 	defaultMaxIdle        = 4
 	defaultMaxAnswerBytes = 8 << 20
+	defaultAnswerMemory   = 32 << 20
 	defaultMaxEventBytes  = 256 << 10
 )
 
@@ -39,6 +41,7 @@
 	IdleTimeout    time.Duration
 	MaxIdle        int    // idle connections kept per server: 4
 	MaxAnswerBytes int64  // body of a non-streaming response: 8 MiB
+	AnswerMemory   int64  // memory for all bodies of non-streaming responses that are read at a time: 32 MiB
 	MaxEventBytes  int    // one server-sent event: 256 KiB
 	OrderToken     string // bearer token sent with orders; empty: none
 }
@@ -50,6 +53,7 @@
 	defaults.Set(&o.IdleTimeout, defaultIdleTimeout)
 	defaults.Set(&o.MaxIdle, defaultMaxIdle)
 	defaults.Set(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
+	defaults.Set(&o.AnswerMemory, defaultAnswerMemory)
 	defaults.Set(&o.MaxEventBytes, defaultMaxEventBytes)
 	return o
 }
@@ -61,6 +65,7 @@
 	options ClientOptions
 	dialer  dialer
 	idle    idleConns
+	answers *bytebudget.Budget // memory of bodies being read
 }
 
 // NewClient returns a client that dials through network.
@@ -70,6 +75,7 @@
 		options: options,
 		dialer:  dialer{network: network, timeout: options.DialTimeout},
 		idle:    newIdleConns(options.MaxIdle, options.IdleTimeout),
+		answers: bytebudget.New(options.AnswerMemory),
 	}
 	if reporter, ok := network.(link.SilenceReporter); ok {
 		reporter.OnSilent(c.idle.drop)
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -420,3 +420,48 @@
 		})
 	}
 }
+
+// Guards against servers that send bodies without end, many at a time: a host would hold them all
+// until it is over its memory limit.
+func TestBodiesWithoutEndAreBoundedTogether(t *testing.T) {
+	const calls, sent, open = 30, 6 << 20, time.Second
+	inBubble(t, func(is *is.I, fabric *network.Fabric, client *Client) {
+		listener, err := fabric.Host(serverIP).Listen(serverAddress)
+		is.NoErr(err)
+		answer := func(conn net.Conn) {
+			defer conn.Close()
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			id := request.Header.Get(HeaderRequestID)
+			if request.URL.Path == "/small" {
+				io.WriteString(conn, strings.ReplaceAll(completeResponse, "ID", id))
+				return
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", HeaderRequestID, id, strings.Repeat("a", sent))
+			time.Sleep(open)
+		}
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go answer(conn)
+			}
+		}()
+		errs := make(chan error, calls)
+		for range calls {
+			go func() { errs <- get(client, context.Background()) }()
+		}
+		time.Sleep(open / 2)
+		is.True((calls-len(errs))*sent <= defaultAnswerMemory) // the others have been given up
+		_, err = client.Call(context.Background(), serverAddress, PlainRequest{Method: http.MethodGet, Path: "/small"})
+		is.NoErr(err)
+		for range calls {
+			is.Equal(evidenceOf(<-errs), Broken)
+		}
+		is.Equal(client.answers.Free(), int64(defaultAnswerMemory))
+	})
+}
--- a/backend/clientexchange.go
+++ b/backend/clientexchange.go
@@ -16,11 +16,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayasail/papayasail/internal/answerhead"
+	"github.com/papayasail/papayasail/internal/bytebudget"
 )
 
 var (
 	errRequestID     = errors.New("backend: response has the ID of another request")
-	errTooLarge      = errors.New("backend: response body exceeds the size limit")
 	errUnframed      = errors.New("backend: response is close-delimited; truncation cannot be detected")
 	errInvalidMethod = errors.New("backend: method is not a valid HTTP token")
 	errInvalidPath   = errors.New("backend: path does not start with a slash")
@@ -218,15 +218,16 @@
 		return nil, err
 	}
 	status := x.response.StatusCode
-	body, err := io.ReadAll(io.LimitReader(x.response.Body, c.options.MaxAnswerBytes+1))
+	memory := c.answers.NewAccount()
+	defer memory.Release()
+	body, err := memory.ReadAll(x.response.Body, c.options.MaxAnswerBytes)
 	if err != nil {
 		x.abandon()
+		if errors.IsAny(err, bytebudget.ErrTooLarge, bytebudget.ErrExhausted) {
+			return nil, &CallError{Evidence: Broken, Status: status, Err: err}
+		}
 		return nil, x.callError(ctx, errors.Wrap(err, "body"))
 	}
-	if int64(len(body)) > c.options.MaxAnswerBytes {
-		x.abandon()
-		return nil, &CallError{Evidence: Broken, Status: status, Err: errTooLarge}
-	}
 	if err := x.checkFraming(body); err != nil {
 		x.abandon()
 		return nil, &CallError{Evidence: Broken, Status: status, Err: err}
