answerhead: a line that continues another is no part of a head

Callers could see: the name of a field with a blank before it, in any line but the first, was joined to the value of the line before and passed on with it; if it was the line that frames the body, the body ended with the connection.

Cause: net/http still accepts continued lines, which HTTP has abolished. In the parsed head nothing shows them.

Change: the bytes of a head are looked at as they arrive, up to the empty line, for lines that begin with a blank. Such a head is ErrName, as with a blank in or after the name; RFC 9112, 5.2 lets a gateway give up the message.

Bodies with such lines, answers read byte by byte and answers in one packet are as before.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -28,8 +28,9 @@
 	// ErrStatus means that a status is not that of an answer to a request: it is outside the
 	// range of HTTP, or switches to another protocol, which no request asks for.
 	ErrStatus = errors.New("answerhead: status of no answer")
-	// ErrName means that the name of a field is no token (RFC 9110, 5.1). Such a line may be
-	// the one that frames the body.
+	// ErrName means that the name of a field is no token (RFC 9110, 5.1), or follows a blank,
+	// so that its line continues the one before. Such a line may be the one that frames the
+	// body.
 	ErrName = errors.New("answerhead: name of a field is invalid")
 )
 
@@ -65,8 +66,7 @@
 
 // ReadResponse reads the head of the final answer to request and skips interim
 // answers. Errors: those of http.ReadResponse, ErrTooLarge, ErrTooManyInterim, ErrStatus,
-// ErrName.
-// After an error the connection must be closed.
+// ErrName. After an error the connection must be closed.
 func (r *Reader) ReadResponse(request *http.Request) (*http.Response, error) {
 	for range MaxInterim + 1 {
 		response, err := r.readHead(request)
@@ -84,8 +84,11 @@
 }
 
 func (r *Reader) readHead(request *http.Request) (*http.Response, error) {
-	r.source.bounded, r.source.left = true, MaxBytes-r.Buffered()
+	r.source.bounded, r.source.left, r.source.lines = true, MaxBytes-r.Buffered(), lines{}
 	defer func() { r.source.bounded = false }()
+	if buffered, err := r.Peek(r.Buffered()); err == nil {
+		r.source.lines.scan(buffered)
+	}
 	response, err := http.ReadResponse(r.Reader, request)
 	if r.source.exceeded {
 		return nil, errors.CombineErrors(ErrTooLarge, err) // net/http may hide the error of the source
@@ -93,9 +96,36 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.source.lines.continued {
+		return nil, errors.Wrap(ErrName, "line begins with a blank")
+	}
 	return response, CheckNames(response.Header)
 }
 
+// lines looks for lines of a head that begin with a blank. Net/http joins them to the line
+// before, which a gateway need not accept (RFC 9112, 5.2).
+type lines struct {
+	last      byte
+	ended     bool // by an empty line
+	continued bool
+}
+
+func (l *lines) scan(p []byte) {
+	for _, b := range p {
+		switch {
+		case l.ended:
+			return
+		case b == '\r': // an empty line may have one
+			continue
+		case l.last == '\n' && b == '\n':
+			l.ended = true
+		case l.last == '\n' && (b == ' ' || b == '\t'):
+			l.continued = true
+		}
+		l.last = b
+	}
+}
+
 // source is the connection below the buffer of a Reader. While a head is read, it
 // fails after the bytes left.
 type source struct {
@@ -103,6 +133,7 @@
 	bounded  bool
 	left     int
 	exceeded bool
+	lines    lines // of the head
 }
 
 // Read implements io.Reader.
@@ -116,5 +147,6 @@
 	}
 	n, err := s.reader.Read(p[:min(len(p), s.left)])
 	s.left -= n
+	s.lines.scan(p[:n])
 	return n, err
 }
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -127,16 +127,13 @@
 func TestNameThatIsNoTokenIsAnError(t *testing.T) {
 	const rest = "Content-Length: 0\r\n\r\n"
 	for _, line := range []string{
-		"X Odd: b", "X-Odd : b", "Content-Length : 5", "Transfer-Encoding : chunked", "Transfer Encoding: chunked",
+		"X Odd: b", "X-Odd : b", "X-A: b\r\n X-Odd: b", "X-A: b\r\n\tX-Odd: b", "X-A: b\r\n Transfer-Encoding: chunked", "X-A: b\n Content-Length: 5", "Content-Length : 5", "Transfer-Encoding : chunked", "Transfer Encoding: chunked",
 		"X\tOdd: b", "X-Odd\t: b", "X\x00Odd: b", "X\x01Odd: b", "X\x7fOdd: b", "X\x80Odd: b", "X\rOdd: b", "X(Odd): b", ": b", " X-Odd: b",
 	} {
 		for name, head := range map[string]string{
 			"first": "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest, "interim": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 			"stray": "HTTP/1.1 503 Odd\r\nX-A: b\r\n" + line + "\r\n" + rest,
 		} {
-			if line[0] == ' ' && name == "stray" {
-				continue // continues the value before it
-			}
 			response, err := NewReader(strings.NewReader(head)).ReadResponse(request())
 			if err == nil {
 				t.Errorf("%s: %q is a line of an answer: %v", name, line, response.Header)
@@ -149,6 +146,22 @@
 	}
 }
 
+// Guards against heads that count as continued because of what follows them or came before.
+func TestOnlyLinesOfTheHeadAreContinued(t *testing.T) {
+	is := is.New(t)
+	const body = "a\r\n b\n\tc"
+	one := fmt.Sprintf("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	reader := NewReader(iotest.OneByteReader(strings.NewReader(one)))
+	whole := NewReader(strings.NewReader(one + one))
+	for _, r := range []*Reader{reader, whole, whole} {
+		response, err := r.ReadResponse(request())
+		is.NoErr(err)
+		read, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(read), body)
+	}
+}
+
 // Guards against a whole body that is lost because of a trailer, which reaches no caller.
 func TestNameInTrailerDoesNotSpoilTheBody(t *testing.T) {
 	is := is.New(t)
