--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,9 +110,9 @@
 // Configuration returns the configuration in force, or nil.
 func (g *Gateway) Configuration() *Configuration { return g.configuration.Load() }
 
-// lastAnswersTime is how long before this host cuts off its remaining requests the last
-// deadline of those that it accepts is: their answers are still to be sent. It is longer than
-// the pause of a process that has used up its processor quota.
+// lastAnswersTime is the time between the latest deadline that a stopping host accepts and the
+// moment at which it cuts off its remaining requests, for sending their answers. It is longer
+// than the pause of a process that has used up its processor quota.
 const lastAnswersTime = 200 * time.Millisecond
 
 // Stop makes the gateway refuse requests that it could not answer by the given time,
--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -84,10 +84,10 @@
 }
 
 func (r *Reader) readHead(request *http.Request) (*http.Response, error) {
-	r.source.bounded, r.source.left, r.source.lines = true, MaxBytes-r.Buffered(), lines{}
+	r.source.bounded, r.source.left, r.source.scanner = true, MaxBytes-r.Buffered(), continuationScanner{}
 	defer func() { r.source.bounded = false }()
 	if buffered, err := r.Peek(r.Buffered()); err == nil {
-		r.source.lines.scan(buffered)
+		r.source.scanner.scan(buffered)
 	}
 	response, err := http.ReadResponse(r.Reader, request)
 	if r.source.exceeded {
@@ -96,33 +96,34 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.source.lines.continued {
+	if r.source.scanner.found {
 		return nil, errors.Wrap(ErrName, "line begins with a blank")
 	}
 	return response, CheckNames(response.Header)
 }
 
-// lines looks for lines of a head that begin with a blank. Net/http joins them to the line
-// before, which a gateway need not accept (RFC 9112, 5.2).
-type lines struct {
-	last      byte
-	ended     bool // by an empty line
-	continued bool
+// continuationScanner finds lines of a head that begin with a blank. Net/http joins them to
+// the line before, which a gateway need not accept (RFC 9112, 5.2).
+type continuationScanner struct {
+	last  byte
+	ended bool // the empty line after the head was seen
+	found bool
 }
 
-func (l *lines) scan(p []byte) {
+// scan scans the next bytes of a head, and what follows it.
+func (c *continuationScanner) scan(p []byte) {
 	for _, b := range p {
 		switch {
-		case l.ended:
+		case c.ended:
 			return
 		case b == '\r': // an empty line may have one
 			continue
-		case l.last == '\n' && b == '\n':
-			l.ended = true
-		case l.last == '\n' && (b == ' ' || b == '\t'):
-			l.continued = true
+		case c.last == '\n' && b == '\n':
+			c.ended = true
+		case c.last == '\n' && (b == ' ' || b == '\t'):
+			c.found = true
 		}
-		l.last = b
+		c.last = b
 	}
 }
 
@@ -133,7 +134,7 @@
 	bounded  bool
 	left     int
 	exceeded bool
-	lines    lines // of the head
+	scanner  continuationScanner // of the head
 }
 
 // Read implements io.Reader.
@@ -147,6 +148,6 @@
 	}
 	n, err := s.reader.Read(p[:min(len(p), s.left)])
 	s.left -= n
-	s.lines.scan(p[:n])
+	s.scanner.scan(p[:n])
 	return n, err
 }
--- a/link/tcpconn.go
+++ b/link/tcpconn.go
@@ -14,7 +14,7 @@
 // closed its direction: a remote end that reads the rest takes less.
 const lastWriteTimeout = 500 * time.Millisecond
 
-var errNotTaken = errors.New("link: remote end closed before it took what was written")
+var errNotTaken = errors.New("link: connection ended before the remote end took what was written")
 
 // tcpConn is a connection on which Read returns io.EOF only if the remote end closed it in
 // order and took what was written until then.
@@ -47,7 +47,8 @@
 		return n, err
 	}
 	if failure := c.finishWrite(); failure != nil {
-		return n, errors.Mark(failure, errNotTaken)
+		// As the primary error, a timeout of the Write would look like one of the Read.
+		return n, errors.WithSecondaryError(errNotTaken, failure)
 	}
 	return n, err
 }
