--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -122,9 +122,9 @@
 	}
 }
 
-// Guards against a line of a head whose name is none, and that is passed on, or that hides from
-// the parser how long the body is.
-func TestNameThatIsNoTokenIsAnError(t *testing.T) {
+// Guards against a line with an invalid field name that is passed on, or that hides from the parser
+// how long the body is.
+func TestInvalidFieldNameIsAnError(t *testing.T) {
 	const rest = "Content-Length: 0\r\n\r\n"
 	for _, line := range []string{
 		"X Odd: b", "X-Odd : b", "X-A: b\r\n X-Odd: b", "X-A: b\r\n\tX-Odd: b", "X-A: b\r\n Transfer-Encoding: chunked", "X-A: b\n Content-Length: 5", "Content-Length : 5", "Transfer-Encoding : chunked", "Transfer Encoding: chunked",
@@ -163,7 +163,7 @@
 }
 
 // Guards against a whole body that is lost because of a trailer, which reaches no caller.
-func TestNameInTrailerDoesNotSpoilTheBody(t *testing.T) {
+func TestInvalidNameInTrailerKeepsTheBody(t *testing.T) {
 	is := is.New(t)
 	response, err := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Odd: b\r\n\r\n")).ReadResponse(request())
 	is.NoErr(err)
